--- /dev/null
+++ b/src/broker/index.ts
@@ -0,0 +1,10 @@
+/** The moleculer broker that hosts an instance's services, and HTTP services on it. */
+export { createBroker } from "./broker";
+export {
+    createHttpService,
+    type HttpAnswer,
+    type HttpCall,
+    type HttpRoute,
+    type HttpServiceOptions,
+    refusalAnswer,
+} from "./httpService";
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,10 @@
+/** Entry: callers' requests, from the HTTP API to the owner of a rack or queue and back. */
+export { type CallersApi, type CallersApiOptions, createCallersApi, type JobView } from "./callersApi";
+export { type Activity, createActivity, createCallersHttp } from "./callersHttp";
+export { createHomes, type Homes } from "./homes";
+export { createInteractiveRouter, type InteractiveOutcome, type InteractiveRouter } from "./interactiveRouter";
+export { createJobAdmission, type JobAdmission } from "./jobAdmission";
+export { createKeyrings, type Keyrings } from "./keyrings";
+export { createRateLimit, type RateLimit } from "./rateLimit";
+export { createRowClaims } from "./rowClaims";
+export { type Submission, submissionSchema } from "./submission";
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,2 @@
+/** Small helpers around HTTP clients. */
+export { readBounded, wasNeverSent } from "./clientErrors";
--- /dev/null
+++ b/src/instance/index.ts
@@ -0,0 +1,2 @@
+/** One instance: every role in one process. */
+export { createInstance, type Instance, type InstanceOptions, type InstanceStatus } from "./instance";
--- /dev/null
+++ b/src/instance/ownedRoles.ts
@@ -0,0 +1,247 @@
+/** The racks and queues that this instance owns, and the way to the owners of others. */
+import * as crypto from "node:crypto";
+import type * as clock from "../clock/index";
+import type * as configuration from "../configuration/index";
+import type * as jobs from "../jobs/index";
+import type * as membership from "../membership/index";
+import type * as observe from "../observe/index";
+import * as ownership from "../ownership/index";
+import type * as peer from "../peer/index";
+import type * as platform from "../platform/index";
+import * as queue from "../queue/index";
+import type * as settings from "../settings/index";
+import * as workers from "../workers/index";
+
+type PeerCalls = ReturnType<peer.PeerConnections["get"]>;
+
+export interface OwnedRolesOptions {
+    readonly cfg: settings.InstanceSettings;
+    readonly clock: clock.Clock;
+    readonly counters: observe.Counters;
+    readonly histograms: observe.Histograms;
+    readonly log: observe.Log;
+    readonly retry: platform.RetryPolicy;
+    readonly store: jobs.JobStore;
+    readonly objects: platform.ObjectStore;
+    readonly view: membership.MembershipView;
+    readonly owners: ownership.Ownership;
+    readonly reader: configuration.ConfigurationReader;
+    readonly createClient: workers.RackOwnerOptions["createClient"];
+    readonly callPeer: <T>(
+        instanceId: string,
+        call: (calls: PeerCalls) => Promise<T | undefined>,
+    ) => Promise<T | undefined>;
+    readonly getLocal: () => peer.PeerService;
+    readonly findOtherZone: (
+        job: { readonly account: string; readonly accelerators: number; },
+        from: string,
+    ) => string | undefined;
+}
+
+export interface WorkerView {
+    readonly worker: string;
+    readonly rack: string;
+    readonly zone: string;
+    readonly usable: boolean;
+    readonly reason: string;
+    readonly interactive: number;
+    readonly tasks: number;
+    readonly accelerators: number;
+}
+
+export interface OwnedRoles {
+    getRack(rackId: string): workers.RackOwner | undefined;
+    getQueue(zone: string): queue.ZoneQueue | undefined;
+    getRackLoads(): peer.RackLoad[];
+    getZoneLoads(): peer.ZoneLoad[];
+    getQueueStatus(): queue.ZoneStatus[];
+    getWorkerViews(): WorkerView[];
+    /** Takes up and gives up racks and queues by the present view. */
+    adjust(): void;
+    /** Calls the owner of a rack, which may be this instance. */
+    callRackOwner<T>(rackId: string, call: (calls: PeerCalls) => Promise<T | undefined>): Promise<T | undefined>;
+    callQueueOwner<T>(zone: string, call: (calls: PeerCalls) => Promise<T | undefined>): Promise<T | undefined>;
+    /** Gives everything up in order. */
+    close(): Promise<void>;
+    /** Stops without giving anything back, as a crash would. */
+    abandon(): void;
+}
+
+const REPORT_TIMEOUT_MS = 1500;
+const COMMAND_TIMEOUT_MS = 4000;
+
+export function createOwnedRoles(options: OwnedRolesOptions): OwnedRoles {
+    const { cfg, clock: time, counters, log, owners, reader, view } = options;
+    let abandoned = false;
+    let closing = false;
+
+    const getCurrent = (): configuration.Configuration => reader.getCurrent()!;
+
+    const isDrained = (workerId: string): boolean => {
+        const current = reader.getCurrent();
+        const preset = current?.contracts.presets.find(item => item.name === current.head.preset);
+        return view.isLeaving(workerId) || (preset?.drainedWorkers.includes(workerId) ?? false);
+    };
+
+    /** Calls to this instance itself take the same form as calls to others, without the network. */
+    const localCalls: PeerCalls = {
+        heartbeat: req => options.getLocal().heartbeat(req),
+        run: req => options.getLocal().run(req),
+        command: req => options.getLocal().command(req),
+        reportRack: req => options.getLocal().reportRack(req),
+        notifyJob: req => options.getLocal().notifyJob(req),
+        getConfiguration: req => options.getLocal().getConfiguration(req),
+    };
+
+    const callOwner = <T>(ownerId: string | undefined, call: (calls: PeerCalls) => Promise<T | undefined>) => {
+        if (ownerId === undefined || abandoned) {
+            return Promise.resolve(undefined);
+        }
+        return ownerId === cfg.instance.id ? call(localCalls) : options.callPeer(ownerId, call);
+    };
+
+    /**
+     * Asks the instance that holds the role: the owner by hashing, or, while that one has not taken over yet, whoever else
+     * of the zone says by heartbeat that it still holds the rack.
+     */
+    const callRackOwner: OwnedRoles["callRackOwner"] = (rackId, call) => {
+        if (getRack(rackId)) {
+            return call(localCalls);
+        }
+        const holder = view.getHeartbeats().find(heartbeat => heartbeat.racks.some(load => load.rackId === rackId));
+        return callOwner(holder?.instanceId ?? owners.getRackOwner(rackId), call);
+    };
+
+    const callQueueOwner: OwnedRoles["callQueueOwner"] = (zone, call) => {
+        if (getQueue(zone)) {
+            return call(localCalls);
+        }
+        return callOwner(owners.getQueueOwner(zone), call);
+    };
+
+    const racks = ownership.createHoldings<workers.RackOwner>({
+        clock: time,
+        log,
+        create: key => {
+            const { topology } = getCurrent();
+            const rack = topology.racks.find(item => item.id === getName(key))!;
+            return workers.createRackOwner({
+                rack,
+                capacity: rack.capacity ?? topology.capacity,
+                instanceId: `${cfg.instance.id}/${crypto.randomUUID().slice(0, 8)}`,
+                clock: time,
+                counters,
+                log,
+                retry: options.retry,
+                leases: cfg.leases,
+                objects: options.objects,
+                createClient: options.createClient,
+                getLimits: () => getCurrent().contracts.limits,
+                isDrained,
+                isAbandoned: () => abandoned,
+                sendReport: report => callQueueOwner(report.zone, calls => calls.reportRack(report, REPORT_TIMEOUT_MS)),
+            });
+        },
+        own: (rack, signal) => rack.own(signal),
+    });
+
+    const queues = ownership.createHoldings<queue.ZoneQueue>({
+        clock: time,
+        log,
+        create: key =>
+            queue.createZoneQueue({
+                zone: getName(key),
+                clock: time,
+                counters,
+                histograms: options.histograms,
+                log,
+                retry: options.retry,
+                leases: cfg.leases,
+                store: options.store,
+                getConfiguration: getCurrent,
+                isLeaving: view.isLeaving,
+                command: command => callRackOwner(command.rackId, calls => calls.command(command, COMMAND_TIMEOUT_MS)),
+                findOtherZone: job => options.findOtherZone(job, getName(key)),
+                notifyMoved: (zone, jobId) => {
+                    const notice = { jobId, zone, kind: "submitted", waitMs: 0 };
+                    callQueueOwner(zone, calls => calls.notifyJob(notice, REPORT_TIMEOUT_MS)).catch(() => undefined);
+                },
+            }),
+        own: (item, signal) => item.own(signal),
+    });
+
+    /** Keys of what this instance should hold now; they change with the shape of what is held, so that it is rebuilt. */
+    const getWanted = () => {
+        const { topology, contracts } = getCurrent();
+        const rackKeys = topology.racks
+            .filter(rack => owners.getRackOwner(rack.id) === cfg.instance.id)
+            .map(rack => createKey(rack.id, [rack, topology.capacity]));
+        const queueKeys = topology.zones
+            .filter(zone => owners.getQueueOwner(zone) === cfg.instance.id)
+            .map(zone =>
+                createKey(zone, [
+                    topology.racks.filter(rack => rack.zone === zone),
+                    topology.capacity,
+                    contracts.limits.interactiveReserve,
+                ])
+            );
+        return { rackKeys: new Set(rackKeys), queueKeys: new Set(queueKeys) };
+    };
+
+    const getRack = (rackId: string) => racks.getAll().find(rack => rack.rackId === rackId);
+    const getQueue = (zone: string) => queues.getAll().find(item => item.zone === zone);
+
+    return {
+        getRack,
+        getQueue,
+        getRackLoads: () => racks.getAll().map(rack => rack.getLoad()),
+        getZoneLoads: () => queues.getAll().map(item => item.getLoad()),
+        getQueueStatus: () => queues.getAll().map(item => item.getStatus()),
+        getWorkerViews: () =>
+            racks.getAll().flatMap(rack => {
+                const report = rack.getReport();
+                return report.workers.map(worker => {
+                    const tasks = report.tasks.filter(task =>
+                        task.workerId === worker.workerId && task.state === "running"
+                    );
+                    return {
+                        worker: worker.workerId,
+                        rack: report.rackId,
+                        zone: report.zone,
+                        usable: worker.usable,
+                        reason: worker.reason,
+                        interactive: worker.interactiveSlots,
+                        tasks: tasks.length,
+                        accelerators: tasks.reduce((sum, task) => sum + (task.needs?.accelerators ?? 0), 0),
+                    };
+                });
+            }),
+        adjust: () => {
+            if (!reader.getCurrent() || closing || abandoned) {
+                return;
+            }
+            const wanted = getWanted();
+            racks.adjust(wanted.rackKeys);
+            queues.adjust(wanted.queueKeys);
+        },
+        callRackOwner,
+        callQueueOwner,
+        close: async () => {
+            closing = true;
+            await Promise.all([queues.close(), racks.close()]);
+        },
+        abandon: () => {
+            abandoned = true;
+            closing = true;
+            Promise.all([queues.close(), racks.close()]).catch(() => undefined);
+        },
+    };
+}
+
+function createKey(name: string, shape: unknown): string {
+    return `${name}@${crypto.createHash("md5").update(JSON.stringify(shape)).digest("hex")}`;
+}
+
+function getName(key: string): string {
+    return key.slice(0, key.indexOf("@"));
+}
--- /dev/null
+++ b/src/operator/index.ts
@@ -0,0 +1,2 @@
+/** The operators' HTTP API. */
+export { createOperatorsHttp } from "./operatorsHttp";
--- /dev/null
+++ b/src/placement/plan.ts
@@ -0,0 +1,241 @@
+/**
+ * The guarantee plan: a home on workers for each block that a preset guarantees.
+ *
+ * It is a pure function of the preset, the topology and the set of unavailable workers, so that every instance computes
+ * the same one. Ties are broken by rendezvous hashing of block and worker, so that a worker that leaves moves the homes
+ * it held and few others.
+ */
+import type * as configuration from "../configuration/index";
+import * as ownership from "../ownership/rendezvous";
+
+/** One guaranteed block. */
+export interface Block {
+    /** `account/guarantee/number`, stable between revisions that leave the guarantee alone. */
+    readonly id: string;
+    readonly account: string;
+    readonly accelerators: number;
+    readonly adjacency: configuration.Adjacency;
+    readonly zones: readonly string[];
+}
+
+export interface HomePart {
+    readonly blockId: string;
+    readonly account: string;
+    readonly workerId: string;
+    readonly accelerators: number;
+}
+
+export interface Plan {
+    readonly parts: readonly HomePart[];
+    /** Blocks for which no home was found. */
+    readonly unplaced: readonly Block[];
+}
+
+interface Bin {
+    readonly workerId: string;
+    readonly rackIndex: number;
+    readonly zone: string;
+    readonly size: number;
+    free: number;
+}
+
+/** `unavailable` are workers that are lost or set aside; spares take over their homes. */
+export function createPlan(
+    preset: configuration.Preset,
+    topology: configuration.Topology,
+    unavailable: ReadonlySet<string>,
+): Plan {
+    const bins = createBins(preset, topology, unavailable);
+    const parts: HomePart[] = [];
+    const unplaced: Block[] = [];
+    for (const block of getBlocks(preset)) {
+        const found = findHome(block, bins);
+        if (!found) {
+            unplaced.push(block);
+            continue;
+        }
+        for (const { bin, accelerators } of found) {
+            bin.free -= accelerators;
+            parts.push({ blockId: block.id, account: block.account, workerId: bin.workerId, accelerators });
+        }
+    }
+    return { parts, unplaced };
+}
+
+/** One line for an operator: which account, which block, and why it has no home. */
+export function describeUnplaced(preset: configuration.Preset, block: Block): string {
+    const where = block.zones.length > 0 ? ` in ${block.zones.join(", ")}` : "";
+    const spares = preset.spareWorkersPerZone > 0 ? ` beside ${preset.spareWorkersPerZone} spare worker(s) a zone` : "";
+    return `preset "${preset.name}" cannot fit: account "${block.account}" has no place${where} for a block of `
+        + `${block.accelerators} accelerators (adjacency ${block.adjacency})${spares}`;
+}
+
+/** Largest first: small blocks fit into what is left, large ones would not. */
+function getBlocks(preset: configuration.Preset): Block[] {
+    const blocks = preset.guarantees.flatMap((guarantee, index) =>
+        Array.from({ length: guarantee.blocks }, (_, number): Block => ({
+            id: `${guarantee.account}/${index}/${number}`,
+            account: guarantee.account,
+            accelerators: guarantee.acceleratorsPerBlock,
+            adjacency: guarantee.adjacency,
+            zones: guarantee.zones,
+        }))
+    );
+    return blocks.sort((a, b) =>
+        b.accelerators - a.accelerators
+        || Number(b.zones.length > 0) - Number(a.zones.length > 0)
+        || (a.id < b.id ? -1 : 1)
+    );
+}
+
+function createBins(
+    preset: configuration.Preset,
+    topology: configuration.Topology,
+    unavailable: ReadonlySet<string>,
+): Bin[] {
+    const drained = new Set(preset.drainedWorkers);
+    const bins: Bin[] = [];
+    for (const zone of topology.zones) {
+        const all = topology.racks.flatMap((rack, rackIndex) =>
+            rack.zone === zone
+                ? rack.workers.map(worker => ({
+                    id: worker.id,
+                    rackIndex,
+                    rackSize: rack.workers.length,
+                    size: (rack.capacity ?? topology.capacity).accelerators,
+                }))
+                : []
+        );
+        const usable = all.filter(worker => !drained.has(worker.id));
+        const alive = usable.filter(worker => !unavailable.has(worker.id));
+        const sparesLeft = Math.max(0, preset.spareWorkersPerZone - (usable.length - alive.length));
+        // Spares are taken from the smallest racks, so that the large ones stay whole for large blocks.
+        const ranked = [...alive].sort((a, b) =>
+            a.rackSize - b.rackSize || ownership.getWeight("spare", b.id) - ownership.getWeight("spare", a.id)
+        );
+        const spares = new Set(ranked.slice(0, sparesLeft).map(worker => worker.id));
+        for (const worker of alive) {
+            if (!spares.has(worker.id)) {
+                const { id, rackIndex, size } = worker;
+                bins.push({ workerId: id, rackIndex, zone, size, free: size });
+            }
+        }
+    }
+    return bins;
+}
+
+interface Piece {
+    readonly bin: Bin;
+    readonly accelerators: number;
+}
+
+function findHome(block: Block, bins: readonly Bin[]): Piece[] | undefined {
+    const allowed = bins.filter(bin => bin.free > 0 && (block.zones.length === 0 || block.zones.includes(bin.zone)));
+    const perWorker = allowed.reduce((largest, bin) => Math.max(largest, bin.size), 0);
+    switch (block.adjacency) {
+        case "worker":
+            return findInWorker(block, allowed);
+        case "rack":
+            return block.accelerators <= perWorker
+                ? findInWorker(block, allowed)
+                : findInGroup(block, groupBins(allowed, bin => `${bin.rackIndex}`));
+        case "adjacentRacks":
+            return block.accelerators <= perWorker
+                ? findInWorker(block, allowed)
+                : findInGroup(block, groupBins(allowed, bin => `${bin.rackIndex}`))
+                    ?? findInAdjacentRacks(block, allowed);
+        case "any":
+            return (block.accelerators <= perWorker ? findInWorker(block, allowed) : undefined)
+                ?? findAnywhere(block, allowed);
+    }
+}
+
+/** The fullest worker with room; among equals, the first by rendezvous. */
+function findInWorker(block: Block, bins: readonly Bin[]): Piece[] | undefined {
+    let best: Bin | undefined;
+    let bestWeight = -1;
+    for (const bin of bins) {
+        if (bin.free < block.accelerators || (best && bin.free > best.free)) {
+            continue;
+        }
+        const weight = ownership.getWeight(block.id, bin.workerId);
+        if (!best || bin.free < best.free || weight > bestWeight) {
+            best = bin;
+            bestWeight = weight;
+        }
+    }
+    return best && [{ bin: best, accelerators: block.accelerators }];
+}
+
+/** Whole workers of the group that has the fewest to spare; the rest of the block on one further worker. */
+function findInGroup(block: Block, groups: readonly Bin[][]): Piece[] | undefined {
+    const candidates = groups
+        .map(group => ({ pieces: fillGroup(block, group), whole: group.filter(bin => bin.free === bin.size).length }))
+        .filter(candidate => candidate.pieces)
+        .sort((a, b) => a.whole - b.whole);
+    return candidates[0]?.pieces;
+}
+
+function fillGroup(block: Block, group: readonly Bin[]): Piece[] | undefined {
+    const ranked = ownership.rankByRendezvous(block.id, group.map(bin => bin.workerId));
+    const byId = new Map(group.map(bin => [bin.workerId, bin]));
+    const pieces: Piece[] = [];
+    let left = block.accelerators;
+    for (const workerId of ranked) {
+        const bin = byId.get(workerId)!;
+        if (bin.free === bin.size && left >= bin.size) {
+            pieces.push({ bin, accelerators: bin.size });
+            left -= bin.size;
+        }
+    }
+    if (left === 0) {
+        return pieces;
+    }
+    const used = new Set(pieces.map(piece => piece.bin));
+    const rest = group.filter(bin => !used.has(bin) && bin.free >= left).sort((a, b) => a.free - b.free)[0];
+    return rest && left < rest.size ? [...pieces, { bin: rest, accelerators: left }] : undefined;
+}
+
+function findInAdjacentRacks(block: Block, bins: readonly Bin[]): Piece[] | undefined {
+    for (const zoneBins of groupBins(bins, bin => bin.zone)) {
+        const racks = groupBins(zoneBins, bin => `${bin.rackIndex}`).sort((a, b) => a[0]!.rackIndex - b[0]!.rackIndex);
+        for (let count = 2; count <= racks.length; count++) {
+            for (let first = 0; first + count <= racks.length; first++) {
+                const pieces = fillGroup(block, racks.slice(first, first + count).flat());
+                if (pieces) {
+                    return pieces;
+                }
+            }
+        }
+    }
+    return undefined;
+}
+
+function findAnywhere(block: Block, bins: readonly Bin[]): Piece[] | undefined {
+    const pieces: Piece[] = [];
+    let left = block.accelerators;
+    for (const bin of [...bins].sort((a, b) => a.free - b.free)) {
+        const accelerators = Math.min(left, bin.free);
+        pieces.push({ bin, accelerators });
+        left -= accelerators;
+        if (left === 0) {
+            return pieces;
+        }
+    }
+    return undefined;
+}
+
+function groupBins(bins: readonly Bin[], getKey: (bin: Bin) => string): Bin[][] {
+    const groups = new Map<string, Bin[]>();
+    for (const bin of bins) {
+        const key = getKey(bin);
+        const group = groups.get(key);
+        if (group) {
+            group.push(bin);
+        }
+        else {
+            groups.set(key, [bin]);
+        }
+    }
+    return [...groups.values()];
+}
--- /dev/null
+++ b/src/queue/decide.ts
@@ -0,0 +1,440 @@
+/** One scheduling pass, by policy. */
+import * as heapJs from "heap-js";
+import type * as configuration from "../configuration/index";
+import * as placement from "../placement/index";
+import * as jobQueue from "./jobQueue";
+import type * as predictor from "./predictor";
+import type * as queuedJob from "./queuedJob";
+import type * as scheduler from "./scheduler";
+
+export interface DecisionState {
+    readonly books: placement.Fleet;
+    readonly queue: jobQueue.JobQueue;
+    readonly running: ReadonlyMap<string, scheduler.RunningJob>;
+    readonly predictor: predictor.Predictor;
+    terms: scheduler.SchedulerTerms;
+    /** Places kept for jobs that wait for them, by job. */
+    readonly held: Map<string, Hold>;
+}
+
+/** A place kept for a waiting job. */
+export interface Hold {
+    readonly kind: "reclaim" | "urgent" | "reserved";
+    readonly workers: readonly placement.WorkerBook[];
+    /** Monotonic time at which the place is expected to be free. */
+    readonly startAt: number;
+    /** Known exactly when work is stopped for it; otherwise found again when the workers are free. */
+    readonly members: readonly placement.Member[] | undefined;
+}
+
+export interface DecisionActions {
+    start(job: queuedJob.QueuedJob, members: readonly placement.Member[]): void;
+    evict(jobId: string, cause: scheduler.EvictionCause): void;
+}
+
+/** Jobs of at least this share of the largest worker's accelerators count as large. */
+const LARGE_SHARE = 1;
+/** Places kept at a time for large jobs, in a zone. */
+const MAX_RESERVED_JOBS = 4;
+/** A large job that waited this long stops borrowed work in its way; bounds its wait whatever small jobs arrive. */
+export const LARGE_PATIENCE_MS = 30 * 60_000;
+/** A reservation whose time passed by more than this is planned anew. */
+const REPLAN_AFTER_MS = 60_000;
+/** Predicted run times below this are taken for it, so that the shortest jobs do not outrun all ageing. */
+const MIN_PREDICTED_MS = 1000;
+
+export function runPass(state: DecisionState, actions: DecisionActions, now: number): void {
+    moveOffDrained(state, actions);
+    const { policy } = state.terms;
+    switch (policy.kind) {
+        case "fifoFirstFit":
+            runInOrder(state, actions, now, policy, true);
+            return;
+        case "bestFit":
+            runInOrder(state, actions, now, policy, false);
+            return;
+        case "guaranteed":
+            runGuaranteed(state, actions, now, policy);
+            return;
+    }
+}
+
+/** What the job is expected to run from now, in milliseconds. */
+export function getRemainingMs(state: Pick<DecisionState, "predictor">, job: queuedJob.QueuedJob): number {
+    const predicted = state.predictor.predict(job.account, job.jobClass, job.declaredMs);
+    return Math.max(MIN_PREDICTED_MS, predicted - job.savedMs);
+}
+
+export function dropHold(state: DecisionState, jobId: string): void {
+    const hold = state.held.get(jobId);
+    if (hold) {
+        placement.clearReservation(hold.workers, jobId);
+        state.held.delete(jobId);
+    }
+}
+
+function createRequest(state: DecisionState, job: queuedJob.QueuedJob, now: number): placement.PlaceRequest {
+    return {
+        jobId: job.jobId,
+        account: job.account,
+        accelerators: job.accelerators,
+        adjacency: job.adjacency,
+        cpusPerAccelerator: job.cpusPerAccelerator,
+        memoryMbPerAccelerator: job.memoryMbPerAccelerator,
+        evictable: job.repeatable,
+        predictedEndAt: now + getRemainingMs(state, job),
+        excludedWorkers: job.failedWorkers,
+    };
+}
+
+/** Maintenance: repeatable work on drained workers is moved; other work runs to its end. */
+function moveOffDrained(state: DecisionState, actions: DecisionActions): void {
+    for (const workerId of state.terms.drained) {
+        const worker = state.books.workers.get(workerId);
+        for (const task of worker?.tasks.values() ?? []) {
+            if (task.evictable) {
+                actions.evict(task.jobId, "maintenance");
+            }
+        }
+    }
+}
+
+/** Order of arrival over all accounts; with `blocking`, a job that does not fit holds up all behind it. */
+function runInOrder(
+    state: DecisionState,
+    actions: DecisionActions,
+    now: number,
+    policy: configuration.Policy,
+    blocking: boolean,
+): void {
+    const failed = createFailureMemo();
+    const heads = createHeads(state, job => -job.queuedAt, () => true);
+    for (let bucket = heads.pop(); bucket; bucket = heads.pop()) {
+        const job = jobQueue.getHead(bucket)!;
+        const req = createRequest(state, job, now);
+        const members = !failed.isHopeless(req) && isWithinLimit(state, job)
+            ? placement.findPlace(state.books, req, policy, now)
+            : undefined;
+        if (members) {
+            actions.start(job, members);
+            heads.push(bucket);
+        }
+        else if (blocking) {
+            return;
+        }
+        else {
+            failed.add(req);
+        }
+    }
+}
+
+function runGuaranteed(
+    state: DecisionState,
+    actions: DecisionActions,
+    now: number,
+    policy: Extract<configuration.Policy, { kind: "guaranteed"; }>,
+): void {
+    startHeld(state, actions, now);
+    runWithinGuarantees(state, actions, now, policy);
+    runFairShares(state, actions, now, policy);
+    reserveForLarge(state, actions, now);
+}
+
+/** Starts jobs whose kept place is free now, and stops what overran its prediction there. */
+function startHeld(state: DecisionState, actions: DecisionActions, now: number): void {
+    for (const [jobId, hold] of [...state.held]) {
+        const job = state.queue.get(jobId);
+        if (!job) {
+            dropHold(state, jobId);
+            continue;
+        }
+        const req = createRequest(state, job, now);
+        const members = hold.members ?? getReservedMembers(hold, req, state.books.largestWorker);
+        const isFree = members.every(member => {
+            const worker = state.books.workers.get(member.workerId);
+            return worker && placement.isAllowed(worker, req, member.needs.accelerators);
+        });
+        if (isFree) {
+            actions.start(job, members);
+            continue;
+        }
+        const isUsable = hold.workers.every(worker => worker.usable && !job.failedWorkers.has(worker.id));
+        if (!isUsable || (hold.kind === "reserved" && now > hold.startAt + REPLAN_AFTER_MS)) {
+            dropHold(state, jobId);
+            continue;
+        }
+        if (hold.kind === "reserved") {
+            stopOverrun(actions, job, hold, now);
+        }
+    }
+}
+
+function getReservedMembers(hold: Hold, req: placement.PlaceRequest, size: number): placement.Member[] {
+    let left = req.accelerators;
+    return hold.workers.map(worker => {
+        const accelerators = Math.min(left, size);
+        left -= accelerators;
+        return placement.createMember(req, worker, accelerators);
+    });
+}
+
+/**
+ * Work that was let onto a kept place because it was expected to end in time gives way when it does not; and once the
+ * large job has waited long, so does all borrowed work there. Without the second rule, work that ran there before and is
+ * predicted badly could put the start off again and again.
+ */
+function stopOverrun(
+    actions: DecisionActions,
+    job: queuedJob.QueuedJob,
+    hold: Hold,
+    now: number,
+): void {
+    const outOfPatience = now - job.queuedAt > LARGE_PATIENCE_MS;
+    if (now < hold.startAt && !outOfPatience) {
+        return;
+    }
+    for (const worker of hold.workers) {
+        for (const task of worker.tasks.values()) {
+            const isOverrun = task.predictedEndAt <= now;
+            const isWithinHome = placement.getAccountUse(worker, task.account) <= (worker.homes.get(task.account) ?? 0);
+            if (task.evictable && !isWithinHome && (isOverrun || outOfPatience)) {
+                actions.evict(task.jobId, "overrun");
+            }
+        }
+    }
+}
+
+/** Jobs that fit what their account is guaranteed and does not use: they get it, if need be from borrowers. */
+function runWithinGuarantees(
+    state: DecisionState,
+    actions: DecisionActions,
+    now: number,
+    policy: configuration.Policy,
+): void {
+    for (const account of state.terms.accounts) {
+        if (state.books.getHomeWorkers(account.name).length === 0) {
+            continue;
+        }
+        const failed = createFailureMemo();
+        const heads = createHeads(
+            state,
+            job => getUrgency(job) + getResponseRatio(state, job, now),
+            bucket => bucket.account === account.name,
+        );
+        for (let bucket = heads.pop(); bucket; bucket = heads.pop()) {
+            const job = getFirstUnheld(state, bucket);
+            if (!job) {
+                continue;
+            }
+            const req = createRequest(state, job, now);
+            if (failed.isHopeless(req) || !isWithinLimit(state, job)) {
+                continue;
+            }
+            if (state.books.getFreeGuaranteed(account.name) < job.accelerators) {
+                failed.add(req);
+                continue;
+            }
+            const reclaim = placement.findReclaim(state.books, req, now);
+            const place = reclaim && (placement.findPlace(state.books, req, policy, now) ?? reclaim.members);
+            if (!place || !reclaim) {
+                failed.add(req);
+                continue;
+            }
+            if (place !== reclaim.members || reclaim.victims.size === 0) {
+                actions.start(job, place);
+                heads.push(bucket);
+                continue;
+            }
+            hold(state, job, "reclaim", reclaim, now);
+            for (const victim of reclaim.victims) {
+                actions.evict(victim, "reclaim");
+            }
+            heads.push(bucket);
+        }
+    }
+}
+
+/** What is beyond guarantees: urgent jobs first, then by response ratio, divided by what the account has already. */
+function runFairShares(
+    state: DecisionState,
+    actions: DecisionActions,
+    now: number,
+    policy: configuration.Policy,
+): void {
+    if (state.books.getFreeAccelerators() === 0 && !hasUrgent(state)) {
+        return;
+    }
+    const failed = createFailureMemo();
+    const weights = new Map(state.terms.accounts.map(account => [account.name, account.weight]));
+    const total = [...state.books.workers.values()].length * Math.max(1, state.books.largestWorker);
+    const getScore = (job: queuedJob.QueuedJob) => {
+        const beyond = Math.max(0, state.books.getUse(job.account) - getGuaranteed(state, job.account));
+        const share = beyond / total / (weights.get(job.account) ?? 1);
+        return getUrgency(job) + getResponseRatio(state, job, now) / (MIN_SHARE + share);
+    };
+    const heads = createHeads(state, getScore, () => true);
+    for (let bucket = heads.pop(); bucket; bucket = heads.pop()) {
+        const job = getFirstUnheld(state, bucket);
+        if (!job) {
+            continue;
+        }
+        const req = createRequest(state, job, now);
+        if (failed.isHopeless(req) || !isWithinLimit(state, job)) {
+            continue;
+        }
+        const members = placement.findPlace(state.books, req, policy, now);
+        if (members) {
+            actions.start(job, members);
+            heads.push(bucket);
+            continue;
+        }
+        const preemption = job.jobClass === "urgent" ? placement.findPreemption(state.books, req, now) : undefined;
+        if (!preemption) {
+            failed.add(req);
+            continue;
+        }
+        hold(state, job, "urgent", preemption, now);
+        for (const victim of preemption.victims) {
+            actions.evict(victim, "urgent");
+        }
+        heads.push(bucket);
+    }
+}
+
+/** Keeps places for the large jobs that have waited longest. */
+function reserveForLarge(state: DecisionState, actions: DecisionActions, now: number): void {
+    let reserved = 0;
+    for (const item of state.held.values()) {
+        reserved += item.kind === "reserved" ? 1 : 0;
+    }
+    if (reserved >= MAX_RESERVED_JOBS) {
+        return;
+    }
+    const isLarge = (bucket: jobQueue.Bucket) => {
+        const head = jobQueue.getHead(bucket);
+        return !!head && head.accelerators >= state.books.largestWorker * LARGE_SHARE;
+    };
+    const heads = createHeads(state, job => -job.queuedAt, isLarge);
+    for (let bucket = heads.pop(); bucket && reserved < MAX_RESERVED_JOBS; bucket = heads.pop()) {
+        const job = getFirstUnheld(state, bucket);
+        const req = job && createRequest(state, job, now);
+        const place = req && placement.findReservation(state.books, req, now);
+        if (!job || !place) {
+            continue;
+        }
+        placement.setReservation(place, job.jobId);
+        const kept: Hold = { kind: "reserved", workers: place.workers, startAt: place.startAt, members: undefined };
+        state.held.set(job.jobId, kept);
+        reserved++;
+        stopOverrun(actions, job, kept, now);
+    }
+}
+
+function hold(
+    state: DecisionState,
+    job: queuedJob.QueuedJob,
+    kind: "reclaim" | "urgent",
+    eviction: placement.Eviction,
+    now: number,
+): void {
+    const workers = eviction.members.map(member => state.books.workers.get(member.workerId)!);
+    for (const worker of workers) {
+        worker.reservation = { jobId: job.jobId, startAt: now };
+    }
+    state.held.set(job.jobId, { kind, workers, startAt: now, members: eviction.members });
+}
+
+/** Share every account is taken to have, so that the first accelerator does not outweigh all else. */
+const MIN_SHARE = 0.1;
+const URGENT_SCORE = 1e9;
+
+function getUrgency(job: queuedJob.QueuedJob): number {
+    return job.jobClass === "urgent" ? URGENT_SCORE : 0;
+}
+
+/** Highest response ratio next: short jobs go first, and waiting raises every job's turn, so that none starves. */
+function getResponseRatio(state: DecisionState, job: queuedJob.QueuedJob, now: number): number {
+    const remaining = getRemainingMs(state, job);
+    return (now - job.queuedAt + remaining) / remaining;
+}
+
+function getGuaranteed(state: DecisionState, account: string): number {
+    let total = 0;
+    for (const worker of state.books.getHomeWorkers(account)) {
+        total += worker.homes.get(account) ?? 0;
+    }
+    return total;
+}
+
+function isWithinLimit(state: DecisionState, job: queuedJob.QueuedJob): boolean {
+    const account = state.terms.accounts.find(item => item.name === job.account);
+    return !account || state.books.getUse(job.account) + job.accelerators <= account.maxAccelerators;
+}
+
+function hasUrgent(state: DecisionState): boolean {
+    for (const bucket of state.queue.getBuckets()) {
+        if (jobQueue.getHead(bucket)?.jobClass === "urgent") {
+            return true;
+        }
+    }
+    return false;
+}
+
+function getFirstUnheld(state: DecisionState, bucket: jobQueue.Bucket): queuedJob.QueuedJob | undefined {
+    for (const job of bucket.jobs.values()) {
+        if (!state.held.has(job.jobId)) {
+            return job;
+        }
+    }
+    return undefined;
+}
+
+interface Heads {
+    /** The bucket with the highest score. */
+    pop(): jobQueue.Bucket | undefined;
+    /** Puts a bucket back, with the score of its new head. */
+    push(bucket: jobQueue.Bucket): void;
+}
+
+/** The buckets in the order of their heads' scores. */
+function createHeads(
+    state: DecisionState,
+    getScore: (job: queuedJob.QueuedJob) => number,
+    isWanted: (bucket: jobQueue.Bucket) => boolean,
+): Heads {
+    const heap = new heapJs.Heap<{ bucket: jobQueue.Bucket; score: number; }>((a, b) => b.score - a.score);
+    const push = (bucket: jobQueue.Bucket) => {
+        const head = getFirstUnheld(state, bucket);
+        if (head) {
+            heap.push({ bucket, score: getScore(head) });
+        }
+    };
+    for (const bucket of state.queue.getBuckets()) {
+        if (isWanted(bucket)) {
+            push(bucket);
+        }
+    }
+    return { pop: () => heap.pop()?.bucket, push };
+}
+
+interface FailureMemo {
+    add(req: placement.PlaceRequest): void;
+    /** Whether a smaller or equal request already failed in this pass. */
+    isHopeless(req: placement.PlaceRequest): boolean;
+}
+
+/** Remembers for one pass what did not fit, so that ten thousand alike jobs cost one search. */
+function createFailureMemo(): FailureMemo {
+    const smallestFailed = new Map<string, number>();
+    const getKey = (req: placement.PlaceRequest) =>
+        [req.account, req.adjacency, req.evictable, req.cpusPerAccelerator, req.memoryMbPerAccelerator].join("|");
+    return {
+        add: req => {
+            if (req.excludedWorkers.size === 0) {
+                const key = getKey(req);
+                smallestFailed.set(key, Math.min(smallestFailed.get(key) ?? Infinity, req.accelerators));
+            }
+        },
+        isHopeless: req => req.accelerators >= (smallestFailed.get(getKey(req)) ?? Infinity),
+    };
+}
--- /dev/null
+++ b/src/queue/index.ts
@@ -0,0 +1,14 @@
+/** Queues: the scheduler's decisions, and the owner of a zone's queue. */
+export { type AttemptEnd } from "./attempt";
+export { LARGE_PATIENCE_MS } from "./decide";
+export { createPredictor, type Predictor } from "./predictor";
+export type { QueuedJob } from "./queuedJob";
+export {
+    createScheduler,
+    type Decision,
+    getTaskId,
+    type RunningJob,
+    type Scheduler,
+    type SchedulerTerms,
+} from "./scheduler";
+export { createZoneQueue, getShapes, type ZoneQueue, type ZoneQueueOptions, type ZoneStatus } from "./zoneQueue";
--- /dev/null
+++ b/src/random/index.ts
@@ -0,0 +1,28 @@
+/** Seeded random numbers, so that a run can be repeated from its seed. */
+import * as distribution from "pure-rand/distribution/uniformInt";
+import * as generator from "pure-rand/generator/xoroshiro128plus";
+
+export interface Random {
+    /** Uniform in [0, 1). */
+    nextFloat(): number;
+    /** Uniform in [0, bound). */
+    nextInt(bound: number): number;
+    /** Exponentially distributed with the given mean. */
+    nextExponential(mean: number): number;
+    /** A uniformly chosen element; the list must not be empty. */
+    pick<T>(items: readonly T[]): T;
+}
+
+const FLOAT_STEPS = 2 ** 30;
+
+export function createRandom(seed: number): Random {
+    const source = generator.xoroshiro128plus(seed);
+    const nextInt = (bound: number) => distribution.uniformInt(source, 0, bound - 1);
+    const nextFloat = () => nextInt(FLOAT_STEPS) / FLOAT_STEPS;
+    return {
+        nextFloat,
+        nextInt,
+        nextExponential: mean => -mean * Math.log(1 - nextFloat()),
+        pick: items => items[nextInt(items.length)]!,
+    };
+}
--- /dev/null
+++ b/src/workers/index.ts
@@ -0,0 +1,9 @@
+/** Workers: the port to them, its HTTP client, control leases, health, and the owner of a rack. */
+export { type AnswerCheck, checkAnswer, getBodyDigest } from "./answerCheck";
+export { createWorkerHealth, type WorkerHealth } from "./health";
+export { createHttpWorker, type HttpWorkerOptions } from "./httpWorker";
+export { createInteractiveRunner, getOnceTaskId, type InteractiveRunner } from "./interactiveRunner";
+export { createRackOwner, getResultKey, type RackOwner, type RackOwnerOptions, splitTaskId } from "./rackOwner";
+export { readNote, type TaskNote, writeNote } from "./taskNote";
+export * from "./workerPort";
+export type { LeaseTimes } from "./workerSession";
--- /dev/null
+++ b/standins/site/demo.ts
@@ -0,0 +1,124 @@
+/** The demonstration: an embedded site of a deployment's true size under a mixed load, judged from outside. */
+import * as path from "node:path";
+import * as async from "../../src/async/index";
+import * as load from "../../src/load/index";
+import * as placement from "../../src/placement/index";
+import * as random from "../../src/random/index";
+import * as settings from "../../src/settings/index";
+import * as demoLoad from "./demoLoad";
+import * as embeddedSite from "./embeddedSite";
+import * as verdict from "./verdict";
+
+export interface DemoOptions {
+    readonly deployment: demoLoad.DeploymentName;
+    readonly seconds: number;
+    readonly seed: number;
+    readonly scale: number;
+    readonly onProgress: (line: string) => void;
+}
+
+export interface DemoSummary extends load.LoadSummary, verdict.Verdict {
+    readonly deployment: string;
+    readonly workers: number;
+    readonly instances: number;
+    /** Mean over time of 1 − accelerators free in whole workers ÷ all free ones, from the workers themselves. */
+    readonly fragmentation: number;
+    /** Mean share of accelerators in use. */
+    readonly utilisation: number;
+    readonly tableRowsWritten: number;
+    readonly memoryMb: number;
+}
+
+const INSTANCES = 7;
+const READY_TIMEOUT_MS = 20_000;
+const PATIENCE_MS = 40_000;
+const SAMPLE_MS = 100;
+const PROGRESS_MS = 1000;
+
+/** The ready-made site file of a deployment. */
+export function getSiteFile(deployment: demoLoad.DeploymentName): string {
+    return path.join(findPackageRoot(), "deployments", deployment, "site.toml");
+}
+
+/** Sources and their compiled form lie at different depths below the package. */
+function findPackageRoot(): string {
+    const above = path.resolve(__dirname, "..", "..");
+    return path.basename(above) === "dist" ? path.dirname(above) : above;
+}
+
+export async function runDemo(options: DemoOptions): Promise<DemoSummary> {
+    const site = settings.readSiteFile(getSiteFile(options.deployment));
+    options.onProgress(`starting ${INSTANCES} instances and their site ...`);
+    const embedded = await embeddedSite.startEmbeddedSite({ site, instances: INSTANCES, seed: options.seed });
+    if (!await embedded.waitUntilReady(READY_TIMEOUT_MS)) {
+        throw new Error("the site did not become ready");
+    }
+    const rng = random.createRandom(options.seed);
+    const time = embedded.clock;
+    const log = load.createCallerLog();
+    const client = load.createCallersClient(() => rng.pick(embedded.instances).callersOrigin, 32);
+    const runner = load.createLoad({ clock: time, rng, client, log, patienceMs: PATIENCE_MS });
+    const stopped = async.createAbortController();
+    const samples = sample(embedded, stopped.signal);
+    const progress = reportProgress(embedded, log, options, stopped.signal);
+    const ending = time.sleep(options.seconds * 1000).then(() => stopped.abort());
+    await runner.run(demoLoad.getDemoStreams(options.deployment, options.scale), stopped.signal);
+    await Promise.all([ending, progress]);
+    const { fragmentation, utilisation } = await samples;
+    const summary: DemoSummary = {
+        deployment: options.deployment,
+        workers: embedded.workers.length,
+        instances: embedded.instances.length,
+        ...log.summarize(),
+        ...verdict.judge(log.getRecords(), embedded.journal.getEntries(), time.now()),
+        fragmentation,
+        utilisation,
+        tableRowsWritten: embedded.platform.store.getRowsWritten(),
+        memoryMb: Math.round(process.memoryUsage().rss / 1_048_576),
+    };
+    await client.close();
+    await embedded.stop();
+    return summary;
+}
+
+/** Means over time of fragmentation and utilisation, read from the workers. */
+async function sample(
+    embedded: embeddedSite.EmbeddedSite,
+    signal: AbortSignal,
+): Promise<{ fragmentation: number; utilisation: number; }> {
+    const capacity = embedded.site.topology.capacity.accelerators;
+    let fragmentation = 0;
+    let utilisation = 0;
+    let count = 0;
+    while (!signal.aborted) {
+        const free = embedded.workers.map(worker => worker.core.getFree().accelerators);
+        const total = free.reduce((sum, value) => sum + value, 0);
+        const whole = free.filter(value => value === capacity).length * capacity;
+        fragmentation += placement.getFragmentation(total, whole);
+        utilisation += 1 - total / (capacity * free.length);
+        count++;
+        await embedded.clock.sleep(SAMPLE_MS, signal);
+    }
+    return { fragmentation: fragmentation / Math.max(1, count), utilisation: utilisation / Math.max(1, count) };
+}
+
+async function reportProgress(
+    embedded: embeddedSite.EmbeddedSite,
+    log: load.CallerLog,
+    options: DemoOptions,
+    signal: AbortSignal,
+): Promise<void> {
+    while (!signal.aborted) {
+        await embedded.clock.sleep(PROGRESS_MS, signal);
+        const seen = log.summarize();
+        options.onProgress(
+            `sent ${seen.sent}, completed ${seen.completed}, open ${seen.open}, not run ${seen.notRun}, `
+                + `p50 ${seen.p50Ms.toFixed(1)} ms, p99 ${seen.p99Ms.toFixed(1)} ms`,
+        );
+    }
+}
+
+/** Whether the run kept every promise. */
+export function isClean(summary: DemoSummary): boolean {
+    return summary.lost + summary.duplicated + summary.crossed + summary.partialGangs + summary.falseNotRun === 0;
+}
--- /dev/null
+++ b/standins/site/index.ts
@@ -0,0 +1,5 @@
+/** A whole embedded site, its load, and the counting of what really happened. */
+export { type DemoOptions, type DemoSummary, getSiteFile, isClean, runDemo } from "./demo";
+export { type DeploymentName, getDemoStreams } from "./demoLoad";
+export * from "./embeddedSite";
+export { judge, type Verdict } from "./verdict";
--- /dev/null
+++ b/standins/site/verdict.ts
@@ -0,0 +1,82 @@
+/** Counts violations from what the workers really ran and what callers really got, not from the product's own books. */
+import type * as load from "../../src/load/index";
+import * as workers from "../../src/workers/index";
+import * as worker from "../worker/index";
+
+export interface Verdict {
+    /** Accepted requests that have no outcome, or whose outcome is "done" though no worker finished them. */
+    readonly lost: number;
+    /** Requests that may run once and ran more often, and jobs that were completed more than once. */
+    readonly duplicated: number;
+    /** Answers that belong to another request. */
+    readonly crossed: number;
+    /** Attempts of gangs of which some members ran for longer than the grace without all the others. */
+    readonly partialGangs: number;
+    /** Requests that were called "not run" though a worker started them. */
+    readonly falseNotRun: number;
+}
+
+interface Runs {
+    starts: number;
+    /** Attempts whose first member finished. */
+    completions: number;
+}
+
+/** Starting a gang, and stopping one whose start failed, each take a round trip to every member. */
+const GANG_GRACE_MS = 1000;
+
+export function judge(
+    records: readonly load.CallerRecord[],
+    journal: readonly worker.JournalEntry[],
+    now: number,
+): Verdict {
+    const runs = countRuns(journal);
+    let lost = 0;
+    let duplicated = 0;
+    let crossed = 0;
+    let falseNotRun = 0;
+    for (const record of records) {
+        const { starts, completions } = runs.get(record.mark) ?? { starts: 0, completions: 0 };
+        const isUnresolved = record.accepted && (record.outcome === "open" || record.outcome === "unknown");
+        lost += isUnresolved || (record.outcome === "done" && completions === 0) ? 1 : 0;
+        duplicated += (!record.repeatable && starts > 1) || (record.jobClass !== "interactive" && completions > 1)
+            ? 1
+            : 0;
+        crossed += record.answerMark !== undefined && record.answerMark !== record.mark ? 1 : 0;
+        falseNotRun += record.outcome === "notRun" && starts > 0 ? 1 : 0;
+    }
+    return { lost, duplicated, crossed, partialGangs: countPartialGangs(journal, now), falseNotRun };
+}
+
+function countRuns(journal: readonly worker.JournalEntry[]): Map<string, Runs> {
+    const runs = new Map<string, Runs>();
+    for (const entry of journal) {
+        const { mark } = worker.readPayload(entry.payload);
+        const { index } = workers.readNote(entry.note);
+        const counted = runs.get(mark) ?? { starts: 0, completions: 0 };
+        runs.set(mark, counted);
+        if (index === 0) {
+            counted.starts++;
+            counted.completions += entry.ended === "finished" ? 1 : 0;
+        }
+    }
+    return runs;
+}
+
+function countPartialGangs(journal: readonly worker.JournalEntry[], now: number): number {
+    const attempts = new Map<string, worker.JournalEntry[]>();
+    for (const entry of journal) {
+        const note = workers.readNote(entry.note);
+        if (note.members > 1) {
+            const key = `${note.jobId}.${note.attempt}`;
+            attempts.set(key, [...attempts.get(key) ?? [], entry]);
+        }
+    }
+    let partial = 0;
+    for (const entries of attempts.values()) {
+        const { members } = workers.readNote(entries[0]!.note);
+        const longest = Math.max(...entries.map(entry => (entry.endedAt ?? now) - entry.startedAt));
+        partial += entries.length < members && longest > GANG_GRACE_MS ? 1 : 0;
+    }
+    return partial;
+}
