Command line, benchmark of the request path, and own racks first

Cause: an interactive request took 5.2 ms (p50) against 0.15 ms for a direct call. Profiling showed half of the time idle: the stand-in worker's timer of 0 ms takes 1 ms, and most requests made a gRPC hop to another instance (0.6 ms in a tight loop, measured alone) though the entry itself owned a rack with room. Ruled out as cause: our own processor time (0.49 ms for the whole path in one process).

--- /dev/null
+++ b/bin/plantainchute.ts
@@ -0,0 +1,7 @@
+#!/usr/bin/env node
+import * as cli from "../src/cli/index";
+import * as standins from "../standins/cli/index";
+
+const program = cli.createProgram();
+standins.register(program);
+void cli.runProgram(program, process.argv.slice(2));
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,20 @@
+/** The commands. */
+import * as commander from "commander";
+import * as configCommands from "./configCommands";
+import * as jobCommands from "./jobCommands";
+import * as loadCommand from "./loadCommand";
+import * as operatorCommands from "./operatorCommands";
+import * as serveCommand from "./serveCommand";
+
+export function createProgram(): commander.Command {
+    const program = new commander.Command("plantainchute")
+        .description("Schedules multi-accelerator jobs under client account guarantees")
+        .showHelpAfterError("(add --help for the options)")
+        .exitOverride();
+    serveCommand.register(program);
+    jobCommands.register(program);
+    operatorCommands.register(program);
+    configCommands.register(program);
+    loadCommand.register(program);
+    return program;
+}
--- /dev/null
+++ b/src/cli/serveCommand.ts
@@ -0,0 +1,31 @@
+import type * as commander from "commander";
+import * as instanceModule from "../instance/index";
+import * as settings from "../settings/index";
+
+/** `serve`: one entry instance, until SIGTERM or SIGINT. */
+export function register(program: commander.Command): void {
+    program
+        .command("serve")
+        .description("run one entry instance")
+        .requiredOption("--config <file>", "the instance's settings")
+        .action(async (options: { config: string; }) => {
+            const cfg = settings.readInstanceFile(options.config);
+            const { bootstrapFile } = cfg.site;
+            const bootstrapSite = bootstrapFile === undefined ? undefined : settings.readSiteFile(bootstrapFile);
+            const instance = instanceModule.createInstance({ settings: cfg, bootstrapSite });
+            await instance.start();
+            await waitForSignal();
+            // A second signal ends at once; what was under way is then resolved by the other instances.
+            process.once("SIGTERM", () => process.exit(1));
+            process.once("SIGINT", () => process.exit(1));
+            await instance.stop();
+            process.exit(0);
+        });
+}
+
+function waitForSignal(): Promise<void> {
+    return new Promise(resolve => {
+        process.once("SIGTERM", resolve);
+        process.once("SIGINT", resolve);
+    });
+}
--- a/src/entry/interactiveRouter.ts
+++ b/src/entry/interactiveRouter.ts
@@ -33,6 +33,7 @@
     readonly homes: homesModule.Homes;
     readonly ownership: ownership.Ownership;
     readonly getTopology: () => configuration.Topology | undefined;
+    readonly isOwnRack: (rackId: string) => boolean;
     /** What the rack's owner last said of its load; `undefined` when nothing was heard. */
     readonly getRackLoad: (rackId: string) => peer.RackLoad | undefined;
     /** Sends to the instance that owns the rack; `undefined` when no answer came. */
@@ -42,6 +43,10 @@
 }
 
 const NEEDS_SLOTS = 1;
+/** Free slots from which an own rack is taken without a look at others. */
+const ENOUGH_ROOM = 3;
+/** Ids drawn in search of one whose home lies in an own rack. */
+const MAX_DRAWS = 8;
 const RETRY_PAUSE_MS = 50;
 /** Racks tried for one repeatable request. */
 const MAX_RACKS = 4;
@@ -86,9 +91,16 @@
         return load ? load.freeSlots - load.waiting : 0;
     };
 
-    /** The better of two random racks (Mitzenmacher 2001) of the own zone, or of other zones when the own has no room. */
+    /**
+     * An own rack while it has room, which saves a hop; else the better of two random racks (Mitzenmacher 2001) of the
+     * own zone; else of other zones.
+     */
     const pickRack = (excluded: ReadonlySet<string>): string | undefined => {
         const racks = (options.getTopology()?.racks ?? []).filter(rack => !excluded.has(rack.id));
+        const own = racks.filter(rack => options.isOwnRack(rack.id) && getRoom(rack.id) >= ENOUGH_ROOM);
+        if (own.length > 0) {
+            return rng.pick(own).id;
+        }
         const near = racks.filter(rack => rack.zone === options.zone);
         const hasRoom = near.some(rack => getRoom(rack.id) > 0);
         const far = racks.filter(rack => rack.zone !== options.zone && getRoom(rack.id) > 0);
@@ -157,7 +169,7 @@
         let outcome = await runOnce(req, deadline);
         for (let attempt = 1; attempt < MAX_FRESH_IDS && isHomeUnavailable(outcome); attempt++) {
             // The refusal proves that the id never ran, and nobody else knows it: another id may take its place.
-            const requestId = options.homes.createRequestId(options.zone);
+            const requestId = createId(false);
             outcome = await runOnce({ ...req, requestId }, deadline);
         }
         return outcome;
@@ -185,7 +197,19 @@
     };
 
     function createId(repeatable: boolean): string {
-        return repeatable ? crypto.randomUUID() : options.homes.createRequestId(options.zone);
+        if (repeatable) {
+            return crypto.randomUUID();
+        }
+        let requestId = options.homes.createRequestId(options.zone);
+        for (let draw = 1; draw < MAX_DRAWS && !isHomeOwn(requestId); draw++) {
+            requestId = options.homes.createRequestId(options.zone);
+        }
+        return requestId;
+    }
+
+    function isHomeOwn(requestId: string): boolean {
+        const home = options.homes.getHome(requestId);
+        return !!home && options.isOwnRack(home.rackId) && getRoom(home.rackId) >= ENOUGH_ROOM;
     }
 
     /** An answer that belongs to another request, or is not whole, never reaches the caller. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -192,6 +192,7 @@
         homes,
         ownership: owners,
         getTopology: () => reader.getCurrent()?.topology,
+        isOwnRack: rackId => roles.getRack(rackId) !== undefined,
         getRackLoad: rackId =>
             roles.getRack(rackId)?.getLoad()
                 ?? view.getHeartbeat(owners.getRackOwner(rackId) ?? "")?.racks.find(load => load.rackId === rackId),
--- a/src/platform/guardedTable.ts
+++ b/src/platform/guardedTable.ts
@@ -41,7 +41,10 @@
     readonly maxWaitMs: number;
 }
 
-interface Failed { readonly kind: "unavailable"; readonly message: string; }
+interface Failed {
+    readonly kind: "unavailable";
+    readonly message: string;
+}
 
 export function createGuardedTable(options: GuardedTableOptions): GuardedTable {
     const { table, counters } = options;
--- a/standins/worker/index.ts
+++ b/standins/worker/index.ts
@@ -1,4 +1,5 @@
 /** A stand-in for a worker: leases with fencing tokens, tasks, tombstones, faults, and a journal of what really ran. */
+export { announceWorker } from "./announce";
 export { createJournal, type Journal, type JournalEntry } from "./journal";
 export { createAnswerBody, type Payload, payloadSchema, readPayload } from "./payload";
 export { createFaultSwitch, startWorkerServer, type WorkerFaultSwitch } from "./server";
--- a/standins/worker/server.ts
+++ b/standins/worker/server.ts
@@ -5,6 +5,8 @@
 import type * as workers from "../../src/workers/index";
 import * as httpServer from "../httpServer";
 import * as faults from "../platform/faults";
+import type * as journal from "./journal";
+import * as payloads from "./payload";
 import type * as workerCore from "./workerCore";
 
 const needsSchema = z.object({ accelerators: z.number(), slots: z.number(), cpus: z.number(), memoryMb: z.number() });
@@ -45,6 +47,8 @@
     readonly rng: random.Random;
     readonly core: workerCore.WorkerCore;
     readonly faults: WorkerFaultSwitch;
+    /** Served under `/journal` when given. */
+    readonly journal?: journal.Journal;
 }
 
 export interface WorkerFaultSwitch {
@@ -140,6 +144,13 @@
             options.faults.set(faults.workerFaultsSchema.partial().parse(JSON.parse(body.toString("utf8"))));
             return { status: 200, body: getFaults() };
         }
+        if (path === "/journal") {
+            return { status: 200, body: options.journal?.getEntries() ?? [] };
+        }
+        if (path === "/direct") {
+            // The same work without leases and tasks, for benchmarks to compare with.
+            return { status: 200, body: payloads.createAnswerBody(payloads.readPayload(body.toString("utf8"))) };
+        }
         while (getFaults().paused) {
             await options.clock.sleep(PAUSE_POLL_MS);
         }
--- a/standins/worker/workerCore.ts
+++ b/standins/worker/workerCore.ts
@@ -137,10 +137,13 @@
             end(task, "failed", task.payload.fails ? "the work failed" : "the worker is faulty");
             return;
         }
-        task.cancelEnd = time.setTimer(
-            Math.max(0, task.payload.runMs - task.order.resumeMs),
-            () => end(task, "finished", ""),
-        );
+        const leftMs = Math.max(0, task.payload.runMs - task.order.resumeMs);
+        if (leftMs === 0) {
+            // A timer would take a millisecond at least, which would be counted as the product's.
+            end(task, "finished", "");
+            return;
+        }
+        task.cancelEnd = time.setTimer(leftMs, () => end(task, "finished", ""));
         noteChange(task);
     };
 
