--- a/standins/site/__tests__/embeddedSite.test.ts
+++ b/standins/site/__tests__/embeddedSite.test.ts
@@ -12,20 +12,35 @@
 const clients: load.CallersClient[] = [];
 
 function clientOf(index: number): load.CallersClient {
-    const client = load.createCallersClient(() => embedded.instances[index % embedded.instances.length]!.callersOrigin, 8);
+    const client = load.createCallersClient(
+        () => embedded.instances[index % embedded.instances.length]!.callersOrigin,
+        8,
+    );
     clients.push(client);
     return client;
 }
 
 function submission(requestId: string, runMs: number, extra: Readonly<Record<string, unknown>> = {}) {
-    return { requestId, class: "batch", accelerators: 1, payload: JSON.stringify({ runMs, mark: requestId }), ...extra };
+    return {
+        requestId,
+        class: "batch",
+        accelerators: 1,
+        payload: JSON.stringify({ runMs, mark: requestId }),
+        ...extra,
+    };
 }
 
 function startsOf(mark: string): worker.JournalEntry[] {
     return embedded.journal.getEntries().filter(entry => worker.readPayload(entry.payload).mark === mark);
 }
 
-async function operate(index: number, method: "GET" | "POST" | "PUT", path: string, body?: unknown, key = site.OPERATOR_KEY) {
+async function operate(
+    index: number,
+    method: "GET" | "POST" | "PUT",
+    path: string,
+    body?: unknown,
+    key = site.OPERATOR_KEY,
+) {
     const res = await undici.request(embedded.instances[index]!.operatorsOrigin + path, {
         method,
         headers: { "authorization": `Bearer ${key}`, "content-type": "application/json" },
@@ -70,14 +85,24 @@
     test("a waiting job is cancelled as not run, and cancelling again changes nothing", async () => {
         const body = submission("job-3", 60_000, { accelerators: 8, adjacency: "worker" });
         for (let index = 0; index < 6; index++) {
-            await clientOf(0).submit(alpha, submission(`filler-${index}`, 60_000, { accelerators: 8, adjacency: "worker" }), 0);
+            await clientOf(0).submit(
+                alpha,
+                submission(`filler-${index}`, 60_000, { accelerators: 8, adjacency: "worker" }),
+                0,
+            );
         }
         await clientOf(0).submit(alpha, body, 0);
-        expect(await clientOf(1).cancel(alpha, "job-3")).toMatchObject({ state: "notRun", code: result.ResultCode.Cancelled });
+        expect(await clientOf(1).cancel(alpha, "job-3")).toMatchObject({
+            state: "notRun",
+            code: result.ResultCode.Cancelled,
+        });
         expect(await clientOf(2).cancel(alpha, "job-3")).toMatchObject({ state: "notRun" });
         expect(startsOf("job-3")).toHaveLength(0);
         for (let index = 0; index < 6; index++) {
-            expect(await clientOf(index).cancel(alpha, `filler-${index}`)).toMatchObject({ state: "failed", code: result.ResultCode.Cancelled });
+            expect(await clientOf(index).cancel(alpha, `filler-${index}`)).toMatchObject({
+                state: "failed",
+                code: result.ResultCode.Cancelled,
+            });
         }
     });
 
@@ -88,12 +113,28 @@
     });
 
     test.each([
-        { name: "no zone holds it", body: submission("x1", 1, { accelerators: 100, adjacency: "rack" }), code: result.ResultCode.CanNeverRun },
+        {
+            name: "no zone holds it",
+            body: submission("x1", 1, { accelerators: 100, adjacency: "rack" }),
+            code: result.ResultCode.CanNeverRun,
+        },
         { name: "unknown field", body: submission("x2", 1, { colour: "red" }), code: result.ResultCode.BadRequest },
         { name: "unknown class", body: submission("x3", 1, { class: "fast" }), code: result.ResultCode.BadRequest },
-        { name: "too many accelerators", body: submission("x4", 1, { accelerators: 129 }), code: result.ResultCode.BadRequest },
-        { name: "interactive with accelerators", body: submission("x5", 1, { class: "interactive" }), code: result.ResultCode.BadRequest },
-        { name: "body too large", body: submission("x6", 1, { payload: "x".repeat(70_000) }), code: result.ResultCode.BodyTooLarge },
+        {
+            name: "too many accelerators",
+            body: submission("x4", 1, { accelerators: 129 }),
+            code: result.ResultCode.BadRequest,
+        },
+        {
+            name: "interactive with accelerators",
+            body: submission("x5", 1, { class: "interactive" }),
+            code: result.ResultCode.BadRequest,
+        },
+        {
+            name: "body too large",
+            body: submission("x6", 1, { payload: "x".repeat(70_000) }),
+            code: result.ResultCode.BodyTooLarge,
+        },
         { name: "request id with a slash", body: submission("a/b", 1), code: result.ResultCode.BadRequest },
     ])("refused as not run: $name", async ({ body, code }) => {
         expect(await clientOf(0).submit(alpha, body, 0)).toMatchObject({ kind: "refused", code, ran: "no" });
@@ -105,14 +146,22 @@
         { name: "expired key", key: expired },
         { name: "operator's key", key: site.OPERATOR_KEY },
     ])("refused without a valid key: $name", async ({ key }) => {
-        expect(await clientOf(0).submit(key, submission("y", 1), 0)).toMatchObject({ code: result.ResultCode.Unauthorized });
+        expect(await clientOf(0).submit(key, submission("y", 1), 0)).toMatchObject({
+            code: result.ResultCode.Unauthorized,
+        });
         expect(await clientOf(0).get(key, "job-1", 0)).toMatchObject({ code: result.ResultCode.Unauthorized });
     });
 
     test("one account neither sees nor cancels nor fetches another's job", async () => {
         const client = clientOf(0);
         await client.submit(alpha, submission("secret", 10), 10_000);
-        for (const call of [client.get(beta, "secret", 0), client.cancel(beta, "secret"), client.getResult(beta, "secret")]) {
+        for (
+            const call of [
+                client.get(beta, "secret", 0),
+                client.cancel(beta, "secret"),
+                client.getResult(beta, "secret"),
+            ]
+        ) {
             expect(await call).toMatchObject({ kind: "refused", code: result.ResultCode.NotFound });
         }
     });
@@ -120,10 +169,17 @@
     test("an at-most-once request sent to three entries at the same time runs once and all get its answer", async () => {
         // Symptom: a doubled confirmation. Sequence: the caller's connection breaks, and it repeats the request at other
         // entries while the first is under way. Cause: entries that each dispatch what they receive.
-        const body = { requestId: "once-1", class: "interactive", repeatable: false, payload: JSON.stringify({ runMs: 200, mark: "once-1" }) };
+        const body = {
+            requestId: "once-1",
+            class: "interactive",
+            repeatable: false,
+            payload: JSON.stringify({ runMs: 200, mark: "once-1" }),
+        };
         const answers = await Promise.all([0, 1, 2].map(index => clientOf(index).submit(alpha, body, 0)));
         for (const answer of answers) {
-            expect(answer.kind === "done" && JSON.parse(Buffer.from(answer.body).toString())).toEqual({ mark: "once-1" });
+            expect(answer.kind === "done" && JSON.parse(Buffer.from(answer.body).toString())).toEqual({
+                mark: "once-1",
+            });
         }
         expect(startsOf("once-1")).toHaveLength(1);
     });
@@ -139,9 +195,15 @@
 
     test("of two changes to the same revision one wins and the other gets a clear conflict", async () => {
         const { revision } = (await operate(0, "GET", "/v1/status")).body as { revision: number; };
-        const answers = await Promise.all(["peak", "ordinary"].map((preset, index) =>
-            operate(index, "POST", "/v1/preset", { preset, operationId: `race-${index}`, expectedRevision: revision })
-        ));
+        const answers = await Promise.all(
+            ["peak", "ordinary"].map((preset, index) =>
+                operate(index, "POST", "/v1/preset", {
+                    preset,
+                    operationId: `race-${index}`,
+                    expectedRevision: revision,
+                })
+            ),
+        );
         expect(answers.map(answer => answer.status).sort()).toEqual([200, 409]);
         const loser = answers.find(answer => answer.status === 409)!;
         expect(loser.body).toMatchObject({ code: result.ResultCode.ConfigurationConflict, ran: "no" });
@@ -167,7 +229,10 @@
             guarantees: [{ account: "beta", blocks: 4, acceleratorsPerBlock: 16, adjacency: "rack" }],
         };
         const answer = await operate(0, "PUT", "/v1/presets", { preset, operationId: "too-much" });
-        expect(answer.body).toMatchObject({ code: result.ResultCode.ConfigurationInvalid, message: expect.stringContaining("\"beta\"") });
+        expect(answer.body).toMatchObject({
+            code: result.ResultCode.ConfigurationInvalid,
+            message: expect.stringContaining("\"beta\""),
+        });
     });
 });
 
--- a/standins/site/index.ts
+++ b/standins/site/index.ts
@@ -2,5 +2,5 @@
 export { type DemoOptions, type DemoSummary, getSiteFile, isClean, runDemo } from "./demo";
 export { type DeploymentName, getDemoStreams } from "./demoLoad";
 export * from "./embeddedSite";
-export { judge, type Verdict } from "./verdict";
 export * from "./smallSite";
+export { judge, type Verdict } from "./verdict";
