--- a/src/peer/peer.generated.ts
+++ b/src/peer/peer.generated.ts
@@ -54,7 +54,7 @@
   wholeFreeAccelerators: number;
   /** Predicted work that waits, in accelerator milliseconds. */
   waitingWorkMs: number;
-  /** Accelerators of its own guarantee that an account does not use, by account. */
+  /** The largest block of its own guarantee that an account leaves free, by account. */
   freeGuaranteed: { [key: string]: number };
   /** Unfinished jobs by account. */
   unfinished: { [key: string]: number };
--- a/src/placement/evict.ts
+++ b/src/placement/evict.ts
@@ -23,14 +23,20 @@
 /**
  * A place on the account's own homes for a job within its guarantee. Reclaimability was checked when every other task
  * was placed, so stopping all borrowed work always suffices; the cheapest part of it is chosen.
+ *
+ * For a job of whole workers the account's own small tasks count as borrowed too: otherwise its own scattered work would
+ * keep it from the shape it is guaranteed.
  */
 export function findReclaim(books: fleet.Fleet, req: request.PlaceRequest, now: number): Eviction | undefined {
-    const isBorrowed: IsVictim = (_, task) => task.evictable && task.account !== req.account;
+    const isLarge = req.accelerators >= books.largestWorker;
+    const isBorrowed: IsVictim = (worker, task) =>
+        task.evictable
+        && (task.account !== req.account || (isLarge && task.needs.accelerators < worker.capacity.accelerators));
     const homes = books.getHomeWorkers(req.account).filter(worker =>
-        worker.usable && !req.excludedWorkers.has(worker.id)
+        worker.usable && !req.excludedWorkers.has(worker.id) && !isHeldByOther(worker, req)
     );
     const getCandidate = (worker: fleet.WorkerBook, accelerators: number) =>
-        fleet.getFreeHome(worker, req.account) >= accelerators
+        getReclaimable(worker, req.account, isBorrowed) >= accelerators
             ? createCandidate(worker, req, accelerators, isBorrowed, now)
             : undefined;
     if (req.accelerators <= books.largestWorker) {
@@ -49,30 +55,38 @@
     }
 }
 
-/** A place for an urgent job beyond its guarantee, taken from batch work that is itself beyond its own. */
+/**
+ * A place for a job beyond its guarantee, taken from batch work that is itself beyond its own: for urgent jobs, and for
+ * large ones that have waited too long. Only small tasks give way: two large jobs that both waited long would otherwise
+ * stop each other in turn, and neither would ever end; one would see evictions by the thousand and no completions.
+ */
 export function findPreemption(books: fleet.Fleet, req: request.PlaceRequest, now: number): Eviction | undefined {
-    if (req.accelerators > books.largestWorker) {
-        return undefined;
-    }
     const isBatchBeyondGuarantee: IsVictim = (worker, task) =>
-        task.evictable && !task.urgent
+        task.evictable && !task.urgent && task.needs.accelerators < worker.capacity.accelerators
         && fleet.getAccountUse(worker, task.account) > (worker.homes.get(task.account) ?? 0);
-    const candidates: fleet.WorkerBook[] = [];
-    for (const worker of books.workers.values()) {
-        const foreignHome = worker.homeTotal - (worker.homes.get(req.account) ?? 0);
-        const holdsRoom = worker.capacity.accelerators - foreignHome >= req.accelerators || req.evictable;
-        if (worker.usable && !worker.reservation && holdsRoom && !req.excludedWorkers.has(worker.id)) {
-            candidates.push(worker);
-        }
-        if (candidates.length === MAX_CANDIDATES) {
-            break;
-        }
+    const isOpen = (worker: fleet.WorkerBook) =>
+        worker.usable && !isHeldByOther(worker, req) && !req.excludedWorkers.has(worker.id)
+        && (req.evictable || worker.homeTotal === (worker.homes.get(req.account) ?? 0));
+    const getCandidate: GetCandidate = (worker, accelerators) =>
+        createCandidate(worker, req, accelerators, isBatchBeyondGuarantee, now);
+    const groups = books.racks.map(rack => rack.workers.filter(isOpen));
+    return req.accelerators <= books.largestWorker
+        ? pickOne(groups.flat().slice(0, MAX_CANDIDATES), req, getCandidate)
+        : pickCheapest(groups.map(group => pickMany(books, group, req, getCandidate)));
+}
+
+/** Accelerators of the account's home that its own tasks do not keep, when the possible victims are stopped. */
+function getReclaimable(worker: fleet.WorkerBook, account: string, isVictim: IsVictim): number {
+    let kept = 0;
+    for (const task of worker.tasks.values()) {
+        kept += task.account === account && !isVictim(worker, task) ? task.needs.accelerators : 0;
     }
-    return pickOne(
-        candidates,
-        req,
-        (worker, accelerators) => createCandidate(worker, req, accelerators, isBatchBeyondGuarantee, now),
-    );
+    return (worker.homes.get(account) ?? 0) - kept;
+}
+
+/** Whether work is being stopped on the worker for another job: what it frees is spoken for. */
+function isHeldByOther(worker: fleet.WorkerBook, req: request.PlaceRequest): boolean {
+    return !!worker.reservation?.firm && worker.reservation.jobId !== req.jobId;
 }
 
 /** Workers weighed for one preemption. */
--- a/src/placement/fleet.ts
+++ b/src/placement/fleet.ts
@@ -42,6 +42,8 @@
     readonly jobId: string;
     /** Monotonic time at which the job expects to start. */
     readonly startAt: number;
+    /** Work is being stopped for the job: nothing else may be placed here meanwhile. */
+    readonly firm: boolean;
 }
 
 export interface RackBook {
@@ -81,6 +83,8 @@
     getUse(account: string): number;
     /** Accelerators of the account's homes that its own tasks do not use. */
     getFreeGuaranteed(account: string): number;
+    /** The largest block of the account's homes that its own tasks leave free: whole workers of a rack, or part of one. */
+    getLargestFreeGuaranteed(account: string): number;
     getFreeAccelerators(): number;
     /** Accelerators free in wholly free workers. */
     getWholeFreeAccelerators(): number;
@@ -226,6 +230,18 @@
             }
             return free;
         },
+        getLargestFreeGuaranteed: account => {
+            const wholeByRack = new Map<RackBook, number>();
+            let largest = 0;
+            for (const worker of homeWorkers.get(account) ?? []) {
+                const free = worker.usable ? getFreeHome(worker, account) : 0;
+                const isWhole = free === worker.capacity.accelerators;
+                const inRack = (wholeByRack.get(worker.rack) ?? 0) + (isWhole ? free : 0);
+                wholeByRack.set(worker.rack, inRack);
+                largest = Math.max(largest, free, inRack);
+            }
+            return largest;
+        },
         getFreeAccelerators: () => freeAccelerators,
         getWholeFreeAccelerators: () => wholeFreeAccelerators,
     };
@@ -238,6 +254,23 @@
     return worker.free.accelerators === worker.capacity.accelerators && worker.capacity.accelerators > 0;
 }
 
+/**
+ * When a task is expected to end: as predicted, or, once it has overrun, after half as long again as it has run. Taking an
+ * overrun task for about to end would plan reservations for a moment that never comes.
+ */
+export function getExpectedEnd(task: BookedTask, now: number): number {
+    return task.predictedEndAt > now ? task.predictedEndAt : now + (now - task.placedAt) / 2;
+}
+
+/** When all tasks of the worker are expected to have ended. */
+export function getFreeAt(worker: WorkerBook, now: number): number {
+    let freeAt = now;
+    for (const task of worker.tasks.values()) {
+        freeAt = Math.max(freeAt, getExpectedEnd(task, now));
+    }
+    return freeAt;
+}
+
 /** Accelerators of the account's home on the worker that its own tasks do not use. */
 export function getFreeHome(worker: WorkerBook, account: string): number {
     return Math.max(0, (worker.homes.get(account) ?? 0) - getAccountUse(worker, account));
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,5 @@
 /** Placement: the guarantee plan, the books of the workers, and where a job may run. */
+export { findConsolidation, type Move } from "./consolidate";
 export { type Eviction, findPreemption, findReclaim } from "./evict";
 export * from "./fleet";
 export { getFragmentation } from "./fragmentation";
--- a/src/placement/place.ts
+++ b/src/placement/place.ts
@@ -50,7 +50,7 @@
     const { reservation } = worker;
     return !reservation
         || reservation.jobId === req.jobId
-        || (req.evictable && req.predictedEndAt <= reservation.startAt);
+        || (!reservation.firm && req.evictable && req.predictedEndAt <= reservation.startAt);
 }
 
 function findWorker(
@@ -121,10 +121,7 @@
     policy: Extract<configuration.Policy, { kind: "guaranteed"; }>,
     now: number,
 ): number {
-    let freeAt = now;
-    for (const task of worker.tasks.values()) {
-        freeAt = Math.max(freeAt, task.predictedEndAt);
-    }
+    const freeAt = fleet.getFreeAt(worker, now);
     const runsFor = Math.max(1, req.predictedEndAt - now);
     const putOff = Math.max(0, req.predictedEndAt - freeAt) / runsFor;
     const breaksRack = fleet.isWhole(worker) ? worker.rack.wholeFree.size / worker.rack.workers.length : 0;
--- a/src/placement/reservation.ts
+++ b/src/placement/reservation.ts
@@ -28,7 +28,7 @@
 
 export function setReservation(place: ReservedPlace, jobId: string): void {
     for (const worker of place.workers) {
-        worker.reservation = { jobId, startAt: place.startAt };
+        worker.reservation = { jobId, startAt: place.startAt, firm: false };
     }
 }
 
@@ -62,7 +62,7 @@
 ): ReservedPlace | undefined {
     const free = group
         .filter(worker => isReservable(worker, size, req))
-        .map(worker => ({ worker, freeAt: getFreeAt(worker, now) }))
+        .map(worker => ({ worker, freeAt: fleet.getFreeAt(worker, now) }))
         .sort((a, b) => a.freeAt - b.freeAt)
         .slice(0, count);
     if (free.length < count) {
@@ -83,11 +83,3 @@
             evictable: req.evictable,
         });
 }
-
-function getFreeAt(worker: fleet.WorkerBook, now: number): number {
-    let freeAt = now;
-    for (const task of worker.tasks.values()) {
-        freeAt = Math.max(freeAt, task.predictedEndAt);
-    }
-    return freeAt;
-}
--- a/src/queue/decide.ts
+++ b/src/queue/decide.ts
@@ -15,14 +15,18 @@
     terms: scheduler.SchedulerTerms;
     /** Places kept for jobs that wait for them, by job. */
     readonly held: Map<string, Hold>;
+    /** Monotonic time of the last consolidation. */
+    consolidatedAt: number;
 }
 
 /** A place kept for a waiting job. */
 export interface Hold {
-    readonly kind: "reclaim" | "urgent" | "reserved";
+    readonly kind: "reclaim" | "urgent" | "forced" | "reserved" | "move";
     readonly workers: readonly placement.WorkerBook[];
     /** Monotonic time at which the place is expected to be free. */
     readonly startAt: number;
+    /** Monotonic time at which it was decided to keep the place. */
+    readonly madeAt: number;
     /** Known exactly when work is stopped for it; otherwise found again when the workers are free. */
     readonly members: readonly placement.Member[] | undefined;
 }
@@ -43,6 +47,15 @@
 /** Predicted run times below this are taken for it, so that the shortest jobs do not outrun all ageing. */
 const MIN_PREDICTED_MS = 1000;
 
+/** Expected rest of a job that overran its prediction, as a share of what it ran. */
+const OVERRUN_SHARE = 0.25;
+/** Between two consolidations; each moves the tasks of one worker. */
+const CONSOLIDATE_EVERY_MS = 15_000;
+/** A task is moved only if it is expected to run for this many times the cost of a move. */
+const MOVE_WORTH = 15;
+/** What stopping with a checkpoint and restoring it takes, roughly. */
+const MOVE_COST_MS = 20_000;
+
 export function runPass(state: DecisionState, actions: DecisionActions, now: number): void {
     moveOffDrained(state, actions);
     const { policy } = state.terms;
@@ -62,7 +75,8 @@
 /** What the job is expected to run from now, in milliseconds. */
 export function getRemainingMs(state: Pick<DecisionState, "predictor">, job: queuedJob.QueuedJob): number {
     const predicted = state.predictor.predict(job.account, job.jobClass, job.declaredMs);
-    return Math.max(MIN_PREDICTED_MS, predicted - job.savedMs);
+    // A job that has run for longer than predicted is expected to go on for a part of that time.
+    return Math.max(MIN_PREDICTED_MS, predicted - job.savedMs, job.savedMs * OVERRUN_SHARE);
 }
 
 export function dropHold(state: DecisionState, jobId: string): void {
@@ -138,6 +152,7 @@
     runWithinGuarantees(state, actions, now, policy);
     runFairShares(state, actions, now, policy);
     reserveForLarge(state, actions, now);
+    consolidate(state, actions, now, policy);
 }
 
 /** Starts jobs whose kept place is free now, and stops what overran its prediction there. */
@@ -145,7 +160,10 @@
     for (const [jobId, hold] of [...state.held]) {
         const job = state.queue.get(jobId);
         if (!job) {
-            dropHold(state, jobId);
+            // A job that is being moved is still running where it was.
+            if (!state.running.get(jobId)?.evicting || hold.kind !== "move") {
+                dropHold(state, jobId);
+            }
             continue;
         }
         const req = createRequest(state, job, now);
@@ -159,12 +177,16 @@
             continue;
         }
         const isUsable = hold.workers.every(worker => worker.usable && !job.failedWorkers.has(worker.id));
-        if (!isUsable || (hold.kind === "reserved" && now > hold.startAt + REPLAN_AFTER_MS)) {
+        if (!isUsable || (hold.kind === "move" && now > hold.madeAt + MOVE_COST_MS)) {
+            dropHold(state, jobId);
+            continue;
+        }
+        if (hold.kind === "reserved" && now > hold.startAt + REPLAN_AFTER_MS) {
             dropHold(state, jobId);
             continue;
         }
         if (hold.kind === "reserved") {
-            stopOverrun(actions, job, hold, now);
+            stopOverrun(actions, hold, now);
         }
     }
 }
@@ -178,26 +200,14 @@
     });
 }
 
-/**
- * Work that was let onto a kept place because it was expected to end in time gives way when it does not; and once the
- * large job has waited long, so does all borrowed work there. Without the second rule, work that ran there before and is
- * predicted badly could put the start off again and again.
- */
-function stopOverrun(
-    actions: DecisionActions,
-    job: queuedJob.QueuedJob,
-    hold: Hold,
-    now: number,
-): void {
-    const outOfPatience = now - job.queuedAt > LARGE_PATIENCE_MS;
-    if (now < hold.startAt && !outOfPatience) {
+/** Work that was let onto a kept place because it was expected to end in time gives way when it does not. */
+function stopOverrun(actions: DecisionActions, hold: Hold, now: number): void {
+    if (now < hold.startAt) {
         return;
     }
     for (const worker of hold.workers) {
         for (const task of worker.tasks.values()) {
-            const isOverrun = task.predictedEndAt <= now;
-            const isWithinHome = placement.getAccountUse(worker, task.account) <= (worker.homes.get(task.account) ?? 0);
-            if (task.evictable && !isWithinHome && (isOverrun || outOfPatience)) {
+            if (task.evictable && task.placedAt >= hold.madeAt && task.predictedEndAt <= now) {
                 actions.evict(task.jobId, "overrun");
             }
         }
@@ -303,45 +313,114 @@
 
 /** Keeps places for the large jobs that have waited longest. */
 function reserveForLarge(state: DecisionState, actions: DecisionActions, now: number): void {
-    let reserved = 0;
-    for (const item of state.held.values()) {
-        reserved += item.kind === "reserved" ? 1 : 0;
+    forceForLarge(state, actions, now);
+    let reserved = countHolds(state, "reserved");
+    for (const job of getWaitingLarge(state, MAX_RESERVED_JOBS - reserved)) {
+        const place = placement.findReservation(state.books, createRequest(state, job, now), now);
+        if (!place || reserved >= MAX_RESERVED_JOBS) {
+            continue;
+        }
+        placement.setReservation(place, job.jobId);
+        state.held.set(job.jobId, {
+            kind: "reserved",
+            workers: place.workers,
+            startAt: place.startAt,
+            madeAt: now,
+            members: undefined,
+        });
+        reserved++;
     }
-    if (reserved >= MAX_RESERVED_JOBS) {
+}
+
+/**
+ * Bounds the wait of a large job: when it has waited too long, borrowed batch work is stopped for it. Without this, work
+ * whose run time is predicted badly could put its start off again and again; one would see the oldest job age.
+ */
+function forceForLarge(state: DecisionState, actions: DecisionActions, now: number): void {
+    if (countHolds(state, "forced") > 0) {
         return;
     }
-    const isLarge = (bucket: jobQueue.Bucket) => {
-        const head = jobQueue.getHead(bucket);
-        return !!head && head.accelerators >= state.books.largestWorker * LARGE_SHARE;
-    };
-    const heads = createHeads(state, job => -job.queuedAt, isLarge);
-    for (let bucket = heads.pop(); bucket && reserved < MAX_RESERVED_JOBS; bucket = heads.pop()) {
-        const job = getFirstUnheld(state, bucket);
-        const req = job && createRequest(state, job, now);
-        const place = req && placement.findReservation(state.books, req, now);
-        if (!job || !place) {
+    for (const [jobId, kept] of state.held) {
+        const job = kept.kind === "reserved" ? state.queue.get(jobId) : undefined;
+        if (!job || now - job.queuedAt < LARGE_PATIENCE_MS) {
             continue;
         }
-        placement.setReservation(place, job.jobId);
-        const kept: Hold = { kind: "reserved", workers: place.workers, startAt: place.startAt, members: undefined };
-        state.held.set(job.jobId, kept);
-        reserved++;
-        stopOverrun(actions, job, kept, now);
+        const preemption = placement.findPreemption(state.books, createRequest(state, job, now), now);
+        if (preemption) {
+            dropHold(state, jobId);
+            hold(state, job, "forced", preemption, now);
+            for (const victim of preemption.victims) {
+                actions.evict(victim, "patience");
+            }
+            return;
+        }
     }
 }
 
+function countHolds(state: DecisionState, kind: Hold["kind"]): number {
+    let count = 0;
+    for (const item of state.held.values()) {
+        count += item.kind === kind ? 1 : 0;
+    }
+    return count;
+}
+
+/** Large jobs without a kept place, the longest waiting first. */
+function getWaitingLarge(state: DecisionState, limit: number): queuedJob.QueuedJob[] {
+    const found: queuedJob.QueuedJob[] = [];
+    const heads = createHeads(state, job => -job.queuedAt, bucket =>
+        (jobQueue.getHead(bucket)?.accelerators ?? 0) >= state.books.largestWorker * LARGE_SHARE);
+    for (let bucket = heads.pop(); bucket && found.length < limit; bucket = heads.pop()) {
+        const job = getFirstUnheld(state, bucket);
+        if (job) {
+            found.push(job);
+        }
+    }
+    return found;
+}
+
 function hold(
     state: DecisionState,
     job: queuedJob.QueuedJob,
-    kind: "reclaim" | "urgent",
+    kind: "reclaim" | "urgent" | "forced",
     eviction: placement.Eviction,
     now: number,
 ): void {
     const workers = eviction.members.map(member => state.books.workers.get(member.workerId)!);
     for (const worker of workers) {
-        worker.reservation = { jobId: job.jobId, startAt: now };
+        worker.reservation = { jobId: job.jobId, startAt: now, firm: true };
+    }
+    state.held.set(job.jobId, { kind, workers, startAt: now, madeAt: now, members: eviction.members });
+}
+
+/** Moves the tasks of one nearly empty worker onto others, so that it becomes whole for the large. */
+function consolidate(
+    state: DecisionState,
+    actions: DecisionActions,
+    now: number,
+    policy: Extract<configuration.Policy, { kind: "guaranteed"; }>,
+): void {
+    if (now - state.consolidatedAt < CONSOLIDATE_EVERY_MS || policy.fragmentationWeight === 0) {
+        return;
+    }
+    state.consolidatedAt = now;
+    const worth = MOVE_WORTH * policy.completionWeight / policy.fragmentationWeight;
+    const moves = placement.findConsolidation(state.books, {
+        minRemainingMs: worth * MOVE_COST_MS,
+        isMovable: task => {
+            const entry = state.running.get(task.jobId);
+            const isSettled = now - task.placedAt > worth * MOVE_COST_MS / 2;
+            return !!entry && entry.members.length === 1 && !entry.evicting && isSettled && !state.held.has(task.jobId);
+        },
+        createRequest: task => createRequest(state, state.running.get(task.jobId)!.job, now),
+    }, now);
+    for (const { task, to } of moves ?? []) {
+        const { job } = state.running.get(task.jobId)!;
+        const members = [placement.createMember(createRequest(state, job, now), to, task.needs.accelerators)];
+        to.reservation = { jobId: task.jobId, startAt: now, firm: true };
+        state.held.set(task.jobId, { kind: "move", workers: [to], startAt: now, madeAt: now, members });
+        actions.evict(task.jobId, "consolidate");
     }
-    state.held.set(job.jobId, { kind, workers, startAt: now, members: eviction.members });
 }
 
 /** Share every account is taken to have, so that the first accelerator does not outweigh all else. */
--- a/src/queue/scheduler.ts
+++ b/src/queue/scheduler.ts
@@ -16,7 +16,7 @@
     | { readonly kind: "evict"; readonly jobId: string; readonly cause: EvictionCause; };
 
 /** Why borrowed work is stopped. */
-export type EvictionCause = "reclaim" | "urgent" | "overrun" | "maintenance";
+export type EvictionCause = "reclaim" | "urgent" | "overrun" | "patience" | "maintenance" | "consolidate";
 
 export interface RunningJob {
     readonly job: queuedJob.QueuedJob;
@@ -43,6 +43,10 @@
     endMember(jobId: string, index: number): void;
     /** All members have ended: the job leaves the running ones. `ranMs` teaches the predictor when given. */
     end(jobId: string, ranMs: number | undefined): RunningJob | undefined;
+    /** Jobs that wait for a place that is kept for them, and why. */
+    getHeld(): ReadonlyArray<{ readonly jobId: string; readonly kind: decide.Hold["kind"]; }>;
+    /** Whether work is being stopped to make a place for the job: it must not be moved to another queue then. */
+    isPlaceKept(jobId: string): boolean;
     /** The decisions that are due now; jobs to start are booked and taken from the queue. */
     decide(): Decision[];
 }
@@ -67,6 +71,7 @@
         predictor: learned,
         terms: { policy: { kind: "fifoFirstFit" }, accounts: [], homes: [], drained: new Set() },
         held: new Map(),
+        consolidatedAt: 0,
     };
 
     const book = (job: queuedJob.QueuedJob, members: readonly placement.Member[], startedAt: number) => {
@@ -112,6 +117,11 @@
             queue.remove(job.jobId);
             book(job, members, time.now() - ranMs);
         },
+        getHeld: () => [...state.held].map(([jobId, hold]) => ({ jobId, kind: hold.kind })),
+        isPlaceKept: jobId => {
+            const held = state.held.get(jobId);
+            return held !== undefined && held.kind !== "reserved";
+        },
         endMember,
         end: (jobId, ranMs) => {
             const entry = running.get(jobId);
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -348,7 +348,7 @@
                 return;
             }
             const entry = entries.get(job.jobId);
-            const isDue = entry && now - entry.admittedAt > MOVE_AFTER_MS;
+            const isDue = entry && now - entry.admittedAt > MOVE_AFTER_MS && !scheduler.isPlaceKept(job.jobId);
             const target = isDue ? options.findOtherZone(job) : undefined;
             if (target !== undefined && entry && !entry.active && scheduler.remove(job.jobId)) {
                 moves++;
@@ -551,7 +551,7 @@
                 unfinished,
                 waiting,
                 freeGuaranteed: Object.fromEntries(
-                    accounts.map(account => [account.name, scheduler.books.getFreeGuaranteed(account.name)]),
+                    accounts.map(account => [account.name, scheduler.books.getLargestFreeGuaranteed(account.name)]),
                 ),
             };
         },
