Jobs go to the zone with a fitting hole; reservations are planned anew without letting go

Change: queue owners tell entries their largest hole and largest free block; a small job goes to the smallest hole that holds it; a reservation is replaced in one step; large jobs force small borrowed work aside after 15 instead of 30 min.

--- a/bench/policy/day.ts
+++ b/bench/policy/day.ts
@@ -123,7 +123,8 @@
         return {
             zone,
             freeAccelerators: scheduler.books.getFreeAccelerators(),
-            wholeFreeAccelerators: scheduler.books.getWholeFreeAccelerators(),
+            largestFreeBlock: scheduler.books.getLargestFreeBlock(),
+            largestHole: scheduler.books.getLargestHole(),
             waitingWorkMs,
             unfinished: {},
             waiting: {},
--- a/src/entry/jobAdmission.ts
+++ b/src/entry/jobAdmission.ts
@@ -60,10 +60,6 @@
         return zones;
     };
 
-    const hasRoom = (load: peer.ZoneLoad, job: { readonly account: string; readonly accelerators: number; }) =>
-        (load.freeGuaranteed[job.account] ?? 0) >= job.accelerators
-        || (load.waitingWorkMs === 0 && load.wholeFreeAccelerators >= job.accelerators);
-
     const checkLimits = (
         account: configuration.Account,
         spec: jobs.JobSpec,
@@ -126,18 +122,37 @@
             return result.ok(pickBest(loads, account.name, spec.accelerators, options.ownZone));
         },
         findZoneWithRoom: (job, from) =>
-            options.getZoneLoads().find(load => load.zone !== from && hasRoom(load, job))?.zone,
+            options.getZoneLoads().find(load => load.zone !== from && getRoom(load, job.account, job.accelerators) > Room.None)?.zone,
     };
 }
 
-/** Where the account's guarantee is free, else where room is free, else where the least work waits. */
+/** How well a job would start in a zone now; higher is better. */
+const Room = { None: 0, Guarantee: 1, Block: 2, Hole: 3 } as const;
+
+/**
+ * A hole beside other work comes first: it breaks no whole worker, in whatever zone it is. A block that is free after the
+ * zone's own jobs had their turn is free for others, too. A guarantee comes last, since it may have to be reclaimed.
+ */
+function getRoom(load: peer.ZoneLoad, account: string, accelerators: number): number {
+    if (load.largestHole >= accelerators) {
+        return Room.Hole;
+    }
+    if (load.largestFreeBlock >= accelerators) {
+        return Room.Block;
+    }
+    return (load.freeGuaranteed[account] ?? 0) >= accelerators ? Room.Guarantee : Room.None;
+}
+
+/** Where the job would start at once and best, else where the least work waits. */
 function pickBest(loads: readonly peer.ZoneLoad[], account: string, accelerators: number, ownZone: string): string {
-    const ranked = [...loads].sort((a, b) =>
-        Number((b.freeGuaranteed[account] ?? 0) >= accelerators)
-            - Number((a.freeGuaranteed[account] ?? 0) >= accelerators)
-        || a.waitingWorkMs - b.waitingWorkMs
-        || b.freeAccelerators - a.freeAccelerators
-        || Number(b.zone === ownZone) - Number(a.zone === ownZone)
-    );
-    return ranked[0]!.zone;
+    const ranked = loads
+        .map(load => ({ load, room: getRoom(load, account, accelerators) }))
+        .sort((a, b) =>
+            b.room - a.room
+            || (a.room === Room.Hole ? a.load.largestHole - b.load.largestHole : 0)
+            || a.load.waitingWorkMs - b.load.waitingWorkMs
+            || b.load.freeAccelerators - a.load.freeAccelerators
+            || Number(b.load.zone === ownZone) - Number(a.load.zone === ownZone)
+        );
+    return ranked[0]!.load.zone;
 }
--- a/src/peer/peer.generated.ts
+++ b/src/peer/peer.generated.ts
@@ -50,8 +50,8 @@
 export interface ZoneLoad {
   zone: string;
   freeAccelerators: number;
-  /** Accelerators free in wholly free workers. */
-  wholeFreeAccelerators: number;
+  /** The most accelerators free in whole workers of one rack for which no job waits. */
+  largestFreeBlock: number;
   /** Predicted work that waits, in accelerator milliseconds. */
   waitingWorkMs: number;
   /** The largest block of its own guarantee that an account leaves free, by account. */
@@ -60,6 +60,8 @@
   unfinished: { [key: string]: number };
   /** Waiting jobs by account and class, as "account/class". */
   waiting: { [key: string]: number };
+  /** The most accelerators free on a worker that others are in use on. */
+  largestHole: number;
 }
 
 export interface ZoneLoad_FreeGuaranteedEntry {
@@ -502,11 +504,12 @@
   return {
     zone: "",
     freeAccelerators: 0,
-    wholeFreeAccelerators: 0,
+    largestFreeBlock: 0,
     waitingWorkMs: 0,
     freeGuaranteed: {},
     unfinished: {},
     waiting: {},
+    largestHole: 0,
   };
 }
 
@@ -518,8 +521,8 @@
     if (message.freeAccelerators !== 0) {
       writer.uint32(16).uint32(message.freeAccelerators);
     }
-    if (message.wholeFreeAccelerators !== 0) {
-      writer.uint32(24).uint32(message.wholeFreeAccelerators);
+    if (message.largestFreeBlock !== 0) {
+      writer.uint32(24).uint32(message.largestFreeBlock);
     }
     if (message.waitingWorkMs !== 0) {
       writer.uint32(33).double(message.waitingWorkMs);
@@ -533,6 +536,9 @@
     globalThis.Object.entries(message.waiting).forEach(([key, value]: [string, number]) => {
       ZoneLoad_WaitingEntry.encode({ key: key as any, value }, writer.uint32(58).fork()).join();
     });
+    if (message.largestHole !== 0) {
+      writer.uint32(64).uint32(message.largestHole);
+    }
     return writer;
   },
 
@@ -570,7 +576,7 @@
               break;
             }
 
-            message.wholeFreeAccelerators = reader.uint32();
+            message.largestFreeBlock = reader.uint32();
             continue;
           }
           case 4: {
@@ -614,6 +620,14 @@
             }
             continue;
           }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.largestHole = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
--- a/src/placement/fleet.ts
+++ b/src/placement/fleet.ts
@@ -88,6 +88,10 @@
     getFreeAccelerators(): number;
     /** Accelerators free in wholly free workers. */
     getWholeFreeAccelerators(): number;
+    /** The most accelerators free in whole workers of one rack for which no job waits. */
+    getLargestFreeBlock(): number;
+    /** The most accelerators free on a worker that others are in use on. */
+    getLargestHole(): number;
 }
 
 export function createFleet(shapes: readonly WorkerShape[]): Fleet {
@@ -244,6 +248,27 @@
         },
         getFreeAccelerators: () => freeAccelerators,
         getWholeFreeAccelerators: () => wholeFreeAccelerators,
+        getLargestFreeBlock: () => {
+            let largest = 0;
+            for (const rack of racks.values()) {
+                let block = 0;
+                for (const worker of rack.wholeFree) {
+                    block += worker.reservation ? 0 : worker.free.accelerators;
+                }
+                largest = Math.max(largest, block);
+            }
+            return largest;
+        },
+        getLargestHole: () => {
+            for (let level = largestWorker - 1; level > 0; level--) {
+                for (const worker of levels[level]!) {
+                    if (!isWhole(worker) && !worker.reservation && worker.free.slots > 0) {
+                        return level;
+                    }
+                }
+            }
+            return 0;
+        },
     };
 }
 
--- a/src/queue/decide.ts
+++ b/src/queue/decide.ts
@@ -41,7 +41,7 @@
 /** Places kept at a time for large jobs, in a zone. */
 const MAX_RESERVED_JOBS = 4;
 /** A large job that waited this long stops borrowed work in its way; bounds its wait whatever small jobs arrive. */
-export const LARGE_PATIENCE_MS = 30 * 60_000;
+export const LARGE_PATIENCE_MS = 15 * 60_000;
 /** A reservation whose time passed by more than this is planned anew. */
 const REPLAN_AFTER_MS = 60_000;
 /** Predicted run times below this are taken for it, so that the shortest jobs do not outrun all ageing. */
@@ -52,7 +52,7 @@
 /** Between two consolidations; each moves the tasks of one worker. */
 const CONSOLIDATE_EVERY_MS = 15_000;
 /** A task is moved only if it is expected to run for this many times the cost of a move. */
-const MOVE_WORTH = 15;
+const MOVE_WORTH = 6;
 /** What stopping with a checkpoint and restoring it takes, roughly. */
 const MOVE_COST_MS = 20_000;
 
@@ -182,7 +182,9 @@
             continue;
         }
         if (hold.kind === "reserved" && now > hold.startAt + REPLAN_AFTER_MS) {
+            // Planned anew before other jobs have their turn: they would take the workers that are free already.
             dropHold(state, jobId);
+            reserve(state, job, now);
             continue;
         }
         if (hold.kind === "reserved") {
@@ -316,20 +318,20 @@
     forceForLarge(state, actions, now);
     let reserved = countHolds(state, "reserved");
     for (const job of getWaitingLarge(state, MAX_RESERVED_JOBS - reserved)) {
-        const place = placement.findReservation(state.books, createRequest(state, job, now), now);
-        if (!place || reserved >= MAX_RESERVED_JOBS) {
-            continue;
-        }
-        placement.setReservation(place, job.jobId);
-        state.held.set(job.jobId, {
-            kind: "reserved",
-            workers: place.workers,
-            startAt: place.startAt,
-            madeAt: now,
-            members: undefined,
-        });
-        reserved++;
+        reserved += reserve(state, job, now) ? 1 : 0;
+    }
+}
+
+/** Keeps the place that is expected to be free first; false when no place could ever hold the job now. */
+function reserve(state: DecisionState, job: queuedJob.QueuedJob, now: number): boolean {
+    const place = placement.findReservation(state.books, createRequest(state, job, now), now);
+    if (!place) {
+        return false;
     }
+    placement.setReservation(place, job.jobId);
+    const { workers, startAt } = place;
+    state.held.set(job.jobId, { kind: "reserved", workers, startAt, madeAt: now, members: undefined });
+    return true;
 }
 
 /**
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -546,7 +546,8 @@
             return {
                 zone,
                 freeAccelerators: scheduler.books.getFreeAccelerators(),
-                wholeFreeAccelerators: scheduler.books.getWholeFreeAccelerators(),
+                largestFreeBlock: scheduler.books.getLargestFreeBlock(),
+                largestHole: scheduler.books.getLargestHole(),
                 waitingWorkMs,
                 unfinished,
                 waiting,
