--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,6 +1,6 @@
 /** Compares the policies over both deployments' days: all mixes, several seeds, every policy in one run. */
 import * as workerThreads from "node:worker_threads";
-import type * as configuration from "../src/configuration/index";
+import * as configuration from "../src/configuration/index";
 import * as settings from "../src/settings/index";
 import * as site from "../standins/site/index";
 import * as day from "./policy/day";
@@ -40,7 +40,14 @@
 
 function runTrial(trial: Trial): TrialResult {
     const file = settings.readSiteFile(site.getSiteFile(trial.deployment));
-    const { topology, preset: _preset, ...contracts } = file;
+    const { topology } = file;
+    const contracts = configuration.contractsSchema.parse({
+        accounts: file.accounts,
+        operators: file.operators,
+        presets: file.presets,
+        policy: file.policy,
+        limits: file.limits,
+    });
     const preset = trial.mix === "peak" || trial.mix === "maintenance" ? trial.mix : "ordinary";
     const policy: configuration.Policy = trial.policy === "guaranteed" ? contracts.policy : { kind: trial.policy };
     const current: configuration.Configuration = {
@@ -107,7 +114,10 @@
     const runThread = () =>
         new Promise<void>((resolve, reject) => {
             const thread = new workerThreads.Worker(__filename);
-            const feed = () => next < trials.length ? thread.postMessage(trials[next++]) : void thread.terminate().then(() => resolve());
+            const feed = () =>
+                next < trials.length
+                    ? thread.postMessage(trials[next++])
+                    : void thread.terminate().then(() => resolve());
             thread.on("message", (result: TrialResult) => {
                 results.push(result);
                 feed();
@@ -130,11 +140,33 @@
                 continue;
             }
             for (const policy of POLICIES) {
-                const own = SEEDS.map(seed => results.find(item => item.deployment === deployment && item.mix === mix && item.policy === policy && item.seed === seed)!);
-                const base = SEEDS.map(seed => results.find(item => item.deployment === deployment && item.mix === mix && item.policy === "fifoFirstFit" && item.seed === seed)!);
+                const own = SEEDS.map(seed =>
+                    results.find(item =>
+                        item.deployment === deployment && item.mix === mix && item.policy === policy
+                        && item.seed === seed
+                    )!
+                );
+                const base = SEEDS.map(seed =>
+                    results.find(item =>
+                        item.deployment === deployment && item.mix === mix && item.policy === "fifoFirstFit"
+                        && item.seed === seed
+                    )!
+                );
                 const ratio = (key: "meanCompletionMs" | "largeWaitP99Ms" | "fragmentation" | "interactiveP99Ms") =>
                     median(own.map((item, index) => item[key] / Math.max(1e-9, base[index]![key])));
-                const pick = (key: "meanCompletionMs" | "p50Ms" | "p99Ms" | "urgentP99Ms" | "largeWaitP50Ms" | "largeWaitP99Ms" | "fragmentation" | "utilisation" | "lostWorkHours" | "evictions") => median(own.map(item => item[key]));
+                const pick = (
+                    key:
+                        | "meanCompletionMs"
+                        | "p50Ms"
+                        | "p99Ms"
+                        | "urgentP99Ms"
+                        | "largeWaitP50Ms"
+                        | "largeWaitP99Ms"
+                        | "fragmentation"
+                        | "utilisation"
+                        | "lostWorkHours"
+                        | "evictions",
+                ) => median(own.map(item => item[key]));
                 rows.push({
                     deployment,
                     mix,
@@ -151,7 +183,9 @@
                     util: round(pick("utilisation")),
                     evictions: pick("evictions"),
                     lostHours: round(pick("lostWorkHours")),
-                    reclaimOk: `${own.reduce((sum, item) => sum + item.reclaimsWithinGrace, 0)}/${own.reduce((sum, item) => sum + item.reclaims, 0)}`,
+                    reclaimOk: `${own.reduce((sum, item) => sum + item.reclaimsWithinGrace, 0)}/${
+                        own.reduce((sum, item) => sum + item.reclaims, 0)
+                    }`,
                     unfinished: own.reduce((sum, item) => sum + item.unfinished, 0),
                 });
             }
@@ -167,7 +201,9 @@
 async function main(): Promise<void> {
     const only = process.argv.find(argument => argument.startsWith("--mix="))?.slice("--mix=".length);
     const trials = DEPLOYMENTS.flatMap(deployment =>
-        workload.MIXES.flatMap(mix => POLICIES.flatMap(policy => SEEDS.map(seed => ({ deployment, mix, policy, seed }))))
+        workload.MIXES.flatMap(mix =>
+            POLICIES.flatMap(policy => SEEDS.map(seed => ({ deployment, mix, policy, seed })))
+        )
     ).filter(trial => only === undefined || trial.mix === only);
     const results = await runAll(trials);
     const rows = summarize(results);
--- a/bench/policy/day.ts
+++ b/bench/policy/day.ts
@@ -110,27 +110,38 @@
         const lost = new Set(zones.flatMap(item => item.health.getSetAside()));
         const plan = placement.createPlan(preset, current.topology, lost);
         for (const { scheduler } of zones) {
-            scheduler.setTerms({ policy: current.contracts.policy, accounts: current.contracts.accounts, homes: plan.parts, drained });
+            scheduler.setTerms({
+                policy: current.contracts.policy,
+                accounts: current.contracts.accounts,
+                homes: plan.parts,
+                drained,
+            });
         }
     };
     refreshTerms();
 
-    const getLoads = () => zones.map(({ zone, scheduler }) => {
-        let waitingWorkMs = 0;
-        for (const job of scheduler.queue.getJobs()) {
-            waitingWorkMs += scheduler.predictor.predict(job.account, job.jobClass, job.declaredMs) * job.accelerators;
-        }
-        return {
-            zone,
-            freeAccelerators: scheduler.books.getFreeAccelerators(),
-            largestFreeBlock: scheduler.books.getLargestFreeBlock(),
-            largestHole: scheduler.books.getLargestHole(),
-            waitingWorkMs,
-            unfinished: {},
-            waiting: {},
-            freeGuaranteed: Object.fromEntries(current.contracts.accounts.map(item => [item.name, scheduler.books.getLargestFreeGuaranteed(item.name)])),
-        };
-    });
+    const getLoads = () =>
+        zones.map(({ zone, scheduler }) => {
+            let waitingWorkMs = 0;
+            for (const job of scheduler.queue.getJobs()) {
+                waitingWorkMs += scheduler.predictor.predict(job.account, job.jobClass, job.declaredMs)
+                    * job.accelerators;
+            }
+            return {
+                zone,
+                freeAccelerators: scheduler.books.getFreeAccelerators(),
+                largestFreeBlock: scheduler.books.getLargestFreeBlock(),
+                largestHole: scheduler.books.getLargestHole(),
+                waitingWorkMs,
+                unfinished: {},
+                waiting: {},
+                freeGuaranteed: Object.fromEntries(
+                    current.contracts.accounts.map(
+                        item => [item.name, scheduler.books.getLargestFreeGuaranteed(item.name)],
+                    ),
+                ),
+            };
+        });
     const admission = entry.createJobAdmission({
         ownZone: current.topology.zones[0]!,
         getConfiguration: () => current,
@@ -312,7 +323,10 @@
     const interactive = () => {
         const { scheduler } = rng.pick(zones);
         const reserve = current.contracts.limits.interactiveReserve;
-        const slots = [...scheduler.books.workers.values()].reduce((sum, worker) => sum + worker.free.slots + reserve.slots, 0);
+        const slots = [...scheduler.books.workers.values()].reduce(
+            (sum, worker) => sum + worker.free.slots + reserve.slots,
+            0,
+        );
         const serviceMs = rng.nextExponential(INTERACTIVE_RUN_MS);
         interactiveMs.push(slots > 0 ? serviceMs : serviceMs + INTERACTIVE_RUN_MS);
         time.setTimer(rng.nextExponential(INTERACTIVE_GAP_MS), interactive);
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -7,7 +7,15 @@
 const HOUR_MS = 3_600_000;
 const MINUTE_MS = 60_000;
 
-export const MIXES = ["ordinary", "peak", "maintenance", "burstsOfSmall", "burstsOfLarge", "wrongEstimates", "failingWorkers"] as const;
+export const MIXES = [
+    "ordinary",
+    "peak",
+    "maintenance",
+    "burstsOfSmall",
+    "burstsOfLarge",
+    "wrongEstimates",
+    "failingWorkers",
+] as const;
 export type Mix = typeof MIXES[number];
 
 export interface WorkloadJob {
@@ -37,21 +45,153 @@
 }
 
 const CEDARFLUE: readonly Stream[] = [
-    { account: "route-planning", jobClass: "urgent", sizes: [1, 2, 4], adjacency: "worker", repeatableShare: 1, perHour: 60, meanRunMs: 8 * MINUTE_MS, from: 2, to: 6, declaredFactor: 1.5 },
-    { account: "route-planning", jobClass: "batch", sizes: [8], adjacency: "worker", repeatableShare: 1, perHour: 5, meanRunMs: 60 * MINUTE_MS, from: 0, to: 24, declaredFactor: 1.5 },
-    { account: "photo-review", jobClass: "batch", sizes: [1, 1, 2, 4], adjacency: "any", repeatableShare: 1, perHour: 110, meanRunMs: 20 * MINUTE_MS, from: 0, to: 24, declaredFactor: 3 },
-    { account: "photo-review", jobClass: "batch", sizes: [16, 32], adjacency: "rack", repeatableShare: 1, perHour: 1.6, meanRunMs: 90 * MINUTE_MS, from: 0, to: 24, declaredFactor: 0.6 },
-    { account: "partner-surveys", jobClass: "batch", sizes: [1, 2], adjacency: "any", repeatableShare: 0.6, perHour: 30, meanRunMs: 25 * MINUTE_MS, from: 6, to: 24, declaredFactor: 2 },
-    { account: "partner-surveys", jobClass: "batch", sizes: [16], adjacency: "rack", repeatableShare: 1, perHour: 0.8, meanRunMs: 60 * MINUTE_MS, from: 0, to: 24, declaredFactor: 1 },
+    {
+        account: "route-planning",
+        jobClass: "urgent",
+        sizes: [1, 2, 4],
+        adjacency: "worker",
+        repeatableShare: 1,
+        perHour: 60,
+        meanRunMs: 8 * MINUTE_MS,
+        from: 2,
+        to: 6,
+        declaredFactor: 1.5,
+    },
+    {
+        account: "route-planning",
+        jobClass: "batch",
+        sizes: [8],
+        adjacency: "worker",
+        repeatableShare: 1,
+        perHour: 5,
+        meanRunMs: 60 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 1.5,
+    },
+    {
+        account: "photo-review",
+        jobClass: "batch",
+        sizes: [1, 1, 2, 4],
+        adjacency: "any",
+        repeatableShare: 1,
+        perHour: 110,
+        meanRunMs: 20 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 3,
+    },
+    {
+        account: "photo-review",
+        jobClass: "batch",
+        sizes: [16, 32],
+        adjacency: "rack",
+        repeatableShare: 1,
+        perHour: 1.6,
+        meanRunMs: 90 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 0.6,
+    },
+    {
+        account: "partner-surveys",
+        jobClass: "batch",
+        sizes: [1, 2],
+        adjacency: "any",
+        repeatableShare: 0.6,
+        perHour: 30,
+        meanRunMs: 25 * MINUTE_MS,
+        from: 6,
+        to: 24,
+        declaredFactor: 2,
+    },
+    {
+        account: "partner-surveys",
+        jobClass: "batch",
+        sizes: [16],
+        adjacency: "rack",
+        repeatableShare: 1,
+        perHour: 0.8,
+        meanRunMs: 60 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 1,
+    },
 ];
 
 const BREIZH: readonly Stream[] = [
-    { account: "rewrites-fr", jobClass: "batch", sizes: [1, 2, 4], adjacency: "any", repeatableShare: 1, perHour: 70, meanRunMs: 25 * MINUTE_MS, from: 0, to: 24, declaredFactor: 2 },
-    { account: "rewrites-fr", jobClass: "batch", sizes: [16, 32], adjacency: "rack", repeatableShare: 1, perHour: 1.8, meanRunMs: 90 * MINUTE_MS, from: 0, to: 24, declaredFactor: 0.7 },
-    { account: "rewrites-br", jobClass: "batch", sizes: [16, 32], adjacency: "rack", repeatableShare: 1, perHour: 0.9, meanRunMs: 70 * MINUTE_MS, from: 0, to: 24, declaredFactor: 1 },
-    { account: "rewrites-br", jobClass: "batch", sizes: [1, 2], adjacency: "any", repeatableShare: 1, perHour: 30, meanRunMs: 30 * MINUTE_MS, from: 0, to: 24, declaredFactor: 2.5 },
-    { account: "town-halls", jobClass: "urgent", sizes: [1, 2], adjacency: "any", repeatableShare: 1, perHour: 20, meanRunMs: 6 * MINUTE_MS, from: 8, to: 18, declaredFactor: 1 },
-    { account: "town-halls", jobClass: "batch", sizes: [1, 2], adjacency: "any", repeatableShare: 0.5, perHour: 20, meanRunMs: 30 * MINUTE_MS, from: 8, to: 20, declaredFactor: 2 },
+    {
+        account: "rewrites-fr",
+        jobClass: "batch",
+        sizes: [1, 2, 4],
+        adjacency: "any",
+        repeatableShare: 1,
+        perHour: 70,
+        meanRunMs: 25 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 2,
+    },
+    {
+        account: "rewrites-fr",
+        jobClass: "batch",
+        sizes: [16, 32],
+        adjacency: "rack",
+        repeatableShare: 1,
+        perHour: 1.8,
+        meanRunMs: 90 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 0.7,
+    },
+    {
+        account: "rewrites-br",
+        jobClass: "batch",
+        sizes: [16, 32],
+        adjacency: "rack",
+        repeatableShare: 1,
+        perHour: 0.9,
+        meanRunMs: 70 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 1,
+    },
+    {
+        account: "rewrites-br",
+        jobClass: "batch",
+        sizes: [1, 2],
+        adjacency: "any",
+        repeatableShare: 1,
+        perHour: 30,
+        meanRunMs: 30 * MINUTE_MS,
+        from: 0,
+        to: 24,
+        declaredFactor: 2.5,
+    },
+    {
+        account: "town-halls",
+        jobClass: "urgent",
+        sizes: [1, 2],
+        adjacency: "any",
+        repeatableShare: 1,
+        perHour: 20,
+        meanRunMs: 6 * MINUTE_MS,
+        from: 8,
+        to: 18,
+        declaredFactor: 1,
+    },
+    {
+        account: "town-halls",
+        jobClass: "batch",
+        sizes: [1, 2],
+        adjacency: "any",
+        repeatableShare: 0.5,
+        perHour: 20,
+        meanRunMs: 30 * MINUTE_MS,
+        from: 8,
+        to: 20,
+        declaredFactor: 2,
+    },
 ];
 
 const RATE_FACTOR: Readonly<Record<Mix, number>> = {
@@ -71,7 +211,15 @@
     const streams = deployment === "cedarflue" ? CEDARFLUE : BREIZH;
     const jobs = streams.flatMap(stream => createStream(rng, stream, mix));
     if (mix === "burstsOfSmall") {
-        jobs.push(...createBursts(rng, streams.find(stream => stream.sizes[0] === 1 && stream.jobClass === "batch")!, 3, 150, 10 * MINUTE_MS));
+        jobs.push(
+            ...createBursts(
+                rng,
+                streams.find(stream => stream.sizes[0] === 1 && stream.jobClass === "batch")!,
+                3,
+                150,
+                10 * MINUTE_MS,
+            ),
+        );
     }
     if (mix === "burstsOfLarge") {
         jobs.push(...createBursts(rng, streams.find(stream => stream.sizes.includes(32))!, 3, 6, 40 * MINUTE_MS));
@@ -82,13 +230,23 @@
 function createStream(rng: random.Random, stream: Stream, mix: Mix): WorkloadJob[] {
     const jobs: WorkloadJob[] = [];
     const meanGapMs = HOUR_MS / (stream.perHour * RATE_FACTOR[mix]);
-    for (let at = stream.from * HOUR_MS + rng.nextExponential(meanGapMs); at < stream.to * HOUR_MS; at += rng.nextExponential(meanGapMs)) {
+    for (
+        let at = stream.from * HOUR_MS + rng.nextExponential(meanGapMs);
+        at < stream.to * HOUR_MS;
+        at += rng.nextExponential(meanGapMs)
+    ) {
         jobs.push(createJob(rng, stream, at, stream.meanRunMs, mix));
     }
     return jobs;
 }
 
-function createBursts(rng: random.Random, stream: Stream, bursts: number, size: number, meanRunMs: number): WorkloadJob[] {
+function createBursts(
+    rng: random.Random,
+    stream: Stream,
+    bursts: number,
+    size: number,
+    meanRunMs: number,
+): WorkloadJob[] {
     return Array.from({ length: bursts }, () => rng.nextFloat() * 0.9 * DAY_MS).flatMap(at =>
         Array.from({ length: size }, () => createJob(rng, stream, at, meanRunMs, "ordinary"))
     );
--- a/src/entry/interactiveRouter.ts
+++ b/src/entry/interactiveRouter.ts
@@ -116,6 +116,7 @@
     const runRepeatable = async (req: peer.RunRequest, deadline: number): Promise<InteractiveOutcome> => {
         const tried = new Set<string>();
         let last = refused(req.requestId, result.ResultCode.OwnerUnavailable, "no rack could be reached");
+        let mayHaveRun = false;
         while (tried.size < MAX_RACKS && time.now() < deadline) {
             const rackId = pickRack(tried);
             if (rackId === undefined) {
@@ -127,14 +128,16 @@
             if (!reply) {
                 counters.increment("entry.ownerSilent");
                 last = refused(req.requestId, result.ResultCode.DeadlineExceeded, "the rack's owner did not answer");
+                mayHaveRun = true;
                 continue;
             }
             last = readReply(reply, req.requestId);
+            mayHaveRun = mayHaveRun || (last.kind === "refused" && last.refusal.ran !== "no");
             if (last.kind !== "refused" || !TRY_ELSEWHERE.includes(last.refusal.code)) {
-                return last;
+                break;
             }
         }
-        return last;
+        return mayHaveRun ? withDoubt(last) : last;
     };
 
     /**
@@ -154,7 +157,7 @@
             const outcome = reply && readReply(reply, req.requestId);
             const isNotOwner = outcome?.kind === "refused" && outcome.refusal.code === result.ResultCode.NotOwner;
             if (outcome && !isNotOwner) {
-                return outcome;
+                return sent ? withDoubt(outcome) : outcome;
             }
             sent = sent || !reply;
             counters.increment("entry.homeRetried");
@@ -247,6 +250,16 @@
     return outcome.kind === "refused" && outcome.refusal.code === result.ResultCode.HomeUnavailable;
 }
 
+/**
+ * The refusal of a later try says only that this try did not run. After a try whose answer was lost, passing it on as it
+ * is would call work "not run" that may have run; one would see it in the workers' records alone.
+ */
+function withDoubt(outcome: InteractiveOutcome): InteractiveOutcome {
+    return outcome.kind === "refused" && outcome.refusal.ran === "no"
+        ? { ...outcome, refusal: { ...outcome.refusal, ran: "unknown" } }
+        : outcome;
+}
+
 const RETRY_AFTER_MS = 500;
 
 function refused(requestId: string, code: result.ResultCode, message: string): InteractiveOutcome {
--- a/src/entry/jobAdmission.ts
+++ b/src/entry/jobAdmission.ts
@@ -122,7 +122,9 @@
             return result.ok(pickBest(loads, account.name, spec.accelerators, options.ownZone));
         },
         findZoneWithRoom: (job, from) =>
-            options.getZoneLoads().find(load => load.zone !== from && getRoom(load, job.account, job.accelerators) > Room.None)?.zone,
+            options.getZoneLoads().find(load =>
+                load.zone !== from && getRoom(load, job.account, job.accelerators) > Room.None
+            )?.zone,
     };
 }
 
--- a/src/load/load.ts
+++ b/src/load/load.ts
@@ -59,8 +59,9 @@
         record.endedAt = time.now();
     };
 
-    const finishRefused = (record: callerLog.CallerRecord, code: number, ran: result.Ran) => {
-        const outcome = ran === "no" ? "notRun" : ran === "yes" ? "failed" : "unknown";
+    /** "Not run" holds for the request only if no earlier submission of it may have run. */
+    const finishRefused = (record: callerLog.CallerRecord, code: number, ran: result.Ran, inDoubt: boolean) => {
+        const outcome = ran === "yes" ? "failed" : ran === "unknown" || inDoubt ? "unknown" : "notRun";
         finish(record, outcome, code);
     };
 
@@ -71,6 +72,7 @@
         body: Readonly<Record<string, unknown>>,
     ): Promise<void> => {
         const giveUpAt = time.now() + options.patienceMs;
+        let inDoubt = false;
         while (time.now() < giveUpAt) {
             const answer = await client.submit(stream.key, body, 0);
             if (answer.kind === "done") {
@@ -80,9 +82,10 @@
                 return;
             }
             if (answer.kind === "refused" && answer.ran !== "unknown") {
-                finishRefused(record, answer.code, answer.ran);
+                finishRefused(record, answer.code, answer.ran, inDoubt);
                 return;
             }
+            inDoubt = inDoubt || answer.kind !== "unreachable";
             // Not known: ask again under the same id, which is safe also for work that may run only once.
             record.code = answer.kind === "refused" ? answer.code : undefined;
             await time.sleep(RETRY_PAUSE_MS);
@@ -117,6 +120,7 @@
         body: Readonly<Record<string, unknown>>,
     ): Promise<void> => {
         const giveUpAt = time.now() + options.patienceMs;
+        let inDoubt = false;
         while (time.now() < giveUpAt) {
             const answer = await client.submit(stream.key, body, 0);
             if (answer.kind === "job") {
@@ -128,9 +132,10 @@
                 return followJob(record, stream, requestId);
             }
             if (answer.kind === "refused" && answer.ran !== "unknown") {
-                finishRefused(record, answer.code, answer.ran);
+                finishRefused(record, answer.code, answer.ran, inDoubt);
                 return;
             }
+            inDoubt = inDoubt || answer.kind !== "unreachable";
             await time.sleep(RETRY_PAUSE_MS);
         }
         finish(record, "unknown", record.code);
@@ -165,11 +170,16 @@
             payload: JSON.stringify({ runMs, mark }),
         };
         const isDuplicated = rng.nextFloat() < stream.duplicates;
-        const duplicate = isDuplicated ? client.submit(stream.key, body, 0).then(() => undefined) : Promise.resolve();
+        const duplicate = isDuplicated ? client.submit(stream.key, body, 0) : Promise.resolve(undefined);
         const call = stream.jobClass === "interactive"
             ? callInteractive(record, stream, body)
             : callJob(record, stream, mark, body);
-        await Promise.all([call, duplicate]);
+        const [, other] = await Promise.all([call, duplicate]);
+        const otherRan = other && !(other.kind === "unreachable" || (other.kind === "refused" && other.ran === "no"));
+        if (record.outcome === "notRun" && otherRan) {
+            // The request did not run only if all its submissions say so.
+            record.outcome = "unknown";
+        }
     };
 
     const runStream = async (stream: LoadStream, signal: AbortSignal): Promise<void> => {
--- a/src/placement/consolidate.ts
+++ b/src/placement/consolidate.ts
@@ -68,7 +68,10 @@
     for (let level = task.needs.accelerators; level < books.largestWorker; level++) {
         for (const worker of books.getWorkersWithFree(level)) {
             const isBroken = worker.free.accelerators < worker.capacity.accelerators;
-            if (isBroken && !used.has(worker) && !worker.reservation && place.isAllowed(worker, req, task.needs.accelerators)) {
+            if (
+                isBroken && !used.has(worker) && !worker.reservation
+                && place.isAllowed(worker, req, task.needs.accelerators)
+            ) {
                 return worker;
             }
         }
--- a/src/queue/decide.ts
+++ b/src/queue/decide.ts
@@ -370,8 +370,11 @@
 /** Large jobs without a kept place, the longest waiting first. */
 function getWaitingLarge(state: DecisionState, limit: number): queuedJob.QueuedJob[] {
     const found: queuedJob.QueuedJob[] = [];
-    const heads = createHeads(state, job => -job.queuedAt, bucket =>
-        (jobQueue.getHead(bucket)?.accelerators ?? 0) >= state.books.largestWorker * LARGE_SHARE);
+    const heads = createHeads(
+        state,
+        job => -job.queuedAt,
+        bucket => (jobQueue.getHead(bucket)?.accelerators ?? 0) >= state.books.largestWorker * LARGE_SHARE,
+    );
     for (let bucket = heads.pop(); bucket && found.length < limit; bucket = heads.pop()) {
         const job = getFirstUnheld(state, bucket);
         if (job) {
--- a/src/workers/interactiveRunner.ts
+++ b/src/workers/interactiveRunner.ts
@@ -187,11 +187,16 @@
     const runRepeatable = async (req: peer.RunRequest, deadline: number): Promise<RunOutcome> => {
         const excluded = new Set<string>();
         let last: RunOutcome = refusal(result.ResultCode.NoCapacity, "no healthy worker has a free slot");
+        /** An earlier try ran, or may have. */
         let ran = false;
+        const conclude = (outcome: RunOutcome): RunOutcome =>
+            ran && outcome.$case === "refusal" && outcome.value.ran === "no"
+                ? { $case: "refusal", value: { ...outcome.value, ran: "unknown" } }
+                : outcome;
         for (let attempt = 0; attempt <= MAX_RETRIES; attempt++) {
             const slot = await waitForSlot(req.needs!, excluded, undefined, deadline);
             if (!slot) {
-                return ran ? last : shed(deadline);
+                return conclude(ran ? last : shed(deadline));
             }
             const { session } = slot;
             const token = session.getToken();
@@ -230,7 +235,7 @@
             retryTokens--;
             counters.increment("interactive.retried");
         }
-        return last;
+        return conclude(last);
     };
 
     /** Stops a task nobody waits for any more, so that it does not hold its slot until its lease lapses. */
--- a/standins/site/verdict.ts
+++ b/standins/site/verdict.ts
@@ -14,6 +14,8 @@
     readonly partialGangs: number;
     /** Requests that were called "not run" though a worker started them. */
     readonly falseNotRun: number;
+    /** What was found of the first few violations, for whoever looks for the cause. */
+    readonly findings: readonly string[];
 }
 
 interface Runs {
@@ -22,6 +24,7 @@
     completions: number;
 }
 
+const MAX_FINDINGS = 5;
 /** Starting a gang, and stopping one whose start failed, each take a round trip to every member. */
 const GANG_GRACE_MS = 1000;
 
@@ -35,6 +38,7 @@
     let duplicated = 0;
     let crossed = 0;
     let falseNotRun = 0;
+    const findings: string[] = [];
     for (const record of records) {
         const { starts, completions } = runs.get(record.mark) ?? { starts: 0, completions: 0 };
         const isUnresolved = record.accepted && (record.outcome === "open" || record.outcome === "unknown");
@@ -43,9 +47,13 @@
             ? 1
             : 0;
         crossed += record.answerMark !== undefined && record.answerMark !== record.mark ? 1 : 0;
-        falseNotRun += record.outcome === "notRun" && starts > 0 ? 1 : 0;
+        const isFalse = record.outcome === "notRun" && starts > 0;
+        falseNotRun += isFalse ? 1 : 0;
+        if (findings.length < MAX_FINDINGS && (isFalse || isUnresolved)) {
+            findings.push(`${record.jobClass} ${record.repeatable ? "repeatable" : "once"} ${record.outcome} ${record.code} starts ${starts}`);
+        }
     }
-    return { lost, duplicated, crossed, partialGangs: countPartialGangs(journal, now), falseNotRun };
+    return { lost, duplicated, crossed, partialGangs: countPartialGangs(journal, now), falseNotRun, findings };
 }
 
 function countRuns(journal: readonly worker.JournalEntry[]): Map<string, Runs> {
