Scenario language; reports left over from an attempt no longer end the next one

Cause: the scenario preset-switch placed one job 32,859 times in five minutes. Sequence: the job is stopped with a checkpoint and waits; its rack reports the stopped task of attempt 1 again, which is taken for news of the waiting job, and attempt 2 ends at its start by it, and so on. Ruled out: conflicts on the row (versions rose by one each time). Change: reports for a job that waits are acknowledged and not kept; an attempt starts without earlier reports.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -4,6 +4,7 @@
 import * as jobCommands from "./jobCommands";
 import * as loadCommand from "./loadCommand";
 import * as operatorCommands from "./operatorCommands";
+import * as scenarioCommand from "./scenarioCommand";
 import * as serveCommand from "./serveCommand";
 
 export function createProgram(): commander.Command {
@@ -16,5 +17,6 @@
     operatorCommands.register(program);
     configCommands.register(program);
     loadCommand.register(program);
+    scenarioCommand.register(program);
     return program;
 }
--- a/src/queue/decide.ts
+++ b/src/queue/decide.ts
@@ -242,7 +242,8 @@
             if (failed.isHopeless(req) || !isWithinLimit(state, job)) {
                 continue;
             }
-            if (state.books.getFreeGuaranteed(account.name) < job.accelerators) {
+            const isSmall = job.accelerators < state.books.largestWorker;
+            if (isSmall && state.books.getFreeGuaranteed(account.name) < job.accelerators) {
                 failed.add(req);
                 continue;
             }
--- a/src/queue/reports.ts
+++ b/src/queue/reports.ts
@@ -89,7 +89,9 @@
             }
             return;
         }
-        if (!entry || Number(attempt) < entry.job.attempt) {
+        // A job that waits has no task of its own: what is reported then is left of an attempt that was given up. Taking
+        // it for news would end the next attempt at its start, again and again.
+        if (!entry?.active || Number(attempt) < entry.job.attempt) {
             if (task.state === "prepared" || task.state === "running") {
                 options.onOrphan(rackId, task);
             }
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -249,6 +249,7 @@
 
     const startAttempt = (entry: queueEntry.QueueEntry, begin: () => Promise<attemptModule.AttemptEnd>) => {
         entry.active = true;
+        entry.reports.clear();
         run(begin().then(end => stopped.signal.aborted ? undefined : handleEnd(entry, end)));
     };
 
--- a/standins/site/verdict.ts
+++ b/standins/site/verdict.ts
@@ -50,7 +50,11 @@
         const isFalse = record.outcome === "notRun" && starts > 0;
         falseNotRun += isFalse ? 1 : 0;
         if (findings.length < MAX_FINDINGS && (isFalse || isUnresolved)) {
-            findings.push(`${record.jobClass} ${record.repeatable ? "repeatable" : "once"} ${record.outcome} ${record.code} starts ${starts}`);
+            findings.push(
+                `${record.jobClass} ${
+                    record.repeatable ? "repeatable" : "once"
+                } ${record.outcome} ${record.code} starts ${starts}`,
+            );
         }
     }
     return { lost, duplicated, crossed, partialGangs: countPartialGangs(journal, now), falseNotRun, findings };
