--- a/bench/policy/day.ts
+++ b/bench/policy/day.ts
@@ -178,6 +178,8 @@
             savedMs: 0,
             attempt: 0,
             failedWorkers: new Set(),
+            failures: 0,
+            failedAt: undefined,
         };
         all.set(jobId, { spec, queued, zone: zone.value, firstStartAt: undefined, startedAt: 0, epoch: 0 });
         getZone(zone.value).scheduler.add(queued);
@@ -208,6 +210,8 @@
         scheduler.end(job.queued.jobId, undefined);
         health.recordFailure(workerId, job.queued.jobId);
         job.queued.failedWorkers.add(workerId);
+        job.queued.failures++;
+        job.queued.failedAt = now;
         scheduler.add(job.queued);
         refreshTerms();
         passDue.add(job.zone);
--- a/src/queue/decide.ts
+++ b/src/queue/decide.ts
@@ -97,10 +97,22 @@
         memoryMbPerAccelerator: job.memoryMbPerAccelerator,
         evictable: job.repeatable,
         predictedEndAt: now + getRemainingMs(state, job),
-        excludedWorkers: job.failedWorkers,
+        excludedWorkers: isExclusionOver(job, now) ? NO_WORKERS : job.failedWorkers,
     };
 }
 
+const NO_WORKERS: ReadonlySet<string> = new Set();
+/** How long a job keeps away from workers it failed on. */
+const EXCLUSION_MS = 2 * 60_000;
+
+/**
+ * A job that keeps away for good from a worker it failed on may fit nowhere else, and would wait for ever although the
+ * worker has been well for long: a gang as large as its rack, for instance.
+ */
+function isExclusionOver(job: queuedJob.QueuedJob, now: number): boolean {
+    return job.failedAt === undefined || now - job.failedAt > EXCLUSION_MS;
+}
+
 /** Maintenance: repeatable work on drained workers is moved; other work runs to its end. */
 function moveOffDrained(state: DecisionState, actions: DecisionActions): void {
     for (const workerId of state.terms.drained) {
@@ -176,7 +188,7 @@
             actions.start(job, members);
             continue;
         }
-        const isUsable = hold.workers.every(worker => worker.usable && !job.failedWorkers.has(worker.id));
+        const isUsable = hold.workers.every(worker => worker.usable && !req.excludedWorkers.has(worker.id));
         if (!isUsable || (hold.kind === "move" && now > hold.madeAt + MOVE_COST_MS)) {
             dropHold(state, jobId);
             continue;
--- a/src/queue/entry.ts
+++ b/src/queue/entry.ts
@@ -54,6 +54,8 @@
             savedMs: row.savedMs,
             attempt: row.attempt,
             failedWorkers: new Set(row.failedWorkers),
+            failures: row.failedWorkers.length,
+            failedAt: row.failedWorkers.length > 0 ? now : undefined,
         },
         stored,
         wish: "run",
--- a/src/queue/queuedJob.ts
+++ b/src/queue/queuedJob.ts
@@ -23,4 +23,8 @@
     attempt: number;
     /** Workers it failed on. */
     readonly failedWorkers: Set<string>;
+    /** Failures so far, repeated ones on the same worker included. */
+    failures: number;
+    /** Monotonic time of the latest failure; undefined for none. */
+    failedAt: number | undefined;
 }
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -211,13 +211,15 @@
         const { job } = entry;
         health.recordFailure(workerId, job.jobId);
         job.failedWorkers.add(workerId);
+        job.failures++;
+        job.failedAt = time.now();
         const { maxFailures } = options.getConfiguration().contracts.limits;
-        if (job.failedWorkers.size >= maxFailures) {
+        if (job.failures >= maxFailures) {
             // It failed on several workers that others use without trouble: the job is at fault, not the workers.
             health.absolve(job.jobId);
         }
         refreshWorkers();
-        if (job.repeatable && job.failedWorkers.size < maxFailures) {
+        if (job.repeatable && job.failures < maxFailures) {
             counters.increment("jobs.retried");
             requeue(entry);
             return;
--- a/src/scenario/runScenario.ts
+++ b/src/scenario/runScenario.ts
@@ -128,7 +128,14 @@
             cancelRequested: false,
             writeId: "",
         };
-        await store.create(row);
+        // A caller whose submission was refused, or whose answer was lost, submits again under the same request id.
+        for (let attempt = 1;; attempt++) {
+            const written = await store.create(row);
+            if (written.kind === "written" || (written.kind === "conflict" && written.found)) {
+                break;
+            }
+            await time.sleep(retry.getDelay(attempt));
+        }
         await owner?.queue.handleNotice({ jobId, zone: ZONE, kind: "submitted", waitMs: 0 });
     };
 
@@ -339,7 +346,7 @@
             racks: Array.from({ length: site.racks }, (_, rack) => ({
                 id: `r${rack + 1}`,
                 zone: ZONE,
-                workers: Array.from({ length: site.workersPerRack }, (__, worker) => ({
+                workers: Array.from({ length: site.workersPerRack }).map((_unused, worker) => ({
                     id: `r${rack + 1}-w${worker + 1}`,
                     address: `10.0.${rack}.${worker}:1`,
                 })),
