--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -29,7 +29,10 @@
             racks: Array.from({ length: Math.ceil(workerCount / 8) }, (_, rack) => ({
                 id: `r${rack}`,
                 zone: "zone-a",
-                workers: Array.from({ length: 8 }).map((_unused, index) => ({ id: `r${rack}w${index}`, address: `h${rack}-${index}:1` })),
+                workers: Array.from({ length: 8 }).map((_unused, index) => ({
+                    id: `r${rack}w${index}`,
+                    address: `h${rack}-${index}:1`,
+                })),
             })),
         },
         accounts: names.map(name => ({ name, keys: [key(name)] })),
@@ -51,7 +54,14 @@
     const rng = random.createRandom(seed);
     const site = createSite(workerCount);
     const current: configuration.Configuration = {
-        head: { revision: 1, preset: "ordinary", contractsDigest: "", topologyDigest: "", effectiveAtMs: 0, operationId: "" },
+        head: {
+            revision: 1,
+            preset: "ordinary",
+            contractsDigest: "",
+            topologyDigest: "",
+            effectiveAtMs: 0,
+            operationId: "",
+        },
         contracts: site,
         topology: site.topology,
     };
@@ -123,7 +133,12 @@
         decisions += Math.max(1, pass());
     }
     const elapsedMs = performance.now() - startedAt;
-    return { workers: workerCount, decisionsPerSecond: decisions / elapsedMs * 1000, microseconds: elapsedMs * 1000 / decisions, planMs };
+    return {
+        workers: workerCount,
+        decisionsPerSecond: decisions / elapsedMs * 1000,
+        microseconds: elapsedMs * 1000 / decisions,
+        planMs,
+    };
 }
 
 function median(values: readonly number[]): number {
@@ -142,5 +157,9 @@
 process.stdout.write(
     process.argv.includes("--json")
         ? `${JSON.stringify(rows)}\n`
-        : `${rows.map(row => `${row.workers} workers: ${row.decisionsPerSecond} decisions/s, ${row.microseconds} us each, plan ${row.planMs} ms`).join("\n")}\n`,
+        : `${
+            rows.map(row =>
+                `${row.workers} workers: ${row.decisionsPerSecond} decisions/s, ${row.microseconds} us each, plan ${row.planMs} ms`
+            ).join("\n")
+        }\n`,
 );
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -150,23 +150,44 @@
     }
 }
 
-/** The fullest worker with room; among equals, the first by rendezvous. */
+/** The fullest worker with room; among equals, one of the rack that is first by rendezvous, and there the first worker. */
 function findInWorker(block: Block, bins: readonly Bin[]): Piece[] | undefined {
-    let best: Bin | undefined;
-    let bestWeight = -1;
+    let fullest = Infinity;
+    let candidates: Bin[] = [];
     for (const bin of bins) {
-        if (bin.free < block.accelerators || (best && bin.free > best.free)) {
+        if (bin.free < block.accelerators || bin.free > fullest) {
             continue;
         }
-        const weight = ownership.getWeight(block.id, bin.workerId);
-        if (!best || bin.free < best.free || weight > bestWeight) {
-            best = bin;
-            bestWeight = weight;
+        if (bin.free < fullest) {
+            fullest = bin.free;
+            candidates = [];
         }
+        candidates.push(bin);
     }
+    const rack = pickHeaviest(
+        [...new Set(candidates.map(bin => bin.rackIndex))],
+        index => ownership.getWeight(block.id, `rack ${index}`),
+    );
+    const best = pickHeaviest(
+        candidates.filter(bin => bin.rackIndex === rack),
+        bin => ownership.getWeight(block.id, bin.workerId),
+    );
     return best && [{ bin: best, accelerators: block.accelerators }];
 }
 
+function pickHeaviest<T>(items: readonly T[], getWeight: (item: T) => number): T | undefined {
+    let best: T | undefined;
+    let bestWeight = -1;
+    for (const item of items) {
+        const weight = getWeight(item);
+        if (weight > bestWeight) {
+            best = item;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
 /** Whole workers of the group that has the fewest to spare; the rest of the block on one further worker. */
 function findInGroup(block: Block, groups: readonly Bin[][]): Piece[] | undefined {
     const candidates = groups
--- a/src/queue/decide.ts
+++ b/src/queue/decide.ts
@@ -13,6 +13,7 @@
     readonly running: ReadonlyMap<string, scheduler.RunningJob>;
     readonly predictor: predictor.Predictor;
     terms: scheduler.SchedulerTerms;
+    accountsByName: ReadonlyMap<string, configuration.Account>;
     /** Places kept for jobs that wait for them, by job. */
     readonly held: Map<string, Hold>;
     /** Monotonic time of the last consolidation. */
@@ -134,7 +135,7 @@
     blocking: boolean,
 ): void {
     const failed = createFailureMemo();
-    const heads = createHeads(state, job => -job.queuedAt, () => true);
+    const heads = createHeads(state, job => -job.queuedAt, state.queue.getBuckets());
     for (let bucket = heads.pop(); bucket; bucket = heads.pop()) {
         const job = jobQueue.getHead(bucket)!;
         const req = createRequest(state, job, now);
@@ -239,12 +240,12 @@
         if (state.books.getHomeWorkers(account.name).length === 0) {
             continue;
         }
+        const buckets = [...state.queue.getAccountBuckets(account.name)];
+        if (buckets.length === 0 || !mayUseGuarantee(state, account.name, buckets)) {
+            continue;
+        }
         const failed = createFailureMemo();
-        const heads = createHeads(
-            state,
-            job => getUrgency(job) + getResponseRatio(state, job, now),
-            bucket => bucket.account === account.name,
-        );
+        const heads = createHeads(state, job => getUrgency(job) + getResponseRatio(state, job, now), buckets);
         for (let bucket = heads.pop(); bucket; bucket = heads.pop()) {
             const job = getFirstUnheld(state, bucket);
             if (!job) {
@@ -279,6 +280,15 @@
     }
 }
 
+/** Whether any waiting job could use the account's homes: free ones, or, for large jobs, those its own small tasks use. */
+function mayUseGuarantee(state: DecisionState, account: string, buckets: readonly jobQueue.Bucket[]): boolean {
+    const free = state.books.getFreeGuaranteed(account);
+    return buckets.some(bucket => {
+        const accelerators = jobQueue.getHead(bucket)?.accelerators ?? 0;
+        return accelerators <= free || accelerators >= state.books.largestWorker;
+    });
+}
+
 /** What is beyond guarantees: urgent jobs first, then by response ratio, divided by what the account has already. */
 function runFairShares(
     state: DecisionState,
@@ -290,21 +300,23 @@
         return;
     }
     const failed = createFailureMemo();
-    const weights = new Map(state.terms.accounts.map(account => [account.name, account.weight]));
-    const total = [...state.books.workers.values()].length * Math.max(1, state.books.largestWorker);
+    const total = state.books.workers.size * Math.max(1, state.books.largestWorker);
+    const guaranteed = new Map(state.terms.accounts.map(item => [item.name, getGuaranteed(state, item.name)]));
     const getScore = (job: queuedJob.QueuedJob) => {
-        const beyond = Math.max(0, state.books.getUse(job.account) - getGuaranteed(state, job.account));
-        const share = beyond / total / (weights.get(job.account) ?? 1);
+        // Read anew for each head that is pushed: what the account got in this pass counts already.
+        const beyond = Math.max(0, state.books.getUse(job.account) - (guaranteed.get(job.account) ?? 0));
+        const share = beyond / total / (state.accountsByName.get(job.account)?.weight ?? 1);
         return getUrgency(job) + getResponseRatio(state, job, now) / (MIN_SHARE + share);
     };
-    const heads = createHeads(state, getScore, () => true);
+    const heads = createHeads(state, getScore, state.queue.getBuckets());
     for (let bucket = heads.pop(); bucket; bucket = heads.pop()) {
         const job = getFirstUnheld(state, bucket);
         if (!job) {
             continue;
         }
         const req = createRequest(state, job, now);
-        if (failed.isHopeless(req) || !isWithinLimit(state, job)) {
+        const isFull = state.books.getFreeAccelerators() < req.accelerators && job.jobClass !== "urgent";
+        if (isFull || failed.isHopeless(req) || !isWithinLimit(state, job)) {
             continue;
         }
         const members = placement.findPlace(state.books, req, policy, now);
@@ -383,11 +395,13 @@
 /** Large jobs without a kept place, the longest waiting first. */
 function getWaitingLarge(state: DecisionState, limit: number): queuedJob.QueuedJob[] {
     const found: queuedJob.QueuedJob[] = [];
-    const heads = createHeads(
-        state,
-        job => -job.queuedAt,
-        bucket => (jobQueue.getHead(bucket)?.accelerators ?? 0) >= state.books.largestWorker * LARGE_SHARE,
+    if (limit <= 0) {
+        return found;
+    }
+    const large = [...state.queue.getBuckets()].filter(bucket =>
+        (jobQueue.getHead(bucket)?.accelerators ?? 0) >= state.books.largestWorker * LARGE_SHARE
     );
+    const heads = createHeads(state, job => -job.queuedAt, large);
     for (let bucket = heads.pop(); bucket && found.length < limit; bucket = heads.pop()) {
         const job = getFirstUnheld(state, bucket);
         if (job) {
@@ -464,7 +478,7 @@
 }
 
 function isWithinLimit(state: DecisionState, job: queuedJob.QueuedJob): boolean {
-    const account = state.terms.accounts.find(item => item.name === job.account);
+    const account = state.accountsByName.get(job.account);
     return !account || state.books.getUse(job.account) + job.accelerators <= account.maxAccelerators;
 }
 
@@ -497,21 +511,23 @@
 function createHeads(
     state: DecisionState,
     getScore: (job: queuedJob.QueuedJob) => number,
-    isWanted: (bucket: jobQueue.Bucket) => boolean,
+    buckets: Iterable<jobQueue.Bucket>,
 ): Heads {
     const heap = new heapJs.Heap<{ bucket: jobQueue.Bucket; score: number; }>((a, b) => b.score - a.score);
-    const push = (bucket: jobQueue.Bucket) => {
+    const createItem = (bucket: jobQueue.Bucket) => {
         const head = getFirstUnheld(state, bucket);
-        if (head) {
-            heap.push({ bucket, score: getScore(head) });
-        }
+        return head && { bucket, score: getScore(head) };
+    };
+    heap.init([...buckets].flatMap(bucket => createItem(bucket) ?? []));
+    return {
+        pop: () => heap.pop()?.bucket,
+        push: bucket => {
+            const item = createItem(bucket);
+            if (item) {
+                heap.push(item);
+            }
+        },
     };
-    for (const bucket of state.queue.getBuckets()) {
-        if (isWanted(bucket)) {
-            push(bucket);
-        }
-    }
-    return { pop: () => heap.pop()?.bucket, push };
 }
 
 interface FailureMemo {
--- a/src/queue/scheduler.ts
+++ b/src/queue/scheduler.ts
@@ -70,6 +70,7 @@
         running,
         predictor: learned,
         terms: { policy: { kind: "fifoFirstFit" }, accounts: [], homes: [], drained: new Set() },
+        accountsByName: new Map(),
         held: new Map(),
         consolidatedAt: 0,
     };
@@ -106,6 +107,7 @@
         predictor: learned,
         setTerms: terms => {
             state.terms = terms;
+            state.accountsByName = new Map(terms.accounts.map(account => [account.name, account]));
             books.setHomes(terms.homes);
         },
         add: job => queue.add(job),
