Unused options removed

Cause: reading the code again: an option of the router and of holdings, and a field of job rows, that nothing used. Change: removed.

--- a/src/entry/callersApi.ts
+++ b/src/entry/callersApi.ts
@@ -145,7 +145,6 @@
             members: [],
             savedMs: 0,
             failedWorkers: [],
-            cancelRequested: false,
             writeId: "",
         };
     };
--- a/src/entry/interactiveRouter.ts
+++ b/src/entry/interactiveRouter.ts
@@ -3,7 +3,6 @@
 import type * as clock from "../clock/index";
 import type * as configuration from "../configuration/index";
 import type * as observe from "../observe/index";
-import type * as ownership from "../ownership/index";
 import type * as peer from "../peer/index";
 import type * as random from "../random/index";
 import * as result from "../result/index";
@@ -31,7 +30,6 @@
     readonly rng: random.Random;
     readonly counters: observe.Counters;
     readonly homes: homesModule.Homes;
-    readonly ownership: ownership.Ownership;
     readonly getTopology: () => configuration.Topology | undefined;
     readonly isOwnRack: (rackId: string) => boolean;
     /** What the rack's owner last said of its load; `undefined` when nothing was heard. */
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -194,7 +194,6 @@
         rng,
         counters,
         homes,
-        ownership: owners,
         getTopology: () => reader.getCurrent()?.topology,
         isOwnRack: rackId => roles.getRack(rackId) !== undefined,
         getRackLoad: rackId =>
@@ -349,7 +348,6 @@
                 onChange: adjustRoles,
             };
             const peers = ownership.createHoldings<string>({
-                clock: time,
                 log,
                 create: key => key,
                 own: (key, signal) => heartbeats.beat(beatOptions, key, signal),
--- a/src/instance/ownedRoles.ts
+++ b/src/instance/ownedRoles.ts
@@ -120,7 +120,6 @@
     };
 
     const racks = ownership.createHoldings<workers.RackOwner>({
-        clock: time,
         log,
         create: key => {
             const { topology } = getCurrent();
@@ -146,7 +145,6 @@
     });
 
     const queues = ownership.createHoldings<queue.ZoneQueue>({
-        clock: time,
         log,
         create: key =>
             queue.createZoneQueue({
--- a/src/jobs/jobRow.ts
+++ b/src/jobs/jobRow.ts
@@ -50,7 +50,6 @@
     members: z.array(memberSchema),
     savedMs: z.number(),
     failedWorkers: z.array(z.string()),
-    cancelRequested: z.boolean(),
     outcome: outcomeSchema.optional(),
     /** Id of the latest write, by which a writer whose answer was lost recognises its own write. */
     writeId: z.string(),
--- a/src/ownership/holdings.ts
+++ b/src/ownership/holdings.ts
@@ -1,6 +1,5 @@
 /** Takes up and gives up what this instance owns, as membership and configuration change. */
 import * as async from "../async/index";
-import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import * as result from "../result/index";
 
@@ -14,7 +13,6 @@
 }
 
 interface HoldingsOptions<T> {
-    readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly create: (key: string) => T;
     /** Runs what is held until the signal is aborted. */
--- a/src/scenario/runScenario.ts
+++ b/src/scenario/runScenario.ts
@@ -125,7 +125,6 @@
             members: [],
             savedMs: 0,
             failedWorkers: [],
-            cancelRequested: false,
             writeId: "",
         };
         // A caller whose submission was refused, or whose answer was lost, submits again under the same request id.
