The port folder src/platform becomes src/backing

Cause: the users' platform gets an adapter folder of its own, platform/, and one word should mean one thing. Ruled out: keeping both, told apart by their parents. Before and after: no change of behaviour; types check. Conclusion: src/backing holds the present interface's view of table, objects and membership.

--- a/src/entry/callersApi.ts
+++ b/src/entry/callersApi.ts
@@ -5,7 +5,7 @@
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../platform/index";
+import type * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as workers from "../workers/index";
 import type * as interactiveRouter from "./interactiveRouter";
--- a/src/entry/rowClaims.ts
+++ b/src/entry/rowClaims.ts
@@ -1,5 +1,5 @@
 /** Claims of request ids by rows in the table service, for accounts that chose them over the home alone. */
-import * as platform from "../platform/index";
+import * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as workers from "../workers/index";
 
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -11,7 +11,7 @@
 import * as operator from "../operator/index";
 import * as ownership from "../ownership/index";
 import * as peer from "../peer/index";
-import * as platform from "../platform/index";
+import * as platform from "../backing/index";
 import type * as queue from "../queue/index";
 import * as random from "../random/index";
 import * as result from "../result/index";
--- a/src/instance/ownedRoles.ts
+++ b/src/instance/ownedRoles.ts
@@ -7,7 +7,7 @@
 import type * as observe from "../observe/index";
 import * as ownership from "../ownership/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../platform/index";
+import type * as platform from "../backing/index";
 import * as queue from "../queue/index";
 import type * as settings from "../settings/index";
 import * as workers from "../workers/index";
--- a/src/membership/membershipView.ts
+++ b/src/membership/membershipView.ts
@@ -7,7 +7,7 @@
  */
 import type * as clock from "../clock/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../platform/index";
+import type * as platform from "../backing/index";
 
 export interface Peer {
     readonly id: string;
--- a/src/queue/attempt.ts
+++ b/src/queue/attempt.ts
@@ -8,7 +8,7 @@
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
-import * as platform from "../platform/index";
+import * as platform from "../backing/index";
 import * as workers from "../workers/index";
 import type * as queueEntry from "./entry";
 import * as scheduler from "./scheduler";
--- a/src/queue/recorder.ts
+++ b/src/queue/recorder.ts
@@ -2,7 +2,7 @@
 import type * as clock from "../clock/index";
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
-import * as platform from "../platform/index";
+import * as platform from "../backing/index";
 import type * as queueEntry from "./entry";
 
 export interface Recorder {
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -9,7 +9,7 @@
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
 import * as placement from "../placement/index";
-import * as platform from "../platform/index";
+import * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as workers from "../workers/index";
 import * as attemptModule from "./attempt";
--- a/src/scenario/fakeTable.ts
+++ b/src/scenario/fakeTable.ts
@@ -1,5 +1,5 @@
 /** A table service in memory for scenarios, with outages and lost answers. */
-import type * as platform from "../platform/index";
+import type * as platform from "../backing/index";
 import type * as random from "../random/index";
 
 export interface FakeTable extends platform.TableService {
--- a/src/scenario/runScenario.ts
+++ b/src/scenario/runScenario.ts
@@ -5,7 +5,7 @@
 import * as jobs from "../jobs/index";
 import * as observe from "../observe/index";
 import * as placement from "../placement/index";
-import * as platform from "../platform/index";
+import * as platform from "../backing/index";
 import * as queue from "../queue/index";
 import * as random from "../random/index";
 import * as fakeRacks from "./fakeRacks";
--- a/src/workers/rackOwner.ts
+++ b/src/workers/rackOwner.ts
@@ -7,7 +7,7 @@
 import type * as configuration from "../configuration/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../platform/index";
+import type * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as answerCheck from "./answerCheck";
 import * as healthModule from "./health";
--- a/standins/platform/tableStore.ts
+++ b/standins/platform/tableStore.ts
@@ -1,5 +1,5 @@
 /** In-memory table service with transactions and versions; the state behind the stand-in server and the tests. */
-import type * as platform from "../../src/platform/index";
+import type * as platform from "../../src/backing/index";
 
 export interface TableStore {
     get(keys: readonly string[]): Array<platform.TableRow | undefined>;
