--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,7 @@
 };
 
 export default tseslint.config(
-    { ignores: ["dist/**", "**/*.generated.ts", "eslint.config.mjs", "jest.config.js"] },
+    { ignores: ["dist/**", "target/**", "**/*.generated.ts", "eslint.config.mjs", "jest.config.js"] },
     {
         files: ["**/*.ts"],
         extends: [tseslint.configs.base],
--- /dev/null
+++ b/src/catalog/index.ts
@@ -0,0 +1,3 @@
+/** What the operator has configured, and which version of it is in force here. */
+export type { Account, AdviceTerms, Catalog, Queue, RequestLimits, Service } from "./catalog";
+export { createCurrentCatalog, type CurrentCatalog } from "./currentCatalog";
--- a/src/configuration/configurationStore.ts
+++ b/src/configuration/configurationStore.ts
@@ -1,7 +1,7 @@
 /** Reads and changes the configuration in the platform's table service. */
 import * as crypto from "node:crypto";
-import type * as clock from "../clock/index";
 import * as platform from "../backing/index";
+import type * as clock from "../clock/index";
 import * as result from "../result/index";
 import * as revision from "./revision";
 import * as schema from "./siteSchema";
--- /dev/null
+++ b/src/decisions/order.ts
@@ -0,0 +1,60 @@
+/**
+ * The order in which waiting units are served.
+ *
+ * A job earns its full worth up to its objective and a part of it up to three times the objective; its worth grows
+ * with its work. So under load what counts is not who came first but what can still be earned: work that can meet
+ * its objective goes before work that can only be late, and work that is past all credit goes last, though it still
+ * runs when there is room.
+ */
+
+/** A late job still earns up to this multiple of its objective. */
+const LATE_MULTIPLE = 3;
+
+export interface Urgency {
+    readonly priority: number;
+    readonly guaranteed: boolean;
+    /** Time since the job was handed in, or was due. */
+    readonly ageMs: number;
+    /** Time within which the job should end. */
+    readonly objectiveMs: number;
+    /** Expected time from the unit's start to the job's end. */
+    readonly remainingMs: number;
+}
+
+/** What can still be earned; lower goes first. */
+export const Prospect = { InTime: 0, Late: 1, Past: 2 } as const;
+export type Prospect = typeof Prospect[keyof typeof Prospect];
+
+export function getProspect(urgency: Urgency): Prospect {
+    const endsAfterMs = urgency.ageMs + urgency.remainingMs;
+    if (endsAfterMs <= urgency.objectiveMs) {
+        return Prospect.InTime;
+    }
+    return endsAfterMs <= LATE_MULTIPLE * urgency.objectiveMs ? Prospect.Late : Prospect.Past;
+}
+
+/** Time that the unit may still wait without its prospect getting worse; `Infinity` when nothing is left to lose. */
+export function getSlackMs(urgency: Urgency): number {
+    const endsAfterMs = urgency.ageMs + urgency.remainingMs;
+    switch (getProspect(urgency)) {
+        case Prospect.InTime:
+            return urgency.objectiveMs - endsAfterMs;
+        case Prospect.Late:
+            return LATE_MULTIPLE * urgency.objectiveMs - endsAfterMs;
+        case Prospect.Past:
+            return Infinity;
+    }
+}
+
+/** Sorts by guarantee, priority 0, prospect, priority and slack. */
+export function compareUrgency(a: Urgency, b: Urgency): number {
+    return Number(b.guaranteed) - Number(a.guaranteed)
+        || Number(b.priority === 0) - Number(a.priority === 0)
+        || getProspect(a) - getProspect(b)
+        || a.priority - b.priority
+        || compareNumbers(getSlackMs(a), getSlackMs(b));
+}
+
+function compareNumbers(a: number, b: number): number {
+    return a === b ? 0 : a < b ? -1 : 1;
+}
--- /dev/null
+++ b/src/decisions/plan.ts
@@ -0,0 +1,80 @@
+/**
+ * One pass over the waiting units, in their order: who starts where, and what is stopped for whom.
+ *
+ * A unit that waits for work to be stopped keeps the room that is coming free: without that, a smaller unit behind
+ * it takes the room first and more work is stopped in the next pass, which shows as work thrown away without an end.
+ */
+import * as place from "./place";
+import * as preempt from "./preempt";
+import * as rooms from "./room";
+import type * as types from "./types";
+
+export function plan(input: types.PlanInput): types.Plan {
+    const free = new Map<string, rooms.MutableRoom>();
+    /** Free now or within the stop time; what is promised to an earlier unit is taken off. */
+    const soon = new Map<string, rooms.MutableRoom>();
+    for (const worker of input.workers) {
+        const room = rooms.copyRoom(worker.capacity);
+        rooms.takeRoom(room, worker.used);
+        free.set(worker.id, room);
+        const later = rooms.copyRoom(room);
+        rooms.addRoom(later, worker.freeing);
+        soon.set(worker.id, later);
+    }
+    const starts: types.PlannedStart[] = [];
+    const stops: types.PlannedStop[] = [];
+    const stopped = new Set<types.RunningGroup>();
+    const freeOf: place.RoomOf = worker => free.get(worker.id)!;
+    const soonOf: place.RoomOf = worker => soon.get(worker.id)!;
+
+    const reserve = (unit: types.WaitingUnit, workerIds: readonly string[]) => {
+        for (const workerId of workerIds) {
+            rooms.takeRoom(soon.get(workerId)!, unit.needs);
+            rooms.capRoom(free.get(workerId)!, soon.get(workerId)!);
+        }
+    };
+    const tryPreempt = (unit: types.WaitingUnit): boolean => {
+        const running = input.groups.filter(group => !stopped.has(group));
+        const choice = preempt.preempt(unit, input.workers, running, soonOf);
+        if (!choice) {
+            return false;
+        }
+        for (const victim of choice.victims) {
+            stopped.add(victim);
+            stops.push({ group: victim, forUnit: unit.key });
+            for (const member of victim.members) {
+                const later = soon.get(member.workerId);
+                if (later) {
+                    rooms.addRoom(later, member.needs);
+                }
+            }
+        }
+        reserve(unit, choice.workerIds);
+        return true;
+    };
+
+    const hopeless = new Set<string>();
+    for (const unit of input.units) {
+        if (hopeless.has(unit.family)) {
+            continue;
+        }
+        const now = place.place(unit, input.workers, freeOf);
+        if (now) {
+            starts.push({ unit, workerIds: now });
+            for (const workerId of now) {
+                rooms.takeRoom(free.get(workerId)!, unit.needs);
+                rooms.takeRoom(soon.get(workerId)!, unit.needs);
+            }
+            continue;
+        }
+        const later = place.place(unit, input.workers, soonOf);
+        if (later) {
+            reserve(unit, later);
+            continue;
+        }
+        if (unit.priority !== 0 || !tryPreempt(unit)) {
+            hopeless.add(unit.family);
+        }
+    }
+    return { starts, stops };
+}
--- /dev/null
+++ b/src/decisions/preempt.ts
@@ -0,0 +1,153 @@
+/** Whose work is stopped so that an urgent unit begins in time. */
+import * as place from "./place";
+import * as rooms from "./room";
+import type * as types from "./types";
+
+export interface Preemption {
+    readonly workerIds: readonly string[];
+    readonly victims: readonly types.RunningGroup[];
+}
+
+/** How many members a worker takes once some groups there are stopped. */
+interface Host {
+    readonly worker: types.PlaceableWorker;
+    readonly fits: number;
+    readonly victims: readonly types.RunningGroup[];
+    readonly loss: number;
+}
+
+/** Whether the unit's claim goes before the group's. */
+export function mayStop(unit: types.WaitingUnit, group: types.RunningGroup): boolean {
+    if (!group.stoppable || unit.priority !== 0) {
+        return false;
+    }
+    return group.priority > 0 || (unit.guaranteed && !group.guaranteed);
+}
+
+/** The workers and victims with the least work thrown away; `undefined` where nothing that may be stopped suffices. */
+export function preempt(
+    unit: types.WaitingUnit,
+    workers: readonly types.PlaceableWorker[],
+    groups: readonly types.RunningGroup[],
+    roomOf: place.RoomOf,
+): Preemption | undefined {
+    const candidates = workers.filter(worker => place.mayRun(unit, worker));
+    const victimsByWorker = groupByWorker(groups.filter(group => mayStop(unit, group)));
+    const hosts = candidates.map(worker => createHosts(unit, worker, victimsByWorker.get(worker.id) ?? [], roomOf));
+    const pools = unit.sameRack ? groupByRack(hosts) : [hosts];
+    let best: Preemption | undefined;
+    let leastLoss = Infinity;
+    for (const pool of pools) {
+        const choice = choose(unit, pool);
+        if (choice && choice.loss < leastLoss) {
+            best = choice;
+            leastLoss = choice.loss;
+        }
+    }
+    // A guarantee is kept within its bound even where no single rack can take the gang.
+    if (!best && unit.sameRack && unit.guaranteed) {
+        return choose(unit, hosts);
+    }
+    return best;
+}
+
+function groupByWorker(groups: readonly types.RunningGroup[]): Map<string, types.RunningGroup[]> {
+    const byWorker = new Map<string, types.RunningGroup[]>();
+    for (const group of groups) {
+        for (const workerId of new Set(group.members.map(member => member.workerId))) {
+            const present = byWorker.get(workerId) ?? [];
+            present.push(group);
+            byWorker.set(workerId, present);
+        }
+    }
+    for (const present of byWorker.values()) {
+        present.sort((a, b) => a.lossCoreSeconds - b.lossCoreSeconds);
+    }
+    return byWorker;
+}
+
+/** The ways to use a worker, from no victim on, each with more members than the one before. */
+function createHosts(
+    unit: types.WaitingUnit,
+    worker: types.PlaceableWorker,
+    victims: readonly types.RunningGroup[],
+    roomOf: place.RoomOf,
+): Host[] {
+    const room = rooms.copyRoom(roomOf(worker));
+    const hosts: Host[] = [];
+    let fits = place.countMembers(unit, worker, room);
+    let loss = 0;
+    if (fits > 0) {
+        hosts.push({ worker, fits, victims: [], loss });
+    }
+    const stopped: types.RunningGroup[] = [];
+    for (const victim of victims) {
+        if (fits === unit.count) {
+            break;
+        }
+        for (const member of victim.members) {
+            if (member.workerId === worker.id) {
+                rooms.addRoom(room, member.needs);
+            }
+        }
+        stopped.push(victim);
+        loss += victim.lossCoreSeconds;
+        const more = place.countMembers(unit, worker, room);
+        if (more > fits) {
+            fits = more;
+            hosts.push({ worker, fits, victims: [...stopped], loss });
+        }
+    }
+    return hosts;
+}
+
+function groupByRack(hosts: ReadonlyArray<readonly Host[]>): Host[][][] {
+    const racks = new Map<string, Host[][]>();
+    for (const ways of hosts) {
+        const rack = ways[0]?.worker.rack;
+        if (rack === undefined) {
+            continue;
+        }
+        const sameRack = racks.get(rack) ?? [];
+        sameRack.push([...ways]);
+        racks.set(rack, sameRack);
+    }
+    return [...racks.values()];
+}
+
+/** Takes the ways with the least loss for each member first, one way a worker, until all members have a place. */
+function choose(
+    unit: types.WaitingUnit,
+    pool: ReadonlyArray<readonly Host[]>,
+): (Preemption & { readonly loss: number; }) | undefined {
+    const ways = pool.flat().sort((a, b) => a.loss / a.fits - b.loss / b.fits || b.fits - a.fits);
+    const chosen = new Map<string, Host>();
+    let placed = 0;
+    for (const way of ways) {
+        const before = chosen.get(way.worker.id);
+        if (placed >= unit.count) {
+            break;
+        }
+        if (before && before.fits >= way.fits) {
+            continue;
+        }
+        placed += way.fits - (before?.fits ?? 0);
+        chosen.set(way.worker.id, way);
+    }
+    if (placed < unit.count) {
+        return undefined;
+    }
+    const workerIds: string[] = [];
+    const victims = new Set<types.RunningGroup>();
+    let loss = 0;
+    for (const host of chosen.values()) {
+        for (let member = 0; member < host.fits && workerIds.length < unit.count; member++) {
+            workerIds.push(host.worker.id);
+        }
+        for (const victim of host.victims) {
+            loss += victims.has(victim) ? 0 : victim.lossCoreSeconds;
+            victims.add(victim);
+        }
+    }
+    return { workerIds, victims: [...victims], loss };
+}
--- /dev/null
+++ b/src/decisions/room.ts
@@ -0,0 +1,55 @@
+/** Arithmetic on capacity. */
+import type * as work from "../work/index";
+
+export interface MutableRoom {
+    cpuMillis: number;
+    memoryMb: number;
+    accelerators: number;
+}
+
+export function copyRoom(room: work.Room): MutableRoom {
+    return { cpuMillis: room.cpuMillis, memoryMb: room.memoryMb, accelerators: room.accelerators };
+}
+
+export function addRoom(to: MutableRoom, room: work.Room, times = 1): void {
+    to.cpuMillis += room.cpuMillis * times;
+    to.memoryMb += room.memoryMb * times;
+    to.accelerators += room.accelerators * times;
+}
+
+export function takeRoom(from: MutableRoom, room: work.Room, times = 1): void {
+    addRoom(from, room, -times);
+}
+
+/** Lowers each dimension of `room` to at most that of `bound`. */
+export function capRoom(room: MutableRoom, bound: work.Room): void {
+    room.cpuMillis = Math.min(room.cpuMillis, bound.cpuMillis);
+    room.memoryMb = Math.min(room.memoryMb, bound.memoryMb);
+    room.accelerators = Math.min(room.accelerators, bound.accelerators);
+}
+
+/** How many tasks with these needs fit. */
+export function countFits(room: work.Room, needs: work.Room): number {
+    return Math.max(
+        0,
+        Math.min(
+            countDimension(room.cpuMillis, needs.cpuMillis),
+            countDimension(room.memoryMb, needs.memoryMb),
+            countDimension(room.accelerators, needs.accelerators),
+        ),
+    );
+}
+
+function countDimension(available: number, needed: number): number {
+    return needed > 0 ? Math.floor(available / needed) : Number.MAX_SAFE_INTEGER;
+}
+
+/**
+ * Core-equivalents of a task, by which lost work is weighed.
+ * An accelerator counts as eight cores, as the users price it.
+ */
+export function getCoreEquivalents(needs: work.Room): number {
+    return needs.cpuMillis / 1_000 + CORES_PER_ACCELERATOR * needs.accelerators;
+}
+
+const CORES_PER_ACCELERATOR = 8;
--- a/src/entry/callersApi.ts
+++ b/src/entry/callersApi.ts
@@ -1,11 +1,11 @@
 /** What callers can do: submit, wait, look, cancel and fetch, each within their own account. */
 import * as crypto from "node:crypto";
+import type * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import type * as configuration from "../configuration/index";
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as workers from "../workers/index";
 import type * as interactiveRouter from "./interactiveRouter";
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -1,6 +1,7 @@
 /** Puts the duties together into one instance, and takes it through start and shutdown. */
 import * as crypto from "node:crypto";
 import * as async from "../async/index";
+import * as platform from "../backing/index";
 import * as broker from "../broker/index";
 import * as clock from "../clock/index";
 import * as configuration from "../configuration/index";
@@ -11,7 +12,6 @@
 import * as operator from "../operator/index";
 import * as ownership from "../ownership/index";
 import * as peer from "../peer/index";
-import * as platform from "../backing/index";
 import type * as queue from "../queue/index";
 import * as random from "../random/index";
 import * as result from "../result/index";
--- a/src/instance/ownedRoles.ts
+++ b/src/instance/ownedRoles.ts
@@ -1,5 +1,6 @@
 /** The racks and queues that this instance owns, and the way to the owners of others. */
 import * as crypto from "node:crypto";
+import type * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import type * as configuration from "../configuration/index";
 import type * as jobs from "../jobs/index";
@@ -7,7 +8,6 @@
 import type * as observe from "../observe/index";
 import * as ownership from "../ownership/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../backing/index";
 import * as queue from "../queue/index";
 import type * as settings from "../settings/index";
 import * as workers from "../workers/index";
--- /dev/null
+++ b/src/intake/intake.ts
@@ -0,0 +1,236 @@
+/**
+ * Takes callers' requests: submissions, questions and cancellations. Every instance does; what it promises lies in
+ * the store before it is promised.
+ */
+import type * as catalog from "../catalog/index";
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as rows from "../rows/index";
+import * as work from "../work/index";
+
+/** How a request ended. Only `notAccepted` says that a submission has not been and will not be carried out. */
+export type IntakeReply =
+    | { readonly kind: "accepted"; }
+    | { readonly kind: "state"; readonly state: work.JobState; }
+    | { readonly kind: "cancelled"; }
+    | { readonly kind: "waiting"; readonly count: number; }
+    | { readonly kind: "unknownJob"; }
+    | { readonly kind: "notAccepted"; readonly retryAfterMs: number; readonly reason: string; }
+    /** The store gave no answer that decides; asking again with the same id is safe. */
+    | { readonly kind: "undecided"; readonly reason: string; };
+
+export interface Caller {
+    /** For the log: whatever names the request on its way. */
+    readonly requestId: string;
+    readonly queue: catalog.Queue;
+    readonly account: string;
+    /** Monotonic time until which the caller waits. */
+    readonly deadlineAt: number;
+}
+
+export interface IntakeOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly counters: observe.Counters;
+    readonly histograms: observe.Histograms;
+    /** Counts of waiting jobs as the leader last published them, and their age. */
+    getWaiting(): { readonly counts: Readonly<Record<string, number>>; readonly ageMs: number; } | undefined;
+    /** The state of a job, where this instance leads and knows it. */
+    getLocalState(jobId: string): work.JobState | undefined;
+}
+
+export interface Intake {
+    submit(caller: Caller, jobId: string, spec: work.JobSpec): Promise<IntakeReply>;
+    getState(caller: Caller, jobId: string): Promise<IntakeReply>;
+    cancel(caller: Caller, jobId: string): Promise<IntakeReply>;
+    count(caller: Caller): Promise<IntakeReply>;
+}
+
+/** One call to the store: 5 ms as a rule, 300 ms when it is 60 times slower. */
+const CALL_TIMEOUT_MS = 900;
+const RETRY_PAUSE_MS = 80;
+/** A caller that is told nothing has to ask again; the reply itself needs this long to get there. */
+const REPLY_MARGIN_MS = 150;
+/** A store that turns calls away is asked this often; then the caller is better off at another instance. */
+const REFUSALS_BEFORE_REPLY = 3;
+/** When a refused caller should come back: a leader's lease and more, after which most troubles are over. */
+const RETRY_AFTER_MS = 1_000;
+/** Counts older than this are taken from the rows instead. */
+const COUNTS_AGE_MS = 2_000;
+
+export function createIntake(options: IntakeOptions): Intake {
+    const { store, clock: time, log, counters } = options;
+
+    const getLeftMs = (caller: Caller) => caller.deadlineAt - time.now() - REPLY_MARGIN_MS;
+    const getTimeout = (caller: Caller) => Math.max(50, Math.min(CALL_TIMEOUT_MS, getLeftMs(caller)));
+
+    /** Creates a row that may be there already. Repeating is safe: the condition holds once only. */
+    const createRow = async (caller: Caller, key: string, value: string): Promise<IntakeReply> => {
+        const row = { table: work.Table.Jobs, part: work.INTAKE_PART, key };
+        let mayBeWritten = false;
+        let refusals = 0;
+        let reason = "";
+        do {
+            const outcome = await store.transact({
+                conditions: [{ ...row, version: 0 }],
+                puts: [{ ...row, value }],
+                removals: [],
+            }, getTimeout(caller));
+            switch (outcome.kind) {
+                case "committed":
+                case "conflict":
+                    return { kind: "accepted" };
+                case "refused":
+                    reason = outcome.message;
+                    refusals++;
+                    break;
+                case "unknown":
+                    reason = outcome.message;
+                    mayBeWritten = true;
+                    break;
+            }
+            if (!mayBeWritten && refusals >= REFUSALS_BEFORE_REPLY) {
+                break;
+            }
+            await time.sleep(RETRY_PAUSE_MS);
+        }
+        while (getLeftMs(caller) > 0);
+        return mayBeWritten
+            ? { kind: "undecided", reason }
+            : { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason };
+    };
+
+    /** Reads rows until it succeeds or the caller's time is over. */
+    const read = async (caller: Caller, range: rows.RowRange): Promise<readonly rows.Row[] | string> => {
+        let reason = "";
+        let failures = 0;
+        do {
+            const result = await store.read(range, getTimeout(caller));
+            if (result.kind === "read") {
+                return result.rows;
+            }
+            reason = result.message;
+            failures++;
+            await time.sleep(RETRY_PAUSE_MS);
+        }
+        while (getLeftMs(caller) > 0 && failures < REFUSALS_BEFORE_REPLY);
+        return reason;
+    };
+
+    const readProgress = (caller: Caller, jobId: string) =>
+        // The job's own row is the first of its rows; `!` sorts before what follows the id in the others' keys.
+        read(caller, {
+            table: work.Table.Progress,
+            part: work.LEADER_PART,
+            from: jobId,
+            before: `${jobId}!`,
+            limit: 1,
+        });
+    const readSubmission = (caller: Caller, jobId: string) =>
+        read(caller, {
+            table: work.Table.Jobs,
+            part: work.INTAKE_PART,
+            from: jobId,
+            before: `${work.getCancelKey(jobId)}!`,
+            limit: 2,
+        });
+
+    const logReply = (call: string, caller: Caller, jobId: string, reply: IntakeReply, startedAt: number) => {
+        const tookMs = Math.round(time.now() - startedAt);
+        counters.increment(`requests.${call}.${reply.kind}`);
+        options.histograms.record(caller.account, call, tookMs);
+        log.info("request", {
+            request: caller.requestId,
+            call,
+            job: jobId,
+            account: caller.account,
+            queue: caller.queue.name,
+            outcome: reply.kind,
+            state: reply.kind === "state" ? reply.state : undefined,
+            reason: reply.kind === "notAccepted" || reply.kind === "undecided" ? reply.reason : undefined,
+            tookMs,
+        });
+        return reply;
+    };
+
+    const readState = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
+        const local = options.getLocalState(jobId);
+        if (local) {
+            return { kind: "state", state: local };
+        }
+        const progress = await readProgress(caller, jobId);
+        if (typeof progress === "string") {
+            return { kind: "undecided", reason: progress };
+        }
+        if (progress[0]) {
+            return { kind: "state", state: (JSON.parse(progress[0].value) as work.JobProgress).state };
+        }
+        const submission = await readSubmission(caller, jobId);
+        if (typeof submission === "string") {
+            return { kind: "undecided", reason: submission };
+        }
+        return submission.length > 0 ? { kind: "state", state: "queued" } : { kind: "unknownJob" };
+    };
+
+    const cancel = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
+        const submission = await readSubmission(caller, jobId);
+        if (typeof submission === "string") {
+            return { kind: "undecided", reason: submission };
+        }
+        if (submission.length === 0) {
+            return { kind: "unknownJob" };
+        }
+        const created = await createRow(caller, work.getCancelKey(jobId), "");
+        return created.kind === "accepted" ? { kind: "cancelled" } : created;
+    };
+
+    /** Without a leader's recent counts: jobs without a progress row have not begun. */
+    const countRows = async (caller: Caller): Promise<IntakeReply> => {
+        const intake = await read(caller, { table: work.Table.Jobs, part: work.INTAKE_PART });
+        const progress = typeof intake === "string"
+            ? intake
+            : await read(caller, { table: work.Table.Progress, part: work.LEADER_PART });
+        if (typeof intake === "string" || typeof progress === "string") {
+            return { kind: "undecided", reason: typeof intake === "string" ? intake : String(progress) };
+        }
+        const begun = new Set(progress.map(row => row.key));
+        const waiting = intake.filter(row =>
+            work.getCancelledJobId(row.key) === undefined
+            && !begun.has(row.key)
+            && (JSON.parse(row.value) as work.Submission).queue.name === caller.queue.name
+        );
+        return { kind: "waiting", count: waiting.length };
+    };
+
+    return {
+        submit: async (caller, jobId, spec) => {
+            const startedAt = time.now();
+            const submission: work.Submission = {
+                jobId,
+                queue: caller.queue,
+                account: caller.account,
+                acceptedAt: time.wallTime(),
+                spec,
+            };
+            const reply = await createRow(caller, jobId, JSON.stringify(submission));
+            return logReply("submit", caller, jobId, reply, startedAt);
+        },
+        getState: async (caller, jobId) => {
+            const startedAt = time.now();
+            return logReply("state", caller, jobId, await readState(caller, jobId), startedAt);
+        },
+        cancel: async (caller, jobId) => {
+            const startedAt = time.now();
+            return logReply("cancel", caller, jobId, await cancel(caller, jobId), startedAt);
+        },
+        count: async caller => {
+            const startedAt = time.now();
+            const published = options.getWaiting();
+            const reply: IntakeReply = published && published.ageMs <= COUNTS_AGE_MS
+                ? { kind: "waiting", count: published.counts[caller.queue.name] ?? 0 }
+                : await countRows(caller);
+            return logReply("count", caller, "", reply, startedAt);
+        },
+    };
+}
--- a/src/jobs/jobStore.ts
+++ b/src/jobs/jobStore.ts
@@ -1,7 +1,7 @@
 /** Job rows in the table service. Every change is a compare-and-swap; lost answers are read back, never guessed. */
 import * as crypto from "node:crypto";
-import type * as clock from "../clock/index";
 import * as platform from "../backing/index";
+import type * as clock from "../clock/index";
 import * as jobRow from "./jobRow";
 
 /** A row and the version that the next write must name. */
--- /dev/null
+++ b/src/leader/book.ts
@@ -0,0 +1,414 @@
+/**
+ * What the leader believes of jobs and tasks, and each change to it. The book gives no orders: it says through its
+ * listener which tasks must be stopped and which rows have changed.
+ */
+import type * as catalog from "../catalog/index";
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import * as work from "../work/index";
+import * as entries from "./entries";
+import type * as port from "./workerPort";
+
+export interface BookListener {
+    occurrenceChanged(occurrence: entries.OccurrenceEntry): void;
+    jobChanged(job: entries.JobEntry): void;
+    /** The task is now `stopping`: its run must be stopped and settled. */
+    stopWanted(task: entries.TaskEntry): void;
+    /** Something may now be startable. */
+    changed(): void;
+}
+
+export interface BookOptions {
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly listener: BookListener;
+    getQueue(name: string): catalog.Queue | undefined;
+}
+
+export interface Book {
+    readonly jobs: ReadonlyMap<string, entries.JobEntry>;
+    /** Jobs that are not over. */
+    readonly active: ReadonlySet<entries.JobEntry>;
+    addJob(submission: work.Submission): entries.JobEntry;
+    /** Puts a job where its stored progress says it is. */
+    restoreJob(job: entries.JobEntry, progress: work.JobProgress, version: number): void;
+    restoreOccurrence(
+        job: entries.JobEntry,
+        number: number,
+        progress: work.OccurrenceProgress,
+        version: number,
+        getWorker: (id: string) => entries.WorkerEntry,
+    ): void;
+    cancelJob(jobId: string): void;
+    getTask(name: string): entries.TaskEntry | undefined;
+    /** Creates the occurrences that are due; returns the wall-clock time at which the next one is. */
+    releaseDue(): number | undefined;
+    /** Chooses a worker for each member; the rows must be stored before any order goes out. */
+    place(tasks: readonly entries.TaskEntry[], workers: readonly entries.WorkerEntry[]): void;
+    confirmRunning(task: entries.TaskEntry): void;
+    /** The current run has not begun and never will. */
+    takeBack(task: entries.TaskEntry): void;
+    requestStop(task: entries.TaskEntry, reason: string): void;
+    takeEnd(worker: entries.WorkerEntry, end: port.TaskEnd): void;
+    /** Takes note of a task's progress, as its worker tells it. */
+    takeProgress(task: entries.TaskEntry, told: port.RunningTask): void;
+    /** The worker's life is over, or all that ran there has lapsed. */
+    loseTasksOf(worker: entries.WorkerEntry, reason: string): void;
+    refreshQueues(): void;
+}
+
+export function createBook(options: BookOptions): Book {
+    const { clock: time, log, listener } = options;
+    const jobs = new Map<string, entries.JobEntry>();
+    const active = new Set<entries.JobEntry>();
+    const tasks = new Map<string, entries.TaskEntry>();
+
+    const openOccurrence = (job: entries.JobEntry, number: number) => {
+        const occurrence = entries.createOccurrenceEntry(job, number, time.now());
+        job.occurrences.set(number, occurrence);
+        for (const step of occurrence.steps) {
+            for (const task of step.tasks) {
+                tasks.set(task.name, task);
+            }
+        }
+        return occurrence;
+    };
+
+    const endJob = (job: entries.JobEntry, state: work.JobState) => {
+        job.state = state;
+        job.endedAt = time.wallTime();
+        active.delete(job);
+        listener.jobChanged(job);
+        log.info("jobEnded", {
+            job: job.submission.jobId,
+            account: job.submission.account,
+            queue: job.queue.name,
+            state,
+            ageMs: Math.round(job.endedAt - job.submission.acceptedAt),
+        });
+    };
+
+    const stopAll = (occurrence: entries.OccurrenceEntry, reason: string) => {
+        for (const step of occurrence.steps) {
+            for (const task of step.tasks) {
+                book.requestStop(task, reason);
+            }
+        }
+    };
+
+    const endOccurrence = (occurrence: entries.OccurrenceEntry, failed: boolean) => {
+        const { job } = occurrence;
+        occurrence.over = true;
+        job.ended.add(occurrence.number);
+        job.failed ||= failed;
+        listener.occurrenceChanged(occurrence);
+        if (failed) {
+            stopAll(occurrence, "jobFailed");
+        }
+        if (job.ended.size >= work.getOccurrenceCount(job.submission.spec)) {
+            endJob(job, job.failed ? "failed" : "completed");
+            return;
+        }
+        listener.jobChanged(job);
+    };
+
+    const markStepDone = (step: entries.StepEntry) => {
+        const { occurrence } = step;
+        for (const next of occurrence.steps) {
+            const ready = next.spec.after.every(number => {
+                const earlier = occurrence.steps[number];
+                return !earlier || entries.isStepDone(earlier);
+            });
+            if (ready) {
+                next.readySince ??= time.now();
+            }
+        }
+        if (occurrence.steps.every(entries.isStepDone) && !occurrence.over) {
+            endOccurrence(occurrence, false);
+        }
+    };
+
+    const markDone = (task: entries.TaskEntry) => {
+        const { step } = task;
+        const members = step.spec.gang ? step.tasks : [task];
+        for (const member of members) {
+            if (member.phase !== "done") {
+                member.phase = "done";
+                step.doneCount++;
+            }
+        }
+        listener.occurrenceChanged(step.occurrence);
+        if (entries.isStepDone(step)) {
+            markStepDone(step);
+        }
+    };
+
+    const countFailure = (task: entries.TaskEntry, run: number, worker: entries.WorkerEntry) => {
+        const { step } = task;
+        if (step.spec.gang && step.failedRun === run) {
+            return;
+        }
+        step.failedRun = run;
+        const members = step.spec.gang ? step.tasks : [task];
+        const failures = task.failures + 1;
+        for (const member of members) {
+            member.failures = failures;
+        }
+        task.failedOn.add(worker.id);
+        worker.failuresInRow++;
+        const { job } = step.occurrence;
+        log.info("runFailed", { task: task.name, run, worker: worker.id, failures, of: job.queue.maxAttempts });
+        if (!step.spec.lasting && failures >= job.queue.maxAttempts && !step.occurrence.over) {
+            endOccurrence(step.occurrence, true);
+        }
+    };
+
+    const toWaiting = (task: entries.TaskEntry) => {
+        task.phase = "waiting";
+        task.waitingSince = time.now();
+        task.stopAcceptedAt = undefined;
+        listener.occurrenceChanged(task.step.occurrence);
+        listener.changed();
+    };
+
+    /** A gang whose member is no longer at work cannot go on: the others are stopped, to begin again together. */
+    const breakGang = (task: entries.TaskEntry, reason: string) => {
+        if (!task.step.spec.gang) {
+            return;
+        }
+        for (const member of task.step.tasks) {
+            if (member !== task) {
+                book.requestStop(member, reason);
+            }
+        }
+    };
+
+    const keepSaved = (task: entries.TaskEntry, saved: string) => {
+        if (saved === "" || saved === task.saved) {
+            return;
+        }
+        // What any member of a gang saved holds for the whole gang, and all must go on from the same.
+        for (const member of task.step.spec.gang ? task.step.tasks : [task]) {
+            member.saved = saved;
+            member.savedAt = time.now();
+        }
+    };
+
+    const book: Book = {
+        jobs,
+        active,
+        addJob: submission => {
+            const present = jobs.get(submission.jobId);
+            if (present) {
+                return present;
+            }
+            const queue = options.getQueue(submission.queue.name) ?? submission.queue;
+            const job = entries.createJobEntry(submission, queue, time.now());
+            jobs.set(submission.jobId, job);
+            active.add(job);
+            listener.changed();
+            return job;
+        },
+        restoreJob: (job, progress, version) => {
+            job.state = progress.state;
+            job.failed = progress.failed;
+            job.endedAt = progress.endedAt;
+            job.rowVersion = version;
+            for (const number of progress.ended) {
+                job.ended.add(number);
+            }
+            job.cancelled = progress.state === "cancelled";
+            if (progress.endedAt > 0) {
+                active.delete(job);
+            }
+        },
+        restoreOccurrence: (job, number, progress, version, getWorker) => {
+            const occurrence = openOccurrence(job, number);
+            occurrence.rowVersion = version;
+            occurrence.over = job.ended.has(number) || !active.has(job);
+            occurrence.steps.forEach((step, stepNumber) => {
+                step.tasks.forEach((task, index) => {
+                    const stored = progress[stepNumber]?.[index];
+                    if (!stored) {
+                        return;
+                    }
+                    task.run = stored.run;
+                    if (stored.kind === "done") {
+                        task.phase = "done";
+                        step.doneCount++;
+                        return;
+                    }
+                    task.failures = stored.failures;
+                    task.saved = stored.saved;
+                    if (stored.kind === "placed") {
+                        entries.assign(task, getWorker(stored.workerId));
+                        // Taken for running until the worker's lists say otherwise.
+                        task.phase = "running";
+                        task.orderedAt = time.now();
+                        task.runningSince = time.now();
+                        task.progressAt = time.now();
+                    }
+                });
+            });
+            for (const step of occurrence.steps) {
+                if (entries.isStepDone(step)) {
+                    markStepDone(step);
+                }
+            }
+            if (occurrence.over) {
+                stopAll(occurrence, "jobOver");
+            }
+        },
+        cancelJob: jobId => {
+            const job = jobs.get(jobId);
+            if (!job || job.cancelled || !active.has(job)) {
+                return;
+            }
+            job.cancelled = true;
+            endJob(job, "cancelled");
+            for (const occurrence of job.occurrences.values()) {
+                occurrence.over = true;
+                stopAll(occurrence, "jobCancelled");
+            }
+        },
+        getTask: name => tasks.get(name),
+        releaseDue: () => {
+            const now = time.wallTime();
+            let next: number | undefined;
+            for (const job of active) {
+                const count = work.getOccurrenceCount(job.submission.spec);
+                for (let number = 0; number < count; number++) {
+                    if (job.ended.has(number) || job.occurrences.has(number)) {
+                        continue;
+                    }
+                    const dueAt = work.getDueAt(job.submission.spec, number);
+                    if (dueAt === undefined || dueAt <= now) {
+                        openOccurrence(job, number);
+                        continue;
+                    }
+                    next = Math.min(next ?? Infinity, dueAt);
+                    break;
+                }
+            }
+            return next;
+        },
+        place: (members, workers) => {
+            const run = Math.max(...members.map(member => member.run)) + 1;
+            members.forEach((task, index) => {
+                task.run = run;
+                task.phase = "recording";
+                task.stopAcceptedAt = undefined;
+                task.percent = 0;
+                task.startPercent = 0;
+                task.pacePercent = 100;
+                entries.assign(task, workers[index]!);
+            });
+            listener.occurrenceChanged(members[0]!.step.occurrence);
+        },
+        confirmRunning: task => {
+            if (task.phase !== "ordered") {
+                return;
+            }
+            task.phase = "running";
+            task.runningSince = time.now();
+            task.progressAt = time.now();
+            const { job } = task.step.occurrence;
+            if (job.state === "queued") {
+                job.state = "running";
+                listener.jobChanged(job);
+            }
+        },
+        takeBack: task => {
+            entries.unassign(task);
+            if (task.phase === "done") {
+                return;
+            }
+            toWaiting(task);
+            breakGang(task, "gangIncomplete");
+        },
+        requestStop: (task, reason) => {
+            switch (task.phase) {
+                case "recording":
+                    entries.unassign(task);
+                    toWaiting(task);
+                    break;
+                case "ordered":
+                case "running":
+                    task.phase = "stopping";
+                    task.stopReason = reason;
+                    task.stopAcceptedAt = undefined;
+                    listener.stopWanted(task);
+                    breakGang(task, reason);
+                    break;
+                case "waiting":
+                case "stopping":
+                case "done":
+                    break;
+            }
+        },
+        takeEnd: (worker, end) => {
+            const task = tasks.get(end.task);
+            if (!task || task.run !== end.run) {
+                return;
+            }
+            const isCurrent = task.worker === worker;
+            if (!isCurrent && !(end.how === "done" && task.phase === "waiting")) {
+                return;
+            }
+            keepSaved(task, end.saved);
+            if (isCurrent) {
+                entries.unassign(task);
+            }
+            listener.changed();
+            if (task.phase === "done") {
+                return;
+            }
+            if (end.how === "done" && !task.step.spec.lasting) {
+                worker.failuresInRow = 0;
+                markDone(task);
+                return;
+            }
+            toWaiting(task);
+            if (end.how === "failed") {
+                countFailure(task, end.run, worker);
+            }
+            else {
+                log.info("runEnded", { task: task.name, run: end.run, worker: worker.id, how: end.how });
+            }
+            breakGang(task, `gang member ended: ${end.how}`);
+        },
+        takeProgress: (task, told) => {
+            keepSaved(task, told.saved);
+            task.recentFigure = told.recentFigure;
+            if (task.phase === "ordered") {
+                book.confirmRunning(task);
+            }
+            if (told.percent > task.percent) {
+                task.startPercent ||= told.percent;
+                task.percent = told.percent;
+                task.progressAt = time.now();
+            }
+        },
+        loseTasksOf: (worker, reason) => {
+            const lost = [...worker.tasks];
+            if (lost.length > 0) {
+                log.warn("tasksLost", { worker: worker.id, reason, tasks: lost.length });
+            }
+            for (const task of lost) {
+                entries.unassign(task);
+                if (task.phase !== "done") {
+                    toWaiting(task);
+                }
+            }
+            for (const task of lost) {
+                breakGang(task, "gang member lost");
+            }
+        },
+        refreshQueues: () => {
+            for (const job of active) {
+                job.queue = options.getQueue(job.queue.name) ?? job.queue;
+            }
+        },
+    };
+    return book;
+}
--- /dev/null
+++ b/src/leader/directory.ts
@@ -0,0 +1,23 @@
+/** Port to the list of workers, which lags behind: a worker that is missing may run on, one that is listed may be dead. */
+import type * as entries from "./entries";
+
+export type DirectoryResult =
+    | { readonly kind: "workers"; readonly workers: readonly entries.WorkerInfo[]; }
+    | { readonly kind: "unavailable"; readonly message: string; };
+
+export interface WorkerDirectory {
+    read(timeoutMs: number): Promise<DirectoryResult>;
+}
+
+/** Port to the service that knows which workers may run a step of a queue with advice. */
+export type AdviceResult =
+    | {
+        readonly kind: "advised";
+        readonly good: ReadonlyArray<{ readonly workerId: string; readonly ticket: string; }>;
+        readonly validMs: number;
+    }
+    | { readonly kind: "unavailable"; readonly message: string; };
+
+export interface Adviser {
+    advise(step: string, workerIds: readonly string[], timeoutMs: number): Promise<AdviceResult>;
+}
--- /dev/null
+++ b/src/leader/entries.ts
@@ -0,0 +1,243 @@
+/** The leader's view in memory of jobs, occurrences, steps, tasks and workers. */
+import type * as catalog from "../catalog/index";
+import * as decisions from "../decisions/index";
+import * as work from "../work/index";
+
+/**
+ * - waiting: on no worker.
+ * - recording: a worker is chosen, and the row that says so is being written; no order has gone out.
+ * - ordered: the order is under way.
+ * - running: the worker has confirmed it.
+ * - stopping: to be stopped, or settled where it is unknown whether it runs; its room counts until its end is seen.
+ * - done: ended well; it may still be on its worker until the worker has listed that.
+ */
+export type TaskPhase = "waiting" | "recording" | "ordered" | "running" | "stopping" | "done";
+
+export interface TaskEntry {
+    readonly name: string;
+    readonly step: StepEntry;
+    readonly index: number;
+    run: number;
+    /** Runs that ended as failed; for a gang, the gang's. */
+    failures: number;
+    /** Where a stopped task goes on from; empty: from the start. */
+    saved: string;
+    phase: TaskPhase;
+    /** The worker that holds, or may hold, the task's current run. */
+    worker: WorkerEntry | undefined;
+    /** When the current run was ordered, and when it was confirmed. */
+    orderedAt: number;
+    runningSince: number;
+    /** When the worker accepted the stop; undefined until then. */
+    stopAcceptedAt: number | undefined;
+    stopReason: string;
+    /** Latest progress in percent, and when it last rose. */
+    percent: number;
+    progressAt: number;
+    /** Percent that the current run began with. */
+    startPercent: number;
+    /** Whether `saved` changed since the current run began. */
+    savedAt: number;
+    /** Worker's rough figure for the last half second: a serving task's tail in milliseconds, else processor use. */
+    recentFigure: number;
+    /** Share of its speed at which the task was last told to work. */
+    pacePercent: number;
+    /** Workers on which a run failed. */
+    readonly failedOn: Set<string>;
+    waitingSince: number;
+}
+
+export interface StepEntry {
+    readonly occurrence: OccurrenceEntry;
+    readonly number: number;
+    readonly spec: work.StepSpec;
+    readonly needs: work.Room;
+    readonly tasks: TaskEntry[];
+    doneCount: number;
+    /** Latest run of a gang that was counted as failed: its other members' ends must not count again. */
+    failedRun: number;
+    /** Since when the step may start: its earlier steps are done. */
+    readySince: number | undefined;
+    /** Tickets of the adviser by worker, each with the time until which it holds. */
+    readonly tickets: Map<string, { readonly ticket: string; readonly until: number; }>;
+}
+
+export interface OccurrenceEntry {
+    readonly job: JobEntry;
+    readonly number: number;
+    readonly steps: StepEntry[];
+    /** Version of the stored row; 0: none yet. */
+    rowVersion: number;
+    /** When it is due on the wall clock, for scheduled jobs. */
+    readonly dueAt: number | undefined;
+    over: boolean;
+}
+
+export interface JobEntry {
+    readonly submission: work.Submission;
+    /** As configured now, or last. */
+    queue: catalog.Queue;
+    state: work.JobState;
+    cancelled: boolean;
+    failed: boolean;
+    readonly ended: Set<number>;
+    readonly occurrences: Map<number, OccurrenceEntry>;
+    rowVersion: number;
+    endedAt: number;
+    /** Milliseconds on the monotonic clock at which the leader took note of the job. */
+    readonly knownAt: number;
+}
+
+export interface WorkerInfo {
+    readonly id: string;
+    readonly address: string;
+    readonly zone: string;
+    readonly service: string;
+    readonly rack: string;
+    readonly labels: readonly string[];
+    readonly capacity: work.Room;
+    readonly draining: boolean;
+    /** While draining: the least time that is left. */
+    readonly remainingMs: number;
+}
+
+export interface WorkerEntry {
+    readonly id: string;
+    info: WorkerInfo;
+    /** Whether the directory still lists it. */
+    listed: boolean;
+    /** Whether it answered the latest look, and under our fencing token. */
+    heard: boolean;
+    /** No new task before this time. */
+    setAsideUntil: number;
+    /** When the directory first said that it drains. */
+    drainingSince: number | undefined;
+    readonly tasks: Set<TaskEntry>;
+    readonly used: decisions.MutableRoom;
+    /** Tasks that run there without our knowledge; none is started until they are gone. */
+    strangers: number;
+    /** Consecutive failed runs of different jobs without a success. */
+    failuresInRow: number;
+}
+
+export function createJobEntry(submission: work.Submission, queue: catalog.Queue, now: number): JobEntry {
+    return {
+        submission,
+        queue,
+        state: "queued",
+        cancelled: false,
+        failed: false,
+        ended: new Set(),
+        occurrences: new Map(),
+        rowVersion: 0,
+        endedAt: 0,
+        knownAt: now,
+    };
+}
+
+export function createOccurrenceEntry(job: JobEntry, number: number, now: number): OccurrenceEntry {
+    const occurrence: OccurrenceEntry = {
+        job,
+        number,
+        steps: [],
+        rowVersion: 0,
+        dueAt: work.getDueAt(job.submission.spec, number),
+        over: false,
+    };
+    job.submission.spec.steps.forEach((spec, stepNumber) => {
+        const step: StepEntry = {
+            occurrence,
+            number: stepNumber,
+            spec,
+            needs: work.getCountedNeeds(spec),
+            tasks: [],
+            doneCount: 0,
+            failedRun: 0,
+            readySince: spec.after.length === 0 ? now : undefined,
+            tickets: new Map(),
+        };
+        for (let index = 0; index < spec.count; index++) {
+            step.tasks.push(createTaskEntry(step, index, now));
+        }
+        occurrence.steps.push(step);
+    });
+    return occurrence;
+}
+
+function createTaskEntry(step: StepEntry, index: number, now: number): TaskEntry {
+    const { job, number } = step.occurrence;
+    return {
+        name: work.getTaskName(job.submission.jobId, number, step.number, index),
+        step,
+        index,
+        run: 0,
+        failures: 0,
+        saved: "",
+        phase: "waiting",
+        worker: undefined,
+        orderedAt: 0,
+        runningSince: 0,
+        stopAcceptedAt: undefined,
+        stopReason: "",
+        percent: 0,
+        progressAt: 0,
+        startPercent: 0,
+        savedAt: 0,
+        recentFigure: 0,
+        pacePercent: 100,
+        failedOn: new Set(),
+        waitingSince: now,
+    };
+}
+
+export function createWorkerEntry(info: WorkerInfo): WorkerEntry {
+    return {
+        id: info.id,
+        info,
+        listed: true,
+        heard: false,
+        setAsideUntil: 0,
+        drainingSince: undefined,
+        tasks: new Set(),
+        used: decisions.copyRoom(work.EMPTY_ROOM),
+        strangers: 0,
+        failuresInRow: 0,
+    };
+}
+
+/** Puts the task's current run on the worker: its room is taken from here on. */
+export function assign(task: TaskEntry, worker: WorkerEntry): void {
+    task.worker = worker;
+    worker.tasks.add(task);
+    decisions.addRoom(worker.used, task.step.needs);
+}
+
+/** The task's run is over, or never was: its room is free. */
+export function unassign(task: TaskEntry): void {
+    const worker = task.worker;
+    if (!worker) {
+        return;
+    }
+    task.worker = undefined;
+    worker.tasks.delete(task);
+    decisions.takeRoom(worker.used, task.step.needs);
+}
+
+export function isStepDone(step: StepEntry): boolean {
+    return step.doneCount === step.tasks.length;
+}
+
+/** A worker of which only the id is known. */
+export function createUnknownWorker(id: string): WorkerInfo {
+    return {
+        id,
+        address: "",
+        zone: "",
+        service: "",
+        rack: "",
+        labels: [],
+        capacity: work.EMPTY_ROOM,
+        draining: false,
+        remainingMs: 0,
+    };
+}
--- /dev/null
+++ b/src/leader/followIntake.ts
@@ -0,0 +1,55 @@
+/** Follows new submissions and cancellations. */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import * as rows from "../rows/index";
+import * as work from "../work/index";
+
+export interface FollowIntakeOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly signal: AbortSignal;
+    /** Version up to which the table is known. */
+    readonly after: number;
+    onRows(changed: readonly rows.Row[]): void;
+}
+
+/** One poll ends after this long, so that a connection that fell silent is given up soon after. */
+const WAIT_MS = 1_000;
+const SLACK_MS = 600;
+const READ_TIMEOUT_MS = 1_500;
+const RETRY_PAUSE_MS = 100;
+
+export async function followIntake(options: FollowIntakeOptions): Promise<void> {
+    const { store, signal } = options;
+    let after = options.after;
+    while (!signal.aborted) {
+        const changes = await store.feed(work.Table.Jobs, after, WAIT_MS, WAIT_MS + SLACK_MS);
+        if (signal.aborted) {
+            return;
+        }
+        switch (changes.kind) {
+            case "changes":
+                after = Math.max(after, changes.version);
+                options.onRows(changes.rows.filter(row => !row.removed));
+                break;
+            case "gap": {
+                const all = await rows.readAll(
+                    store,
+                    { table: work.Table.Jobs, part: work.INTAKE_PART },
+                    READ_TIMEOUT_MS,
+                );
+                if (all.kind === "read") {
+                    options.log.info("intakeReadAnew", { rows: all.rows.length, version: all.version });
+                    after = all.version;
+                    options.onRows(all.rows);
+                }
+                break;
+            }
+            case "unavailable":
+                options.log.info("intakeUnavailable", { why: changes.message });
+                await options.clock.sleep(RETRY_PAUSE_MS, signal);
+                break;
+        }
+    }
+}
--- /dev/null
+++ b/src/leader/index.ts
@@ -0,0 +1,19 @@
+/** The leader: who it is, what it believes of jobs and workers, and the orders it gives. */
+export type { AdviceResult, Adviser, DirectoryResult, WorkerDirectory } from "./directory";
+export type { WorkerInfo } from "./entries";
+export { createLease, type Leadership, type Lease, type LeaseObservation, type LeaseRecord } from "./lease";
+export { createTerm, type Term, type TermOptions } from "./term";
+export type {
+    EndKind,
+    LookAnswer,
+    LookOrder,
+    OrderAnswer,
+    PaceOrder,
+    RefusalReason,
+    RunningTask,
+    RunOrder,
+    StartOrder,
+    TaskEnd,
+    WorkerAddress,
+    WorkerPort,
+} from "./workerPort";
--- /dev/null
+++ b/src/leader/lease.ts
@@ -0,0 +1,303 @@
+/**
+ * Which instance leads: a row with holder, fencing token and counts, won and renewed by compare-and-swap.
+ *
+ * The token, which workers check, is what protects; the lease only keeps instances from taking over from each other
+ * without need. The holder trusts its lease from the moment it *sent* the renewal, by the clock that lost most time:
+ * a machine that was suspended wakes up with a monotonic clock that did not count the pause, and would give orders
+ * that its successor has already given.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import * as rows from "../rows/index";
+import * as work from "../work/index";
+
+export interface LeaseRecord {
+    /** Id of the holder's life; empty: given back. */
+    readonly holder: string;
+    /** The holder's name, the same in each of its lives. */
+    readonly instance: string;
+    readonly token: number;
+    /** Jobs of each queue of which no task has started. */
+    readonly waiting: Readonly<Record<string, number>>;
+}
+
+export interface LeaseObservation {
+    readonly record: LeaseRecord;
+    readonly version: number;
+    /** Monotonic time at which this version was first seen. */
+    readonly seenAt: number;
+}
+
+export interface Leadership {
+    readonly token: number;
+    /** Row that guards each write of the term. */
+    readonly guard: rows.RowCondition;
+    readonly signal: AbortSignal;
+    /** Whether orders may be given now. */
+    mayOrder(): boolean;
+    /** Whether leases of running work may be prolonged now: a while longer than orders. */
+    mayProlong(): boolean;
+    /** Monotonic time after which no earlier leader prolongs any work. */
+    readonly othersSilentAt: number;
+}
+
+export interface LeaseOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly instance: string;
+    /** Unique to this life of the process. */
+    readonly life: string;
+    readonly signal: AbortSignal;
+    getWaiting(): Readonly<Record<string, number>>;
+    onElected(leadership: Leadership): void;
+    onContact(): void;
+    onLoss(message: string): void;
+}
+
+export interface Lease {
+    getObservation(): LeaseObservation | undefined;
+    isLeading(): boolean;
+    /** Ends the term when another leader's token was met. */
+    depose(reason: string): void;
+    /** Gives the lease back, so that a successor need not wait for it to lapse. */
+    release(): Promise<void>;
+}
+
+/** Renewed once a second, so that the counts in the row are at most that old and two renewals may fail. */
+const RENEW_EVERY_MS = 1_000;
+/** Unchanged for this long, the lease is another's to take: two lost renewals and the time of a third. */
+const LEASE_MS = 2_500;
+/** The holder stops this much earlier: clocks that differ by 2%, and the way of a last order. */
+const LEASE_MARGIN_MS = 300;
+/** After a loss of the store a follower leaves the holder this long to renew first: a takeover costs a look at all. */
+const RETURN_MS = 1_200;
+/**
+ * How much longer than its lease a leader without the store prolongs what runs. An outage of the store of several
+ * seconds then stops no work. A successor waits this much longer before it counts work on a silent worker as gone.
+ */
+export const PROLONG_MS = 9_000;
+const CALL_TIMEOUT_MS = 700;
+const RETRY_PAUSE_MS = 100;
+const TICK_MS = 100;
+
+const LEASE_KEY: rows.RowKey = { table: work.Table.Lead, part: work.LEADER_PART, key: "lease" };
+const TOKEN_KEY: rows.RowKey = { table: work.Table.Lead, part: work.LEADER_PART, key: "token" };
+
+/** The counts as the leader last wrote them, with their age. */
+export function createLease(options: LeaseOptions): Lease {
+    const { clock: time, log } = options;
+    let observed: LeaseObservation | undefined;
+    let knowsTable = false;
+    let contactSince: number | undefined;
+    let term: Term | undefined;
+    let released = false;
+
+    const observe = (row: rows.Row) => {
+        if (row.key !== LEASE_KEY.key || row.version <= (observed?.version ?? 0)) {
+            return;
+        }
+        observed = { record: JSON.parse(row.value) as LeaseRecord, version: row.version, seenAt: time.now() };
+        if (term && observed.record.token > term.leadership.token) {
+            endTerm(`instance ${observed.record.instance} holds token ${observed.record.token}`);
+        }
+    };
+    const endTerm = (reason: string) => {
+        if (term) {
+            log.warn("leadershipLost", { token: term.leadership.token, reason });
+            term.controller.abort();
+            term = undefined;
+        }
+    };
+    rows.followTable({
+        store: options.store,
+        clock: time,
+        log,
+        table: work.Table.Lead,
+        part: work.LEADER_PART,
+        signal: options.signal,
+        onSnapshot: all => {
+            knowsTable = true;
+            all.forEach(observe);
+        },
+        onChanges: changes => changes.filter(row => !row.removed).forEach(observe),
+        onContact: () => {
+            contactSince ??= time.now();
+            options.onContact();
+        },
+        onLoss: message => {
+            contactSince = undefined;
+            options.onLoss(message);
+        },
+    });
+
+    const isFree = (): boolean => {
+        if (!observed) {
+            return true;
+        }
+        // Our own earlier life is over for certain; nobody else can speak for it.
+        if (observed.record.holder === "" || observed.record.instance === options.instance) {
+            return true;
+        }
+        const now = time.now();
+        return now - observed.seenAt >= LEASE_MS && contactSince !== undefined && now - contactSince >= RETURN_MS;
+    };
+    const takeOver = async () => {
+        const sentAt = readTimes(time);
+        const token = (observed?.record.token ?? 0) + 1;
+        const record: LeaseRecord = {
+            holder: options.life,
+            instance: options.instance,
+            token,
+            waiting: observed?.record.waiting ?? {},
+        };
+        const wasReleased = observed?.record.holder === "";
+        const outcome = await options.store.transact({
+            conditions: [{ ...LEASE_KEY, version: observed?.version ?? 0 }],
+            puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }, { ...TOKEN_KEY, value: String(token) }],
+            removals: [],
+        }, CALL_TIMEOUT_MS);
+        if (outcome.kind !== "committed") {
+            if (outcome.kind === "conflict") {
+                outcome.rows.forEach(observe);
+            }
+            return;
+        }
+        observed = { record, version: outcome.version, seenAt: time.now() };
+        term = createTerm(options, token, outcome.version, sentAt, wasReleased);
+        log.info("leadershipTaken", { token, released: wasReleased });
+        options.onElected(term.leadership);
+    };
+    const renew = async (current: Term) => {
+        const sentAt = readTimes(time);
+        const record: LeaseRecord = {
+            holder: options.life,
+            instance: options.instance,
+            token: current.leadership.token,
+            waiting: options.getWaiting(),
+        };
+        const outcome = await options.store.transact({
+            conditions: [{ ...LEASE_KEY, version: current.version }],
+            puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
+            removals: [],
+        }, CALL_TIMEOUT_MS);
+        if (term !== current) {
+            return;
+        }
+        switch (outcome.kind) {
+            case "committed":
+                current.version = outcome.version;
+                current.renewedAt = sentAt;
+                observed = { record, version: outcome.version, seenAt: time.now() };
+                options.onContact();
+                break;
+            case "conflict": {
+                const row = outcome.rows.find(candidate => candidate.key === LEASE_KEY.key);
+                const holder = row && JSON.parse(row.value) as LeaseRecord;
+                if (row && holder?.holder === options.life && holder.token === current.leadership.token) {
+                    // An earlier renewal without an answer was carried out after all.
+                    current.version = row.version;
+                    return;
+                }
+                endTerm(`lease is held by ${holder?.instance ?? "nobody"}`);
+                break;
+            }
+            case "refused":
+            case "unknown":
+                log.warn("leaseNotRenewed", { why: outcome.message, leftMs: Math.round(current.getLeftMs()) });
+                await time.sleep(RETRY_PAUSE_MS, options.signal);
+                break;
+        }
+    };
+    const run = async () => {
+        while (!options.signal.aborted && !released) {
+            if (term) {
+                const sinceRenewal = time.now() - term.renewedAt.monotonic;
+                if (sinceRenewal >= RENEW_EVERY_MS) {
+                    await renew(term);
+                    continue;
+                }
+                await time.sleep(Math.min(TICK_MS, RENEW_EVERY_MS - sinceRenewal), options.signal);
+                continue;
+            }
+            if (knowsTable && isFree()) {
+                await takeOver();
+            }
+            await time.sleep(TICK_MS, options.signal);
+        }
+    };
+    void run();
+
+    return {
+        getObservation: () => observed,
+        isLeading: () => term !== undefined,
+        depose: endTerm,
+        release: async () => {
+            released = true;
+            const current = term;
+            if (!current) {
+                return;
+            }
+            endTerm("this instance stops");
+            const record: LeaseRecord = {
+                holder: "",
+                instance: options.instance,
+                token: current.leadership.token,
+                waiting: options.getWaiting(),
+            };
+            const outcome = await options.store.transact({
+                conditions: [{ ...LEASE_KEY, version: current.version }],
+                puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
+                removals: [],
+            }, CALL_TIMEOUT_MS);
+            log.info("leaseGivenBack", { outcome: outcome.kind });
+        },
+    };
+}
+
+/** One moment on both clocks. */
+interface Times {
+    readonly monotonic: number;
+    readonly wall: number;
+}
+
+interface Term {
+    readonly leadership: Leadership;
+    readonly controller: AbortController;
+    version: number;
+    renewedAt: Times;
+    getLeftMs(): number;
+}
+
+function createTerm(
+    options: LeaseOptions,
+    token: number,
+    version: number,
+    sentAt: Times,
+    wasReleased: boolean,
+): Term {
+    const controller = new AbortController();
+    const getElapsedMs = () => {
+        const now = readTimes(options.clock);
+        return Math.max(now.monotonic - term.renewedAt.monotonic, now.wall - term.renewedAt.wall);
+    };
+    const term: Term = {
+        controller,
+        version,
+        renewedAt: sentAt,
+        getLeftMs: () => LEASE_MS - LEASE_MARGIN_MS - getElapsedMs(),
+        leadership: {
+            token,
+            guard: { ...TOKEN_KEY, version },
+            signal: controller.signal,
+            mayOrder: () => !controller.signal.aborted && term.getLeftMs() > 0,
+            mayProlong: () => !controller.signal.aborted && term.getLeftMs() + PROLONG_MS > 0,
+            othersSilentAt: sentAt.monotonic + (wasReleased ? 0 : PROLONG_MS),
+        },
+    };
+    return term;
+}
+
+function readTimes(time: clock.Clock): Times {
+    return { monotonic: time.now(), wall: time.wallTime() };
+}
--- /dev/null
+++ b/src/leader/orders.ts
@@ -0,0 +1,141 @@
+/** Gives the orders that the book wants, and sees each through to a certain outcome. */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as book from "./book";
+import type * as entries from "./entries";
+import type * as port from "./workerPort";
+import type * as workerSession from "./workerSession";
+
+export interface OrdersOptions {
+    readonly book: book.Book;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly counters: observe.Counters;
+    readonly signal: AbortSignal;
+    getSession(worker: entries.WorkerEntry): workerSession.WorkerSession | undefined;
+    mayOrder(): boolean;
+}
+
+export interface Orders {
+    /** Starts tasks whose rows are stored. */
+    start(tasks: readonly entries.TaskEntry[]): void;
+    /** Sees a `stopping` task through to its end. */
+    stop(task: entries.TaskEntry): void;
+    stopStranger(worker: entries.WorkerEntry, told: port.RunningTask): void;
+}
+
+/** A worker that was unwell or out of reach gets no new task for this long. */
+const SET_ASIDE_MS = 1_500;
+/** A worker that says it has no room holds something that we do not know; its next look tells. */
+const NO_ROOM_ASIDE_MS = 500;
+const STOP_RETRY_MS = 200;
+
+export function createOrders(options: OrdersOptions): Orders {
+    const { book: taskBook, clock: time, log, counters } = options;
+
+    const startOne = async (task: entries.TaskEntry) => {
+        const worker = task.worker;
+        const session = worker && options.getSession(worker);
+        if (!worker || !session || task.phase !== "recording" || !options.mayOrder()) {
+            if (worker && task.phase === "recording") {
+                taskBook.takeBack(task);
+            }
+            return;
+        }
+        const { run } = task;
+        task.phase = "ordered";
+        task.orderedAt = time.now();
+        const { submission } = task.step.occurrence.job;
+        const answer = await session.start({
+            task: task.name,
+            run,
+            payload: submission.spec.payload,
+            saved: task.saved,
+            ticket: task.step.tickets.get(worker.id)?.ticket,
+        });
+        counters.increment(`starts.${answer.kind}`);
+        if (task.worker !== worker || task.run !== run) {
+            return;
+        }
+        takeStartAnswer(task, worker, answer);
+    };
+
+    const takeStartAnswer = (task: entries.TaskEntry, worker: entries.WorkerEntry, answer: port.OrderAnswer) => {
+        if (answer.kind === "accepted") {
+            taskBook.confirmRunning(task);
+            return;
+        }
+        log.info("startNotConfirmed", {
+            task: task.name,
+            run: task.run,
+            worker: worker.id,
+            answer: answer.kind,
+            reason: answer.kind === "refused" ? answer.reason : undefined,
+            afterMs: Math.round(time.now() - task.orderedAt),
+        });
+        switch (answer.kind) {
+            case "refused":
+                if (answer.reason === "ticket") {
+                    task.step.tickets.delete(worker.id);
+                }
+                else {
+                    worker.setAsideUntil = time.now() + NO_ROOM_ASIDE_MS;
+                }
+                takeBackStart(task);
+                break;
+            case "unwell":
+            case "unreachable":
+                worker.setAsideUntil = time.now() + SET_ASIDE_MS;
+                takeBackStart(task);
+                break;
+            case "unknown":
+                taskBook.requestStop(task, "startUnanswered");
+                break;
+            case "otherLife":
+                // The session has reported the end of that life, which took the task back.
+                break;
+        }
+    };
+
+    const takeBackStart = (task: entries.TaskEntry) => {
+        // A look may have confirmed or a request stopped it in the meantime; then that decides.
+        if (task.phase === "ordered" || task.phase === "stopping") {
+            taskBook.takeBack(task);
+        }
+    };
+
+    const stopOne = async (task: entries.TaskEntry) => {
+        const { run, worker } = task;
+        const isOpen = () =>
+            !options.signal.aborted && task.worker === worker && task.run === run
+            && task.phase === "stopping" && task.stopAcceptedAt === undefined;
+        log.info("stopWanted", { task: task.name, run, worker: worker?.id, reason: task.stopReason });
+        while (worker && isOpen()) {
+            const session = options.getSession(worker);
+            const answer = session && options.mayOrder()
+                ? await session.stop({ task: task.name, run })
+                : undefined;
+            if (!isOpen()) {
+                return;
+            }
+            if (answer?.kind === "accepted" || (answer?.kind === "refused" && answer.reason !== "fence")) {
+                // Refused as old: the run has ended there. Either way the run cannot begin any more.
+                task.stopAcceptedAt = time.now();
+                session?.lookNow();
+                return;
+            }
+            await time.sleep(STOP_RETRY_MS, options.signal);
+        }
+    };
+
+    return {
+        start: tasks => tasks.forEach(task => void startOne(task)),
+        stop: task => void stopOne(task),
+        stopStranger: (worker, told) => {
+            const session = options.getSession(worker);
+            if (session && options.mayOrder()) {
+                void session.stop({ task: told.task, run: told.run });
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/leader/progressWriter.ts
@@ -0,0 +1,156 @@
+/**
+ * Writes progress rows in batches, each guarded by the row of the fencing token and by the version of every row.
+ *
+ * What goes wrong without the guards: a write whose answer was lost may be carried out seconds later. With the token
+ * alone it would then undo a newer write of the same leader; with the versions alone a deposed leader could still
+ * write a row that its successor has not touched yet. One notices either by a task that is started twice.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as rows from "../rows/index";
+import * as work from "../work/index";
+import type * as entries from "./entries";
+import * as rowsOf from "./rowsOf";
+
+export interface ProgressWriterOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    /** The row of our fencing token: no write succeeds once another leader has changed it. */
+    readonly guard: rows.RowCondition;
+    readonly signal: AbortSignal;
+    /** Another leader has taken over. */
+    onDeposed(): void;
+}
+
+export interface ProgressWriter {
+    markOccurrence(occurrence: entries.OccurrenceEntry): void;
+    markJob(job: entries.JobEntry): void;
+    /** Resolves when all that is marked so far is stored; never when the term ends before. */
+    flush(): Promise<void>;
+}
+
+/** Of the 100 entries of a transaction one is the guard; each row takes one as condition and one as write. */
+const MAX_ROWS = 45;
+/** A transaction takes about 10 ms; a slow store (60 times) 300 ms. */
+const WRITE_TIMEOUT_MS = 900;
+const RETRY_PAUSE_MS = 60;
+
+interface PendingRow {
+    readonly key: string;
+    getVersion(): number;
+    setVersion(version: number): void;
+    encode(): string;
+}
+
+export function createProgressWriter(options: ProgressWriterOptions): ProgressWriter {
+    const dirty = new Map<string, PendingRow>();
+    let waiters: Array<() => void> = [];
+    let writing = false;
+
+    const write = async () => {
+        if (writing) {
+            return;
+        }
+        writing = true;
+        // Lets everything that this turn of the event loop decides go into one transaction.
+        await Promise.resolve();
+        while ((dirty.size > 0 || waiters.length > 0) && !options.signal.aborted) {
+            const batch = [...dirty.values()].slice(0, MAX_ROWS);
+            const covered = batch.length === dirty.size ? waiters : [];
+            if (covered.length > 0) {
+                waiters = [];
+            }
+            for (const row of batch) {
+                dirty.delete(row.key);
+            }
+            if (batch.length > 0 && !await writeBatch(options, batch)) {
+                break;
+            }
+            for (const resolve of covered) {
+                resolve();
+            }
+        }
+        writing = false;
+    };
+
+    const mark = (row: PendingRow) => {
+        dirty.set(row.key, row);
+        void write();
+    };
+
+    return {
+        markOccurrence: occurrence =>
+            mark({
+                key: work.getOccurrenceKey(occurrence.job.submission.jobId, occurrence.number),
+                getVersion: () => occurrence.rowVersion,
+                setVersion: version => {
+                    occurrence.rowVersion = version;
+                },
+                encode: () => rowsOf.encodeOccurrence(occurrence),
+            }),
+        markJob: job =>
+            mark({
+                key: job.submission.jobId,
+                getVersion: () => job.rowVersion,
+                setVersion: version => {
+                    job.rowVersion = version;
+                },
+                encode: () => rowsOf.encodeJob(job),
+            }),
+        flush: () =>
+            new Promise(resolve => {
+                waiters.push(resolve);
+                void write();
+            }),
+    };
+}
+
+/** Returns false when the term is over. */
+async function writeBatch(options: ProgressWriterOptions, batch: readonly PendingRow[]): Promise<boolean> {
+    const toKey = (key: string): rows.RowKey => ({ table: work.Table.Progress, part: work.LEADER_PART, key });
+    // Encoded once: a repeated attempt must write the same, or a reader could see two different first writes.
+    const puts = batch.map(row => ({ ...toKey(row.key), value: row.encode() }));
+    while (!options.signal.aborted) {
+        const conditions = [options.guard, ...batch.map(row => ({ ...toKey(row.key), version: row.getVersion() }))];
+        const outcome = await options.store.transact({ conditions, puts, removals: [] }, WRITE_TIMEOUT_MS);
+        switch (outcome.kind) {
+            case "committed":
+                for (const row of batch) {
+                    row.setVersion(outcome.version);
+                }
+                return true;
+            case "conflict":
+                if (!adoptVersions(options, batch, outcome.rows)) {
+                    options.onDeposed();
+                    return false;
+                }
+                break;
+            case "refused":
+            case "unknown":
+                options.log.warn("progressNotWritten", { rows: batch.length, why: outcome.message });
+                await options.clock.sleep(RETRY_PAUSE_MS, options.signal);
+                break;
+        }
+    }
+    return false;
+}
+
+/** A conflict under our own token means that an earlier try was carried out after all: go on from its versions. */
+function adoptVersions(
+    options: ProgressWriterOptions,
+    batch: readonly PendingRow[],
+    present: readonly rows.Row[],
+): boolean {
+    const guard = present.find(row => row.table === options.guard.table && row.key === options.guard.key);
+    if (guard?.version !== options.guard.version) {
+        return false;
+    }
+    const versions = new Map(
+        present.filter(row => row.table === work.Table.Progress).map(row => [row.key, row.version]),
+    );
+    for (const row of batch) {
+        row.setVersion(versions.get(row.key) ?? 0);
+    }
+    return true;
+}
--- /dev/null
+++ b/src/leader/reconcile.ts
@@ -0,0 +1,88 @@
+/** Compares what a worker lists with what the book holds for it. */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as book from "./book";
+import type * as entries from "./entries";
+import type * as port from "./workerPort";
+import type * as workerSession from "./workerSession";
+
+export interface ReconcileOptions {
+    readonly book: book.Book;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    /** Something runs there that the book does not hold: it must be stopped. */
+    stopStranger(worker: entries.WorkerEntry, task: port.RunningTask): void;
+}
+
+export function reconcile(
+    options: ReconcileOptions,
+    worker: entries.WorkerEntry,
+    lists: workerSession.WorkerLists,
+): void {
+    const { book: taskBook } = options;
+    const present = new Set<entries.TaskEntry>();
+    let strangers = 0;
+    for (const told of lists.running) {
+        const task = taskBook.getTask(told.task);
+        if (task?.worker === worker && task.run === told.run) {
+            present.add(task);
+            taskBook.takeProgress(task, told);
+            continue;
+        }
+        strangers++;
+        options.log.warn("strangerFound", { worker: worker.id, task: told.task, run: told.run });
+        options.stopStranger(worker, told);
+    }
+    worker.strangers = strangers;
+    for (const end of lists.ended) {
+        taskBook.takeEnd(worker, end);
+    }
+    if (lists.complete) {
+        settleMissing(options, worker, lists.sentAt, present);
+    }
+}
+
+/**
+ * A task that the worker neither runs nor lists as ended has not begun there. That is certain only of a look sent
+ * after the worker confirmed the order, or accepted a stop, after which it refuses the run if the order comes late.
+ */
+function settleMissing(
+    options: ReconcileOptions,
+    worker: entries.WorkerEntry,
+    sentAt: number,
+    present: ReadonlySet<entries.TaskEntry>,
+): void {
+    for (const task of [...worker.tasks]) {
+        if (present.has(task)) {
+            continue;
+        }
+        switch (task.phase) {
+            case "running":
+            case "done":
+                if (task.runningSince < sentAt) {
+                    settleOne(options, worker, task);
+                }
+                break;
+            case "stopping":
+                if (task.stopAcceptedAt !== undefined && task.stopAcceptedAt < sentAt) {
+                    options.log.info("orderSettled", { task: task.name, run: task.run, worker: worker.id });
+                    options.book.takeBack(task);
+                }
+                break;
+            case "waiting":
+            case "recording":
+            case "ordered":
+                break;
+        }
+    }
+}
+
+function settleOne(options: ReconcileOptions, worker: entries.WorkerEntry, task: entries.TaskEntry): void {
+    if (task.phase === "done") {
+        // A gang's other member has ended for it.
+        options.book.takeBack(task);
+        return;
+    }
+    options.log.warn("taskMissing", { task: task.name, run: task.run, worker: worker.id });
+    options.book.requestStop(task, "missing");
+}
--- /dev/null
+++ b/src/leader/rowsOf.ts
@@ -0,0 +1,31 @@
+/** Entries as rows and back. */
+import * as work from "../work/index";
+import type * as entries from "./entries";
+
+export function encodeJob(job: entries.JobEntry): string {
+    const progress: work.JobProgress = {
+        state: job.state,
+        ended: [...job.ended],
+        failed: job.failed,
+        endedAt: job.endedAt,
+    };
+    return JSON.stringify(progress);
+}
+
+export function decodeJob(text: string): work.JobProgress {
+    return JSON.parse(text) as work.JobProgress;
+}
+
+export function encodeOccurrence(occurrence: entries.OccurrenceEntry): string {
+    return work.encodeOccurrence(occurrence.steps.map(step => step.tasks.map(toProgress)));
+}
+
+function toProgress(task: entries.TaskEntry): work.TaskProgress {
+    const { run, failures, saved } = task;
+    if (task.phase === "done") {
+        return { kind: "done", run };
+    }
+    return task.worker
+        ? { kind: "placed", run, failures, saved, workerId: task.worker.id }
+        : { kind: "waiting", run, failures, saved };
+}
--- /dev/null
+++ b/src/leader/takeover.ts
@@ -0,0 +1,97 @@
+/** What a new leader reads before it gives an order. */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import * as rows from "../rows/index";
+import * as work from "../work/index";
+import type * as book from "./book";
+import type * as entries from "./entries";
+
+export interface TakeoverOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly signal: AbortSignal;
+    readonly book: book.Book;
+    getWorker(id: string): entries.WorkerEntry;
+}
+
+/** A page of 500 rows takes some 10 ms, with a slow store (60 times) some 300 ms. */
+const READ_TIMEOUT_MS = 1_500;
+const RETRY_PAUSE_MS = 100;
+
+/** Fills the book; returns the version from which to follow submissions, or `undefined` when the term is over. */
+export async function takeOver(options: TakeoverOptions): Promise<number | undefined> {
+    const startedAt = options.clock.now();
+    const [submissions, progress] = await Promise.all([
+        readUntilDone(options, { table: work.Table.Jobs, part: work.INTAKE_PART }),
+        readUntilDone(options, { table: work.Table.Progress, part: work.LEADER_PART }),
+    ]);
+    if (!submissions || !progress) {
+        return undefined;
+    }
+    for (const row of submissions.rows) {
+        if (work.getCancelledJobId(row.key) === undefined) {
+            options.book.addJob(JSON.parse(row.value) as work.Submission);
+        }
+    }
+    restore(options, progress.rows);
+    takeIntake(options.book, submissions.rows);
+    options.log.info("jobsRead", {
+        submissions: submissions.rows.length,
+        progressRows: progress.rows.length,
+        version: submissions.version,
+        tookMs: Math.round(options.clock.now() - startedAt),
+    });
+    return submissions.version;
+}
+
+/** Rows of the intake: new jobs and cancellations, in any order. */
+export function takeIntake(taskBook: book.Book, intake: readonly rows.Row[]): void {
+    const cancelled: string[] = [];
+    for (const row of intake) {
+        const jobId = work.getCancelledJobId(row.key);
+        if (jobId === undefined) {
+            taskBook.addJob(JSON.parse(row.value) as work.Submission);
+        }
+        else {
+            cancelled.push(jobId);
+        }
+    }
+    cancelled.forEach(jobId => taskBook.cancelJob(jobId));
+}
+
+function restore(options: TakeoverOptions, progressRows: readonly rows.Row[]): void {
+    const occurrences: Array<{ job: entries.JobEntry; number: number; row: rows.Row; }> = [];
+    for (const row of progressRows) {
+        const parsed = work.parseOccurrenceKey(row.key);
+        const job = options.book.jobs.get(parsed?.jobId ?? row.key);
+        if (!job) {
+            options.log.warn("progressWithoutJob", { key: row.key });
+            continue;
+        }
+        if (parsed) {
+            occurrences.push({ job, number: parsed.occurrence, row });
+            continue;
+        }
+        options.book.restoreJob(job, JSON.parse(row.value) as work.JobProgress, row.version);
+    }
+    for (const { job, number, row } of occurrences) {
+        const progress = work.decodeOccurrence(row.value);
+        options.book.restoreOccurrence(job, number, progress, row.version, options.getWorker);
+    }
+}
+
+async function readUntilDone(
+    options: TakeoverOptions,
+    range: rows.RowRange,
+): Promise<Extract<rows.ReadResult, { kind: "read"; }> | undefined> {
+    while (!options.signal.aborted) {
+        const all = await rows.readAll(options.store, range, READ_TIMEOUT_MS);
+        if (all.kind === "read") {
+            return all;
+        }
+        options.log.warn("takeoverReadFailed", { table: range.table, why: all.message });
+        await options.clock.sleep(RETRY_PAUSE_MS, options.signal);
+    }
+    return undefined;
+}
--- /dev/null
+++ b/src/leader/term.ts
@@ -0,0 +1,338 @@
+/** One term of leadership: from reading what is stored to the loss of the lease. */
+import type * as catalog from "../catalog/index";
+import type * as clock from "../clock/index";
+import * as decisions from "../decisions/index";
+import type * as observe from "../observe/index";
+import type * as rows from "../rows/index";
+import * as work from "../work/index";
+import * as advice from "./advice";
+import * as bookOfTasks from "./book";
+import type * as directory from "./directory";
+import * as entries from "./entries";
+import * as followIntake from "./followIntake";
+import * as guarantees from "./guarantees";
+import type * as lease from "./lease";
+import * as ordersOfTerm from "./orders";
+import * as progressWriter from "./progressWriter";
+import * as reconcile from "./reconcile";
+import * as takeover from "./takeover";
+import * as units from "./units";
+import * as watch from "./watch";
+import type * as port from "./workerPort";
+import * as workerSession from "./workerSession";
+
+export interface TermOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly counters: observe.Counters;
+    readonly histograms: observe.Histograms;
+    readonly catalog: catalog.CurrentCatalog;
+    readonly directory: directory.WorkerDirectory;
+    readonly adviser: directory.Adviser;
+    readonly workers: port.WorkerPort;
+    readonly leadership: lease.Leadership;
+    /** Longest lease of what runs on a worker. */
+    readonly maxLeaseMs: number;
+    onDeposed(reason: string): void;
+}
+
+export interface Term {
+    /** Jobs of each queue of which no task has started. */
+    getWaiting(): Readonly<Record<string, number>>;
+    /** The state of a job that this term knows. */
+    getState(jobId: string): work.JobState | undefined;
+}
+
+/** Events of one moment are decided together; short beside the way to a worker and back. */
+const PASS_DELAY_MS = 4;
+/** A pass without an event, for waits that run out. */
+const IDLE_PASS_MS = 250;
+/** The directory lags by up to a second itself. */
+const DIRECTORY_EVERY_MS = 600;
+const DIRECTORY_TIMEOUT_MS = 1_200;
+/** The longest wait that a worker grants a look. */
+const LOOK_WAIT_MS = 2_000;
+
+export function createTerm(options: TermOptions): Term {
+    const { clock: time, log, leadership } = options;
+    const { signal } = leadership;
+    const workers = new Map<string, entries.WorkerEntry>();
+    const sessions = new Map<string, workerSession.WorkerSession>();
+    const predictor = decisions.createPredictor();
+    let passPlanned = false;
+    let ready = false;
+
+    const writer = progressWriter.createProgressWriter({
+        store: options.store,
+        clock: time,
+        log,
+        guard: leadership.guard,
+        signal,
+        onDeposed: () => options.onDeposed("another leader's token stands in the store"),
+    });
+    const book = bookOfTasks.createBook({
+        clock: time,
+        log,
+        getQueue: name => options.catalog.getQueue(name),
+        listener: {
+            occurrenceChanged: writer.markOccurrence,
+            jobChanged: writer.markJob,
+            stopWanted: task => orders.stop(task),
+            changed: () => planPass(PASS_DELAY_MS),
+        },
+    });
+    const orders = ordersOfTerm.createOrders({
+        book,
+        clock: time,
+        log,
+        counters: options.counters,
+        signal,
+        getSession: worker => sessions.get(worker.id),
+        mayOrder: leadership.mayOrder,
+    });
+    const adviceDesk = advice.createAdviceDesk({
+        adviser: options.adviser,
+        clock: time,
+        log,
+        signal,
+        onTickets: () => planPass(PASS_DELAY_MS),
+    });
+
+    const getWorker = (id: string): entries.WorkerEntry => {
+        let worker = workers.get(id);
+        if (!worker) {
+            // Named by a stored row, but not in the directory (yet): nothing is known of it but its id.
+            worker = entries.createWorkerEntry(entries.createUnknownWorker(id));
+            worker.listed = false;
+            workers.set(id, worker);
+        }
+        return worker;
+    };
+    const openSession = (worker: entries.WorkerEntry) => {
+        const session = workerSession.createWorkerSession({
+            worker: { id: worker.id, address: worker.info.address },
+            port: options.workers,
+            clock: time,
+            log,
+            leadership,
+            maxLeaseMs: options.maxLeaseMs,
+            isBusy: () => worker.tasks.size > 0 || worker.strangers > 0,
+            getWaitMs: () => watch.getLookWaitMs(worker, LOOK_WAIT_MS),
+            onLists: async lists => {
+                for (const end of lists.ended) {
+                    learn(end);
+                }
+                reconcile.reconcile({ book, clock: time, log, stopStranger: orders.stopStranger }, worker, lists);
+                planPass(PASS_DELAY_MS);
+                await writer.flush();
+            },
+            onGone: how => {
+                book.loseTasksOf(worker, how);
+                if (how === "otherLife") {
+                    forgetWorker(worker);
+                }
+            },
+            onHeard: heard => {
+                const before = worker.heard;
+                worker.heard = heard;
+                if (heard && !before) {
+                    planPass(PASS_DELAY_MS);
+                }
+            },
+            onFenced: () => options.onDeposed(`worker ${worker.id} has seen a higher fencing token`),
+        });
+        sessions.set(worker.id, session);
+    };
+    const forgetWorker = (worker: entries.WorkerEntry) => {
+        sessions.get(worker.id)?.close();
+        sessions.delete(worker.id);
+        workers.delete(worker.id);
+    };
+    const learn = (end: port.TaskEnd) => {
+        const task = book.getTask(end.task);
+        if (end.how === "done" && task && task.run === end.run && task.saved === "" && task.runningSince > 0) {
+            predictor.learn(
+                task.step.occurrence.job.queue.name,
+                task.step.spec.estimateMs,
+                time.now() - task.runningSince,
+            );
+        }
+    };
+
+    const takeDirectory = (listed: readonly entries.WorkerInfo[]) => {
+        const present = new Set(listed.map(info => info.id));
+        for (const info of listed) {
+            const worker = getWorker(info.id);
+            worker.info = info;
+            worker.listed = true;
+            if (info.draining && worker.drainingSince === undefined) {
+                worker.drainingSince = time.now();
+                log.info("workerDraining", { worker: info.id, remainingMs: info.remainingMs });
+            }
+            if (!sessions.has(info.id)) {
+                openSession(worker);
+            }
+        }
+        for (const worker of [...workers.values()]) {
+            if (present.has(worker.id)) {
+                continue;
+            }
+            if (worker.listed) {
+                log.info("workerUnlisted", { worker: worker.id, tasks: worker.tasks.size });
+            }
+            worker.listed = false;
+            if (worker.tasks.size === 0) {
+                forgetWorker(worker);
+            }
+            else if (!sessions.has(worker.id)) {
+                // Not listed since before the takeover: it cannot be reached, only waited for.
+                watch.loseWhenLapsed(worker, { clock: time, leadership, maxLeaseMs: options.maxLeaseMs, book });
+            }
+        }
+        planPass(PASS_DELAY_MS);
+    };
+    const pollDirectory = async () => {
+        while (!signal.aborted) {
+            const result = await options.directory.read(DIRECTORY_TIMEOUT_MS);
+            if (signal.aborted) {
+                return;
+            }
+            if (result.kind === "workers") {
+                takeDirectory(result.workers);
+            }
+            else {
+                log.info("directoryUnavailable", { why: result.message });
+            }
+            await time.sleep(DIRECTORY_EVERY_MS, signal);
+        }
+    };
+
+    const expect: units.Expect = step => predictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
+
+    const isPlaceable = (worker: entries.WorkerEntry, now: number) =>
+        worker.listed && worker.heard && !worker.info.draining && worker.strangers === 0
+        && worker.setAsideUntil <= now && sessions.has(worker.id);
+
+    const runPass = () => {
+        passPlanned = false;
+        if (signal.aborted || !ready) {
+            return;
+        }
+        planPass(IDLE_PASS_MS);
+        if (!leadership.mayOrder()) {
+            return;
+        }
+        book.releaseDue();
+        const now = time.now();
+        const guaranteed = guarantees.findGuaranteed(book.active, options.catalog.getAccount);
+        const view: units.UnitsOptions = {
+            now,
+            wallNow: time.wallTime(),
+            expect,
+            isGuaranteed: job => guaranteed.has(job),
+        };
+        watch.stopWhatCannotGoOn([...workers.values()], { now, expect, book, log });
+        const waiting = units.collectUnits(book.active, view);
+        if (waiting.length === 0) {
+            return;
+        }
+        const placeable = [...workers.values()].filter(worker => isPlaceable(worker, now));
+        adviceDesk.ask(waiting, placeable);
+        const groups = units.collectGroups(book.active, view);
+        const plan = decisions.plan({
+            now,
+            workers: placeable.map(units.toPlaceable),
+            units: waiting.map(item => item.unit),
+            groups: [...groups.values()].map(item => item.group),
+        });
+        carryOut(plan, waiting, groups);
+    };
+    const carryOut = (
+        plan: decisions.Plan,
+        waiting: readonly units.UnitOfTasks[],
+        groups: ReadonlyMap<string, units.GroupOfTasks>,
+    ) => {
+        for (const stop of plan.stops) {
+            log.info("preempting", {
+                group: stop.group.key,
+                forUnit: stop.forUnit,
+                lossCoreSeconds: Math.round(stop.group.lossCoreSeconds),
+            });
+            groups.get(stop.group.key)?.tasks.forEach(task => book.requestStop(task, `preempted for ${stop.forUnit}`));
+        }
+        if (plan.starts.length === 0) {
+            return;
+        }
+        const tasksByUnit = new Map(waiting.map(item => [item.unit.key, item.tasks]));
+        const placed: entries.TaskEntry[] = [];
+        for (const start of plan.starts) {
+            const tasks = tasksByUnit.get(start.unit.key)!;
+            book.place(tasks, start.workerIds.map(id => workers.get(id)!));
+            placed.push(...tasks);
+            log.info("placed", {
+                unit: start.unit.key,
+                run: tasks[0]!.run,
+                workers: [...new Set(start.workerIds)],
+                waitedMs: Math.round(start.unit.waitedMs),
+                guaranteed: start.unit.guaranteed,
+            });
+        }
+        void writer.flush().then(() => orders.start(placed));
+    };
+    let nextPassAt = Infinity;
+    const planPass = (delayMs: number) => {
+        const at = time.now() + delayMs;
+        if (passPlanned && nextPassAt <= at) {
+            return;
+        }
+        passPlanned = true;
+        nextPassAt = at;
+        time.setTimer(delayMs, () => {
+            if (nextPassAt === at) {
+                nextPassAt = Infinity;
+                runPass();
+            }
+        });
+    };
+
+    const run = async () => {
+        const version = await takeover.takeOver({ store: options.store, clock: time, log, signal, book, getWorker });
+        if (version === undefined) {
+            return;
+        }
+        ready = true;
+        void pollDirectory();
+        planPass(0);
+        await followIntake.followIntake({
+            store: options.store,
+            clock: time,
+            log,
+            signal,
+            after: version,
+            onRows: changed => {
+                takeover.takeIntake(book, changed);
+                planPass(PASS_DELAY_MS);
+            },
+        });
+    };
+    signal.addEventListener("abort", () => {
+        for (const session of sessions.values()) {
+            session.close();
+        }
+    });
+    void run();
+
+    return {
+        getWaiting: () => {
+            const counts: Record<string, number> = {};
+            for (const job of book.active) {
+                if (job.state === "queued") {
+                    counts[job.queue.name] = (counts[job.queue.name] ?? 0) + 1;
+                }
+            }
+            return counts;
+        },
+        getState: jobId => book.jobs.get(jobId)?.state,
+    };
+}
--- /dev/null
+++ b/src/leader/units.ts
@@ -0,0 +1,224 @@
+/** The book as the placement decisions see it. */
+import * as decisions from "../decisions/index";
+import * as work from "../work/index";
+import * as entries from "./entries";
+
+/** A waiting unit, its urgency, and the tasks that it stands for. */
+export interface UnitOfTasks {
+    readonly unit: decisions.WaitingUnit;
+    readonly urgency: decisions.Urgency;
+    readonly tasks: readonly entries.TaskEntry[];
+}
+
+export interface GroupOfTasks {
+    readonly group: decisions.RunningGroup;
+    readonly tasks: readonly entries.TaskEntry[];
+}
+
+/** How long a task of the step is expected to take, from what was learned of the queue. */
+export type Expect = (step: entries.StepEntry) => number;
+
+export interface UnitsOptions {
+    readonly now: number;
+    readonly wallNow: number;
+    readonly expect: Expect;
+    /** Whether the job's needs lie within what its account is guaranteed. */
+    isGuaranteed(job: entries.JobEntry): boolean;
+}
+
+export function collectUnits(
+    active: Iterable<entries.JobEntry>,
+    options: UnitsOptions,
+): UnitOfTasks[] {
+    const units: UnitOfTasks[] = [];
+    for (const job of active) {
+        for (const occurrence of job.occurrences.values()) {
+            if (occurrence.over) {
+                continue;
+            }
+            for (const step of occurrence.steps) {
+                if (step.readySince !== undefined && !entries.isStepDone(step)) {
+                    units.push(...collectOfStep(step, options));
+                }
+            }
+        }
+    }
+    return units.sort((a, b) => decisions.compareUrgency(a.urgency, b.urgency));
+}
+
+function collectOfStep(step: entries.StepEntry, options: UnitsOptions): UnitOfTasks[] {
+    const startable = step.tasks.filter(task => task.phase === "waiting" && !task.worker);
+    if (startable.length === 0 || (step.spec.gang && startable.length < step.tasks.length)) {
+        return [];
+    }
+    const urgency = getUrgency(step, options);
+    const groups = step.spec.gang ? [startable] : startable.map(task => [task]);
+    return groups.map(tasks => ({ unit: createUnit(step, tasks, urgency, options), urgency, tasks }));
+}
+
+function createUnit(
+    step: entries.StepEntry,
+    tasks: readonly entries.TaskEntry[],
+    urgency: decisions.Urgency,
+    options: UnitsOptions,
+): decisions.WaitingUnit {
+    const { spec } = step;
+    const first = tasks[0]!;
+    const { job } = step.occurrence;
+    const waitedMs = options.now - Math.max(step.readySince ?? options.now, first.waitingSince);
+    return {
+        key: first.name,
+        family: first.failures > 0 ? first.name : `${job.submission.jobId}.${step.occurrence.number}.${step.number}`,
+        service: job.queue.service,
+        needs: step.needs,
+        count: tasks.length,
+        gang: spec.gang,
+        sameRack: spec.gang && spec.sameRack,
+        requiredLabel: spec.requiredLabel,
+        dataRack: spec.dataRack,
+        maxPerWorker: spec.maxPerWorker,
+        stepTasksByWorker: spec.maxPerWorker > 0 ? countByWorker(step) : undefined,
+        priority: job.queue.priority,
+        guaranteed: urgency.guaranteed,
+        avoided: unionFailedOn(tasks),
+        allowed: job.queue.advice ? getTicketed(step, options.now) : undefined,
+        waitedMs,
+        expectedMs: options.expect(step),
+    };
+}
+
+function unionFailedOn(tasks: readonly entries.TaskEntry[]): ReadonlySet<string> {
+    if (tasks.length === 1) {
+        return tasks[0]!.failedOn;
+    }
+    const all = new Set<string>();
+    for (const task of tasks) {
+        for (const workerId of task.failedOn) {
+            all.add(workerId);
+        }
+    }
+    return all;
+}
+
+function countByWorker(step: entries.StepEntry): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const task of step.tasks) {
+        if (task.worker) {
+            counts.set(task.worker.id, (counts.get(task.worker.id) ?? 0) + 1);
+        }
+    }
+    return counts;
+}
+
+function getTicketed(step: entries.StepEntry, now: number): ReadonlySet<string> {
+    const valid = new Set<string>();
+    for (const [workerId, ticket] of step.tickets) {
+        if (ticket.until > now) {
+            valid.add(workerId);
+        }
+    }
+    return valid;
+}
+
+function getUrgency(step: entries.StepEntry, options: UnitsOptions): decisions.Urgency {
+    const { occurrence } = step;
+    const { job } = occurrence;
+    const since = occurrence.dueAt ?? job.submission.acceptedAt;
+    return {
+        priority: job.queue.priority,
+        guaranteed: options.isGuaranteed(job),
+        ageMs: options.wallNow - since,
+        objectiveMs: job.queue.stretch * getChainMs(occurrence, options.expect) + job.queue.objectiveMs,
+        remainingMs: getChainFromMs(step, options.expect),
+    };
+}
+
+/** The longest chain of work of an occurrence. */
+export function getChainMs(occurrence: entries.OccurrenceEntry, expect: Expect): number {
+    return occurrence.steps
+        .filter(step => step.spec.after.length === 0)
+        .reduce((longest, step) => Math.max(longest, getChainFromMs(step, expect)), 0);
+}
+
+/** The longest chain of work from a step's start to the end of the occurrence. */
+function getChainFromMs(step: entries.StepEntry, expect: Expect): number {
+    const longestAfter = step.occurrence.steps
+        .filter(next => next.spec.after.includes(step.number) && next.number > step.number)
+        .reduce((longest, next) => Math.max(longest, getChainFromMs(next, expect)), 0);
+    return expect(step) + longestAfter;
+}
+
+/** What runs, as groups that are stopped together. */
+export function collectGroups(
+    active: Iterable<entries.JobEntry>,
+    options: UnitsOptions,
+): Map<string, GroupOfTasks> {
+    const groups = new Map<string, GroupOfTasks>();
+    const add = (tasks: readonly entries.TaskEntry[]) => {
+        const key = tasks[0]!.name;
+        groups.set(key, { group: createGroup(key, tasks, options), tasks });
+    };
+    for (const job of active) {
+        for (const occurrence of job.occurrences.values()) {
+            for (const step of occurrence.steps) {
+                const placed = step.tasks.filter(isHolding);
+                if (placed.length === 0) {
+                    continue;
+                }
+                if (step.spec.gang) {
+                    add(placed);
+                    continue;
+                }
+                placed.forEach(task => add([task]));
+            }
+        }
+    }
+    return groups;
+}
+
+function isHolding(task: entries.TaskEntry): boolean {
+    return task.worker !== undefined
+        && (task.phase === "recording" || task.phase === "ordered" || task.phase === "running");
+}
+
+function createGroup(
+    key: string,
+    tasks: readonly entries.TaskEntry[],
+    options: UnitsOptions,
+): decisions.RunningGroup {
+    const { step } = tasks[0]!;
+    const { job } = step.occurrence;
+    const since = Math.min(...tasks.map(task => task.phase === "running" ? task.runningSince : options.now));
+    const elapsedMs = options.now - since;
+    const unsavedMs = step.spec.checkpoints ? Math.min(elapsedMs, SAVE_EVERY_MS) : elapsedMs;
+    return {
+        key,
+        priority: job.queue.priority,
+        guaranteed: options.isGuaranteed(job),
+        stoppable: !step.spec.lasting,
+        members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
+        lossCoreSeconds: tasks.length * decisions.getCoreEquivalents(step.spec.needs) * unsavedMs / 1_000,
+        expectedEndAt: since + options.expect(step),
+    };
+}
+
+/** A stop saves first, so a task that saves loses little; this is what its restoring costs, in work. */
+const SAVE_EVERY_MS = 600;
+
+export function toPlaceable(worker: entries.WorkerEntry): decisions.PlaceableWorker {
+    const freeing = decisions.copyRoom(work.EMPTY_ROOM);
+    for (const task of worker.tasks) {
+        if (task.phase === "stopping" || task.phase === "done") {
+            decisions.addRoom(freeing, task.step.needs);
+        }
+    }
+    return {
+        id: worker.id,
+        service: worker.info.service,
+        rack: worker.info.rack,
+        labels: worker.info.labels,
+        capacity: worker.info.capacity,
+        used: worker.used,
+        freeing,
+    };
+}
--- /dev/null
+++ b/src/leader/workerSession.ts
@@ -0,0 +1,262 @@
+/**
+ * The leader's conversation with one worker: looks that prolong leases and bring ends, and the orders.
+ *
+ * One loop looks as long as anything runs there or an end is not yet forgotten; a look waits at the worker for the
+ * next end, so an idle worker costs nothing and an end is known at once.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as lease from "./lease";
+import * as port from "./workerPort";
+
+export interface WorkerLists {
+    /** Monotonic time at which the look was sent: what was confirmed later may be missing from it. */
+    readonly sentAt: number;
+    readonly running: readonly port.RunningTask[];
+    /** Ends not seen before. */
+    readonly ended: readonly port.TaskEnd[];
+    /** Whether the list of ends was complete. */
+    readonly complete: boolean;
+}
+
+export interface WorkerSessionOptions {
+    readonly worker: port.WorkerAddress;
+    readonly port: port.WorkerPort;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly leadership: lease.Leadership;
+    /** Longest lease that the worker grants. */
+    readonly maxLeaseMs: number;
+    /** Whether tasks are there, or may be. */
+    isBusy(): boolean;
+    /** How long a look may wait at the worker. */
+    getWaitMs(): number;
+    /** Takes note of a look; resolves when what it said is stored. */
+    onLists(lists: WorkerLists): Promise<void>;
+    /** The worker's life is over: it answered as another, or all that it could run has lapsed. */
+    onGone(how: "otherLife" | "lapsed"): void;
+    onHeard(heard: boolean): void;
+    onFenced(): void;
+}
+
+export interface WorkerSession {
+    start(order: Omit<port.StartOrder, "fencingToken" | "deadline">): Promise<port.OrderAnswer>;
+    stop(order: Omit<port.RunOrder, "fencingToken">): Promise<port.OrderAnswer>;
+    pace(order: Omit<port.PaceOrder, "fencingToken">): Promise<port.OrderAnswer>;
+    /** Has the loop look without waiting for the answer to the look under way. */
+    lookNow(): void;
+    close(): void;
+}
+
+/** Beyond the wait of a look: the way there and back is 1 ms, a loaded worker answers within some 100 ms. */
+const LOOK_SLACK_MS = 600;
+/** An order is answered within milliseconds; one without an answer is settled, and gangs wait for it. */
+const ORDER_TIMEOUT_MS = 600;
+const RETRY_PAUSE_MS = 150;
+/** The worker's clock may be 2% slow, so a lease may last that much longer on ours; the rest is the way there. */
+const LEASE_STRETCH = 1.03;
+const LEASE_SLACK_MS = 300;
+/** An idle worker's last ends are acknowledged this much later, unless a new task brings a look before. */
+const LAST_LOOK_DELAY_MS = 400;
+
+export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
+    const { worker, clock: time, leadership } = options;
+    const controller = new AbortController();
+    const { signal } = controller;
+    let clockOffset: number | undefined;
+    /** Our time by which everything there has lapsed unless it is prolonged. */
+    let lapsedAt = Math.max(leadership.othersSilentAt, time.now()) + options.maxLeaseMs * LEASE_STRETCH
+        + LEASE_SLACK_MS;
+    let lastEnd = 0;
+    let recordedUpTo = 0;
+    let acknowledgedUpTo = 0;
+    let mustLook = true;
+    let lookNowWanted = false;
+    let heard = false;
+    let fenced = false;
+    let gone = false;
+    let wake: (() => void) | undefined;
+
+    const learnClock = (workerClock: number | undefined, sentAt: number) => {
+        if (workerClock !== undefined && workerClock > 0) {
+            clockOffset = workerClock - (sentAt + time.now()) / 2;
+        }
+    };
+    const getDeadline = () => {
+        if (clockOffset === undefined) {
+            return undefined;
+        }
+        const now = time.now();
+        lapsedAt = Math.max(lapsedAt, now + options.maxLeaseMs * LEASE_STRETCH + LEASE_SLACK_MS);
+        return Math.round(now + clockOffset + options.maxLeaseMs);
+    };
+    const setHeard = (next: boolean) => {
+        if (heard !== next) {
+            heard = next;
+            options.log.info(next ? "workerHeard" : "workerSilent", { worker: worker.id });
+        }
+        options.onHeard(next);
+    };
+    const endLife = (how: "otherLife" | "lapsed") => {
+        if (!gone || how === "lapsed") {
+            gone = how === "otherLife";
+            options.onGone(how);
+        }
+    };
+    /** What each answer says beyond its own order. */
+    const takeNote = (answer: port.OrderAnswer | port.LookAnswer, sentAt: number) => {
+        switch (answer.kind) {
+            case "accepted":
+            case "lists":
+                learnClock(answer.workerClock, sentAt);
+                break;
+            case "refused":
+                learnClock(answer.workerClock, sentAt);
+                if (answer.reason === "fence") {
+                    options.onFenced();
+                }
+                break;
+            case "otherLife":
+                endLife("otherLife");
+                break;
+            case "unwell":
+            case "unreachable":
+            case "unknown":
+                break;
+        }
+    };
+    const look = async (waitMs: number): Promise<boolean> => {
+        const sentAt = time.now();
+        const acknowledged = recordedUpTo;
+        const answer = await options.port.look(worker, {
+            fencingToken: leadership.token,
+            recordedUpTo: acknowledged,
+            deadline: getDeadline(),
+            waitMs,
+        }, waitMs + LOOK_SLACK_MS);
+        if (signal.aborted) {
+            return false;
+        }
+        takeNote(answer, sentAt);
+        if (answer.kind !== "lists") {
+            if (answer.kind !== "otherLife") {
+                options.log.info("lookFailed", { worker: worker.id, answer: answer.kind });
+            }
+            return false;
+        }
+        if (!fenced) {
+            // From here on the worker obeys no earlier leader, so only our own grants count.
+            fenced = true;
+            lapsedAt = time.now() + options.maxLeaseMs * LEASE_STRETCH + LEASE_SLACK_MS;
+        }
+        mustLook = false;
+        acknowledgedUpTo = Math.max(acknowledgedUpTo, acknowledged);
+        const fresh = answer.ended.filter(end => end.number > lastEnd);
+        lastEnd = fresh.reduce((max, end) => Math.max(max, end.number), lastEnd);
+        const upTo = lastEnd;
+        setHeard(true);
+        void options.onLists({
+            sentAt,
+            running: answer.running,
+            ended: fresh,
+            complete: answer.ended.length < port.MAX_ENDS_LISTED,
+        }).then(() => {
+            recordedUpTo = Math.max(recordedUpTo, upTo);
+            wake?.();
+        });
+        return true;
+    };
+    const pause = (ms: number) =>
+        new Promise<void>(resolve => {
+            const cancel = time.setTimer(ms, () => finish());
+            const finish = () => {
+                cancel();
+                wake = undefined;
+                resolve();
+            };
+            wake = finish;
+        });
+    const loop = async () => {
+        let idleSince: number | undefined;
+        while (!signal.aborted && !gone) {
+            const busy = options.isBusy();
+            const unacknowledged = lastEnd > acknowledgedUpTo && recordedUpTo > acknowledgedUpTo;
+            if (busy) {
+                idleSince = undefined;
+            }
+            else {
+                idleSince ??= time.now();
+            }
+            const lastLookDue = unacknowledged && idleSince !== undefined
+                && time.now() - idleSince >= LAST_LOOK_DELAY_MS;
+            if (!busy && !mustLook && !lastLookDue) {
+                await pause(unacknowledged ? LAST_LOOK_DELAY_MS : IDLE_PAUSE_MS);
+                continue;
+            }
+            if (!leadership.mayProlong()) {
+                await pause(RETRY_PAUSE_MS);
+                continue;
+            }
+            const waitMs = busy && !mustLook && clockOffset !== undefined ? options.getWaitMs() : 0;
+            if (!await look(waitMs)) {
+                if (signal.aborted || gone) {
+                    return;
+                }
+                setHeard(false);
+                mustLook = true;
+                if (options.isBusy() && time.now() > lapsedAt) {
+                    endLife("lapsed");
+                }
+                await pause(RETRY_PAUSE_MS);
+            }
+        }
+    };
+    const runLookNow = async () => {
+        if (lookNowWanted) {
+            return;
+        }
+        lookNowWanted = true;
+        await Promise.resolve();
+        lookNowWanted = false;
+        if (!signal.aborted && leadership.mayProlong()) {
+            await look(0);
+        }
+    };
+    const order = async <T extends port.OrderAnswer>(send: () => Promise<T>): Promise<port.OrderAnswer> => {
+        if (!leadership.mayOrder()) {
+            return { kind: "unreachable", message: "the lease is not certain" };
+        }
+        const sentAt = time.now();
+        const answer = await send();
+        if (!signal.aborted) {
+            takeNote(answer, sentAt);
+        }
+        return answer;
+    };
+    void loop();
+
+    return {
+        start: async request => {
+            const deadline = getDeadline();
+            if (deadline === undefined) {
+                return { kind: "unreachable", message: "the worker's clock is not known yet" };
+            }
+            wake?.();
+            return order(() =>
+                options.port.start(worker, { ...request, fencingToken: leadership.token, deadline }, ORDER_TIMEOUT_MS)
+            );
+        },
+        stop: request =>
+            order(() => options.port.stop(worker, { ...request, fencingToken: leadership.token }, ORDER_TIMEOUT_MS)),
+        pace: request =>
+            order(() => options.port.pace(worker, { ...request, fencingToken: leadership.token }, ORDER_TIMEOUT_MS)),
+        lookNow: () => void runLookNow(),
+        close: () => {
+            controller.abort();
+            wake?.();
+        },
+    };
+}
+
+/** The loop of an idle worker is woken by its next order; this only bounds a missed call. */
+const IDLE_PAUSE_MS = 5_000;
--- a/src/membership/membershipView.ts
+++ b/src/membership/membershipView.ts
@@ -5,9 +5,9 @@
  * dead sooner than the list says, and one that is heard is alive though not listed yet. Nothing here decides safety: two
  * instances with different views may both believe to own a rack, and the workers' fencing tokens let only one act.
  */
+import type * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../backing/index";
 
 export interface Peer {
     readonly id: string;
--- a/src/queue/attempt.ts
+++ b/src/queue/attempt.ts
@@ -4,11 +4,11 @@
  * All members of a gang are prepared before any is started, and when one does not start, all are stopped. A task whose
  * answer was lost is stopped with a tombstone: the worker then says whether it ever started.
  */
+import * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
-import * as platform from "../backing/index";
 import * as workers from "../workers/index";
 import type * as queueEntry from "./entry";
 import * as scheduler from "./scheduler";
--- a/src/queue/recorder.ts
+++ b/src/queue/recorder.ts
@@ -1,8 +1,8 @@
 /** Writes what became of jobs, however long the table service is away, and answers those who wait for it. */
+import * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
-import * as platform from "../backing/index";
 import type * as queueEntry from "./entry";
 
 export interface Recorder {
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -3,13 +3,13 @@
  * and follows the reports of the zone's racks.
  */
 import * as async from "../async/index";
+import * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import type * as configuration from "../configuration/index";
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
 import * as placement from "../placement/index";
-import * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as workers from "../workers/index";
 import * as attemptModule from "./attempt";
--- /dev/null
+++ b/src/rows/followTable.ts
@@ -0,0 +1,83 @@
+/**
+ * Follows one table: reads it whole, then its changes, and reads it anew after a gap in the history.
+ *
+ * What goes wrong without the short wait: a connection to the store can fall silent without a reset, and a poll of
+ * half a minute on it hears of no change for that long; callers' keys that were taken away go on working. Each poll
+ * ends after about a second, so that a silent connection is given up a moment later.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as rows from "./index";
+import * as readAll from "./readAll";
+
+export interface TableFollowerOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly table: string;
+    readonly part: string;
+    readonly signal: AbortSignal;
+    /** All rows of the table, after the first read and after each gap. */
+    onSnapshot(all: readonly rows.Row[]): void;
+    onChanges(changes: readonly rows.RowChange[]): void;
+    /** Called after each answer of the store, also when nothing changed. */
+    onContact(): void;
+    /** Called when a call got no answer or was turned away. */
+    onLoss(message: string): void;
+}
+
+export interface TableFollower {
+    /** Resolves when the follower has stopped. */
+    readonly done: Promise<void>;
+}
+
+/** How long one poll waits for a change: the time until a silent connection is noticed is this and the slack. */
+const POLL_WAIT_MS = 1_000;
+/** Beyond the wait: an answer normally takes 5 ms; a store that is 60 times slower takes 300 ms. */
+const POLL_SLACK_MS = 600;
+const READ_TIMEOUT_MS = 1_200;
+/** Pause after a failed call: long enough not to overrun a store that returns, short beside a second. */
+const RETRY_PAUSE_MS = 150;
+
+export function followTable(options: TableFollowerOptions): TableFollower {
+    return { done: follow(options) };
+}
+
+async function follow(options: TableFollowerOptions): Promise<void> {
+    const { store, signal } = options;
+    let after: number | undefined;
+    const lose = async (message: string) => {
+        options.onLoss(message);
+        await options.clock.sleep(RETRY_PAUSE_MS, signal);
+    };
+    while (!signal.aborted) {
+        if (after === undefined) {
+            const all = await readAll.readAll(store, { table: options.table, part: options.part }, READ_TIMEOUT_MS);
+            if (all.kind !== "read") {
+                await lose(all.message);
+                continue;
+            }
+            after = all.version;
+            options.onContact();
+            options.onSnapshot(all.rows);
+            continue;
+        }
+        const changes = await store.feed(options.table, after, POLL_WAIT_MS, POLL_WAIT_MS + POLL_SLACK_MS);
+        switch (changes.kind) {
+            case "changes":
+                after = Math.max(after, changes.version);
+                options.onContact();
+                if (changes.rows.length > 0) {
+                    options.onChanges(changes.rows);
+                }
+                break;
+            case "gap":
+                options.log.info("historyGap", { table: options.table, after });
+                after = undefined;
+                break;
+            case "unavailable":
+                await lose(changes.message);
+                break;
+        }
+    }
+}
--- a/src/scenario/runScenario.ts
+++ b/src/scenario/runScenario.ts
@@ -1,11 +1,11 @@
 /** Runs one scenario: the real queue owner, scheduler, attempts and job store, on a manual clock over fakes. */
 import * as async from "../async/index";
+import * as platform from "../backing/index";
 import * as clock from "../clock/index";
 import * as configuration from "../configuration/index";
 import * as jobs from "../jobs/index";
 import * as observe from "../observe/index";
 import * as placement from "../placement/index";
-import * as platform from "../backing/index";
 import * as queue from "../queue/index";
 import * as random from "../random/index";
 import * as fakeRacks from "./fakeRacks";
--- /dev/null
+++ b/src/work/index.ts
@@ -0,0 +1,29 @@
+/** Jobs, steps, occurrences and tasks: what is handed in, and how far it has come, as both are stored. */
+export {
+    decodeOccurrence,
+    encodeOccurrence,
+    type JobProgress,
+    type JobState,
+    type OccurrenceProgress,
+    type TaskProgress,
+} from "./progress";
+export {
+    EMPTY_ROOM,
+    getCountedNeeds,
+    getDueAt,
+    getOccurrenceCount,
+    type JobSpec,
+    type Room,
+    type StepSpec,
+    type Submission,
+} from "./spec";
+export {
+    getCancelKey,
+    getCancelledJobId,
+    getOccurrenceKey,
+    getTaskName,
+    INTAKE_PART,
+    LEADER_PART,
+    parseOccurrenceKey,
+    Table,
+} from "./tables";
--- a/src/workers/rackOwner.ts
+++ b/src/workers/rackOwner.ts
@@ -3,11 +3,11 @@
  * commands, and reports what runs.
  */
 import * as async from "../async/index";
+import type * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import type * as configuration from "../configuration/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
-import type * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as answerCheck from "./answerCheck";
 import * as healthModule from "./health";
--- a/src/workers/workerSession.ts
+++ b/src/workers/workerSession.ts
@@ -1,7 +1,7 @@
 /** The connection to one worker: a loop that holds the control lease, renews task leases and learns what runs. */
+import type * as platform from "../backing/index";
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
-import type * as platform from "../backing/index";
 import * as result from "../result/index";
 import * as taskNote from "./taskNote";
 import type * as port from "./workerPort";
--- a/standins/platform/__tests__/contract.test.ts
+++ b/standins/platform/__tests__/contract.test.ts
@@ -1,6 +1,6 @@
 /** The contract of the platform's services, run against the embedded stand-in and against its HTTP form through the client. */
-import * as clock from "../../../src/clock/index";
 import * as platform from "../../../src/backing/index";
+import * as clock from "../../../src/clock/index";
 import * as random from "../../../src/random/index";
 import * as standin from "../index";
 
--- a/standins/platform/embeddedPlatform.ts
+++ b/standins/platform/embeddedPlatform.ts
@@ -1,6 +1,6 @@
 /** The stand-in platform as an object in the same process, with faults; the server and the tests share it. */
-import type * as clock from "../../src/clock/index";
 import type * as platform from "../../src/backing/index";
+import type * as clock from "../../src/clock/index";
 import type * as random from "../../src/random/index";
 import * as faults from "./faults";
 import * as membershipStore from "./membershipStore";
--- a/standins/platform/membershipStore.ts
+++ b/standins/platform/membershipStore.ts
@@ -1,6 +1,6 @@
 /** A membership list that lags: readers see the state of `lagMs` ago; entries that are not repeated expire. */
-import type * as clock from "../../src/clock/index";
 import type * as platform from "../../src/backing/index";
+import type * as clock from "../../src/clock/index";
 
 export interface Announcement {
     readonly kind: "instance" | "worker";
