--- /dev/null
+++ b/src/decisions/__tests__/fixtures.ts
@@ -0,0 +1,54 @@
+import type * as types from "../types";
+
+/** A worker with 8 accelerators, 32 cores and 64 GB, all free. */
+export function createWorker(id: string, fields: Partial<types.PlaceableWorker> = {}): types.PlaceableWorker {
+    return {
+        id,
+        service: "booking",
+        rack: "r1",
+        labels: ["a", "r1"],
+        capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 },
+        used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        freeing: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        ...fields,
+    };
+}
+
+/** A single task with one accelerator. */
+export function createUnit(key: string, fields: Partial<types.WaitingUnit> = {}): types.WaitingUnit {
+    return {
+        key,
+        family: key,
+        step: key,
+        service: "booking",
+        needs: { cpuMillis: 1_000, memoryMb: 1_024, accelerators: 1 },
+        count: 1,
+        gang: false,
+        sameRack: false,
+        maxPerWorker: 0,
+        priority: 1,
+        guaranteed: false,
+        avoided: new Set(),
+        waitedMs: 0,
+        expectedMs: 5_000,
+        ...fields,
+    };
+}
+
+/** One running task with one accelerator on `workerId`. */
+export function createGroup(
+    key: string,
+    workerId: string,
+    fields: Partial<types.RunningGroup> = {},
+): types.RunningGroup {
+    return {
+        key,
+        priority: 2,
+        guaranteed: false,
+        stoppable: true,
+        members: [{ workerId, needs: { cpuMillis: 1_000, memoryMb: 1_024, accelerators: 1 } }],
+        lossCoreSeconds: 10,
+        expectedEndAt: 5_000,
+        ...fields,
+    };
+}
--- /dev/null
+++ b/src/decisions/__tests__/plan.test.ts
@@ -0,0 +1,119 @@
+import * as planner from "../plan";
+import type * as types from "../types";
+import * as fixtures from "./fixtures";
+
+const FULL = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 };
+const WHOLE_WORKER = { cpuMillis: 4_000, memoryMb: 8_192, accelerators: 8 };
+
+interface Case {
+    readonly name: string;
+    readonly workers: readonly types.PlaceableWorker[];
+    readonly units: readonly types.WaitingUnit[];
+    readonly groups?: readonly types.RunningGroup[];
+    /** Workers by unit that starts. */
+    readonly starts: Readonly<Record<string, readonly string[]>>;
+    readonly stops?: readonly string[];
+}
+
+const cases: readonly Case[] = [
+    {
+        name: "a single task goes to the fullest worker that fits",
+        workers: [
+            fixtures.createWorker("empty"),
+            fixtures.createWorker("half", { used: { ...FULL, accelerators: 4, cpuMillis: 0, memoryMb: 0 } }),
+        ],
+        units: [fixtures.createUnit("t")],
+        starts: { t: ["half"] },
+    },
+    {
+        // Symptom: more tasks of a step run on one worker than it allows. Sequence: several of them start in one
+        // pass. Cause: the pass counted only the tasks that were there before it.
+        name: "the bound of a step's tasks on a worker counts what the same pass places",
+        workers: [fixtures.createWorker("w1"), fixtures.createWorker("w2")],
+        units: ["a", "b", "c"].map(key => fixtures.createUnit(key, { step: "s", family: "s", maxPerWorker: 1 })),
+        starts: { a: ["w1"], b: ["w2"] },
+    },
+    {
+        name: "the bound counts tasks that run already",
+        workers: [fixtures.createWorker("w1"), fixtures.createWorker("w2")],
+        units: [fixtures.createUnit("a", { maxPerWorker: 1, stepTasksByWorker: new Map([["w1", 1]]) })],
+        starts: { a: ["w2"] },
+    },
+    {
+        name: "a gang starts whole or not at all",
+        workers: [fixtures.createWorker("w1"), fixtures.createWorker("w2")],
+        units: [fixtures.createUnit("g", { gang: true, count: 3, needs: WHOLE_WORKER })],
+        starts: {},
+    },
+    {
+        name: "a same-rack gang does not spread while its rack could take it later",
+        workers: [
+            fixtures.createWorker("r1w1"),
+            fixtures.createWorker("r1w2", { used: FULL }),
+            fixtures.createWorker("r2w1", { rack: "r2" }),
+        ],
+        units: [fixtures.createUnit("g", { gang: true, sameRack: true, count: 2, needs: WHOLE_WORKER })],
+        starts: {},
+    },
+    {
+        name: "a same-rack gang that no rack can ever hold spreads",
+        workers: [fixtures.createWorker("r1w1"), fixtures.createWorker("r2w1", { rack: "r2" })],
+        units: [fixtures.createUnit("g", { gang: true, sameRack: true, count: 2, needs: WHOLE_WORKER })],
+        starts: { g: ["r1w1", "r2w1"] },
+    },
+    {
+        name: "urgent work stops the least work that makes room",
+        workers: [fixtures.createWorker("w1", { used: FULL }), fixtures.createWorker("w2", { used: FULL })],
+        units: [fixtures.createUnit("u", { priority: 0 })],
+        groups: [
+            fixtures.createGroup("costly", "w1", { lossCoreSeconds: 90 }),
+            fixtures.createGroup("cheap", "w2", { lossCoreSeconds: 3 }),
+        ],
+        starts: {},
+        stops: ["cheap"],
+    },
+    {
+        name: "room that is being freed is waited for, and nothing more is stopped",
+        workers: [fixtures.createWorker("w1", {
+            used: FULL,
+            freeing: { cpuMillis: 1_000, memoryMb: 1_024, accelerators: 1 },
+        })],
+        units: [fixtures.createUnit("u", { priority: 0 }), fixtures.createUnit("later", { priority: 2 })],
+        groups: [fixtures.createGroup("g", "w1")],
+        starts: {},
+    },
+    {
+        name: "work within a guarantee is stopped for nobody, work of lower priority stops nothing",
+        workers: [fixtures.createWorker("w1", { used: FULL })],
+        units: [
+            fixtures.createUnit("u", { priority: 0, guaranteed: true }),
+            fixtures.createUnit("v", { priority: 1 }),
+        ],
+        groups: [fixtures.createGroup("g", "w1", { priority: 0, guaranteed: true })],
+        starts: {},
+    },
+    {
+        name: "only workers with the label, the service and a ticket, and without an earlier failure",
+        workers: [
+            fixtures.createWorker("otherService", { service: "other" }),
+            fixtures.createWorker("noLabel", { labels: ["b", "r1"] }),
+            fixtures.createWorker("failed"),
+            fixtures.createWorker("noTicket"),
+            fixtures.createWorker("good"),
+        ],
+        units: [fixtures.createUnit("t", {
+            requiredLabel: "a",
+            avoided: new Set(["failed"]),
+            allowed: new Set(["good", "failed", "noLabel", "otherService"]),
+        })],
+        starts: { t: ["good"] },
+    },
+];
+
+describe("plan", () => {
+    test.each(cases)("$name", ({ workers, units, groups = [], starts, stops = [] }) => {
+        const plan = planner.plan({ now: 0, workers, units, groups });
+        expect(Object.fromEntries(plan.starts.map(start => [start.unit.key, start.workerIds]))).toEqual(starts);
+        expect(plan.stops.map(stop => stop.group.key)).toEqual(stops);
+    });
+});
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -54,13 +54,16 @@
     };
 
     const hopeless = new Set<string>();
-    for (const unit of input.units) {
-        if (hopeless.has(unit.family)) {
+    const stepTasks = createStepTasks();
+    for (const waiting of input.units) {
+        if (hopeless.has(waiting.family)) {
             continue;
         }
+        const unit = stepTasks.withPlaced(waiting);
         const now = place.place(unit, input.workers, freeOf);
         if (now) {
             starts.push({ unit, workerIds: now });
+            stepTasks.add(unit, now);
             for (const workerId of now) {
                 rooms.takeRoom(free.get(workerId)!, unit.needs);
                 rooms.takeRoom(soon.get(workerId)!, unit.needs);
@@ -70,6 +73,7 @@
         const later = place.place(unit, input.workers, soonOf);
         if (later) {
             reserve(unit, later);
+            stepTasks.add(unit, later);
             continue;
         }
         if (unit.priority !== 0 || !tryPreempt(unit)) {
@@ -78,3 +82,27 @@
     }
     return { starts, stops };
 }
+
+/** Tasks of each bounded step by worker, with those that this pass has placed or reserved room for. */
+function createStepTasks() {
+    const byStep = new Map<string, Map<string, number>>();
+    return {
+        withPlaced: (unit: types.WaitingUnit): types.WaitingUnit => {
+            if (unit.maxPerWorker === 0) {
+                return unit;
+            }
+            let counts = byStep.get(unit.step);
+            if (!counts) {
+                counts = new Map(unit.stepTasksByWorker);
+                byStep.set(unit.step, counts);
+            }
+            return { ...unit, stepTasksByWorker: counts };
+        },
+        add: (unit: types.WaitingUnit, workerIds: readonly string[]) => {
+            const counts = byStep.get(unit.step);
+            for (const workerId of counts ? workerIds : []) {
+                counts!.set(workerId, (counts!.get(workerId) ?? 0) + 1);
+            }
+        },
+    };
+}
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -19,6 +19,8 @@
     readonly key: string;
     /** Units of one family are alike: when one has found no place, the others of the pass need not be tried. */
     readonly family: string;
+    /** The step, within one occurrence, whose tasks `maxPerWorker` bounds. */
+    readonly step: string;
     readonly service: string;
     /** Needs of one member. */
     readonly needs: work.Room;
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -66,9 +66,11 @@
     const first = tasks[0]!;
     const { job } = step.occurrence;
     const waitedMs = options.now - Math.max(step.readySince ?? options.now, first.waitingSince);
+    const stepName = `${job.submission.jobId}.${step.occurrence.number}.${step.number}`;
     return {
         key: first.name,
-        family: first.failures > 0 ? first.name : `${job.submission.jobId}.${step.occurrence.number}.${step.number}`,
+        family: first.failures > 0 ? first.name : stepName,
+        step: stepName,
         service: job.queue.service,
         needs: step.needs,
         count: tasks.length,
