Emulated store and workers, whole-scheduler failure tests, and dead workers' work comes free

Cause: a look that gets no answer still prolonged the leases on our side of the account, so work on a dead worker never counted as lapsed; found by the new test 'a worker dies and another life takes its place', which failed first. Ruled out: the directory (the worker was unlisted at once). Before: tasks of a dead worker stay 'running' for good. After: they lapse one lease after its last answer.

--- /dev/null
+++ b/src/emulator/index.ts
@@ -0,0 +1,10 @@
+/** Store and workers in memory, with faults: for tests of the whole scheduler and for experiments on a manual clock. */
+export { createSite, type EmulatedJob, getInstanceName, type Site, type SiteOptions } from "./site";
+export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
+export {
+    createEmulatedWorkers,
+    type EmulatedWorkers,
+    type OrderFault,
+    type TaskModel,
+    type WorkerFaults,
+} from "./workers";
--- /dev/null
+++ b/src/emulator/site.ts
@@ -0,0 +1,162 @@
+/** A site in memory: instances of the real scheduler over an emulated store and workers, on a manual clock. */
+import type * as catalogs from "../catalog/index";
+import type * as clock from "../clock/index";
+import type * as intakes from "../intake/index";
+import type * as leader from "../leader/index";
+import type * as observe from "../observe/index";
+import * as schedulers from "../scheduler/index";
+import type * as work from "../work/index";
+import * as stores from "./store";
+import * as workersInMemory from "./workers";
+
+export interface SiteOptions {
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly counters: observe.Counters;
+    readonly histograms: observe.Histograms;
+    readonly instances: number;
+    readonly workers: readonly leader.WorkerInfo[];
+    readonly catalog: catalogs.Catalog;
+    readonly storeFaults?: stores.StoreFaults;
+    readonly workerFaults?: workersInMemory.WorkerFaults;
+    /** Longest lease of what runs on a worker. */
+    readonly maxLeaseMs?: number;
+}
+
+/** A job and what its tasks really do. */
+export interface EmulatedJob {
+    readonly jobId: string;
+    readonly queue: string;
+    readonly account: string;
+    readonly spec: work.JobSpec;
+    /** Duration of each step's tasks. */
+    readonly durationsMs: readonly number[];
+    /** Whether a run of a task fails at its end; by default none does. */
+    fails?(task: string, run: number): boolean;
+}
+
+export interface Site {
+    readonly store: stores.EmulatedStore;
+    readonly workers: workersInMemory.EmulatedWorkers;
+    submit(job: EmulatedJob, instance: number): Promise<intakes.IntakeReply>;
+    cancel(jobId: string, instance: number): Promise<intakes.IntakeReply>;
+    getState(jobId: string, instance: number): Promise<intakes.IntakeReply>;
+    count(queue: string, instance: number): Promise<intakes.IntakeReply>;
+    /** The instance that leads, if one does. */
+    getLeader(): number | undefined;
+    /** Ends an instance without a word. */
+    kill(instance: number): void;
+    /** Starts a killed instance again, as a new life. */
+    restart(instance: number): void;
+    /** Stops an instance in good order. */
+    stop(instance: number): Promise<void>;
+    close(): void;
+}
+
+const STORE_LATENCY_MS = 5;
+const WORKER_LATENCY_MS = 1;
+const DEFAULT_MAX_LEASE_MS = 6_000;
+const STOP_MS = 200;
+const CALLER_PATIENCE_MS = 3_000;
+
+export function createSite(options: SiteOptions): Site {
+    const { clock: time } = options;
+    const jobs = new Map<string, EmulatedJob>();
+    const store = stores.createEmulatedStore({
+        clock: time,
+        latencyMs: STORE_LATENCY_MS,
+        faults: options.storeFaults,
+    });
+    const maxLeaseMs = options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS;
+    const workers = workersInMemory.createEmulatedWorkers({
+        clock: time,
+        latencyMs: WORKER_LATENCY_MS,
+        maxLeaseMs,
+        stopMs: STOP_MS,
+        faults: options.workerFaults,
+        getModel: task => createModel(jobs, task),
+    });
+    options.workers.forEach(workers.add);
+
+    interface Instance {
+        readonly scheduler: schedulers.Scheduler;
+        readonly controller: AbortController;
+    }
+    let lives = 0;
+    const open = (number: number): Instance => {
+        const controller = new AbortController();
+        const scheduler = schedulers.createScheduler({
+            instance: getInstanceName(number),
+            life: `life-${++lives}`,
+            store: store.open(getInstanceName(number)),
+            directory: workers.directory,
+            workers: workers.port,
+            adviser: { advise: async () => ({ kind: "unavailable", message: "none here" }) },
+            clock: time,
+            log: options.log,
+            counters: options.counters,
+            histograms: options.histograms,
+            maxLeaseMs,
+            signal: controller.signal,
+        });
+        scheduler.catalog.accept(options.catalog);
+        return { scheduler, controller };
+    };
+    const instances = Array.from({ length: options.instances }, (_, number) => open(number));
+    const callerOf = (instance: number, queueName: string, account: string): intakes.Caller => ({
+        requestId: "",
+        queue: instances[instance]!.scheduler.catalog.getQueue(queueName)!,
+        account,
+        deadlineAt: time.now() + CALLER_PATIENCE_MS,
+    });
+    const callerOfJob = (instance: number, jobId: string) => {
+        const job = jobs.get(jobId)!;
+        return callerOf(instance, job.queue, job.account);
+    };
+    return {
+        store,
+        workers,
+        submit: (job, instance) => {
+            jobs.set(job.jobId, job);
+            return instances[instance]!.scheduler.intake.submit(callerOfJob(instance, job.jobId), job.jobId, job.spec);
+        },
+        cancel: (jobId, instance) => instances[instance]!.scheduler.intake.cancel(callerOfJob(instance, jobId), jobId),
+        getState: (jobId, instance) =>
+            instances[instance]!.scheduler.intake.getState(callerOfJob(instance, jobId), jobId),
+        count: (queue, instance) => instances[instance]!.scheduler.intake.count(callerOf(instance, queue, "")),
+        getLeader: () => {
+            const number = instances.findIndex(instance =>
+                !instance.controller.signal.aborted && instance.scheduler.isLeading()
+            );
+            return number < 0 ? undefined : number;
+        },
+        kill: number => instances[number]!.controller.abort(),
+        restart: number => {
+            instances[number] = open(number);
+        },
+        stop: async number => {
+            await instances[number]!.scheduler.release();
+            instances[number]!.controller.abort();
+        },
+        close: () => instances.forEach(instance => instance.controller.abort()),
+    };
+}
+
+export function getInstanceName(number: number): string {
+    return `instance-${number}`;
+}
+
+function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workersInMemory.TaskModel {
+    const [jobId, occurrence, stepNumber] = task.split(".");
+    const job = jobs.get(jobId!)!;
+    const number = Number(stepNumber);
+    const step = job.spec.steps[number]!;
+    return {
+        needs: step.fills ? { ...step.needs, cpuMillis: 0 } : step.needs,
+        durationMs: step.lasting ? Infinity : job.durationsMs[number]!,
+        gangSize: step.gang ? step.count : 1,
+        gang: `${jobId}.${occurrence}.${stepNumber}`,
+        checkpoints: step.checkpoints,
+        fails: run => job.fails?.(task, run) ?? false,
+    };
+}
--- /dev/null
+++ b/src/emulator/store.ts
@@ -0,0 +1,173 @@
+/** A row store in memory with the semantics of the port, and with faults that a test or an experiment injects. */
+import type * as clock from "../clock/index";
+import type * as rows from "../rows/index";
+
+/** What becomes of a call. */
+export type StoreFault =
+    | "none"
+    /** Turned away; nothing was done. */
+    | "refuse"
+    /** Carried out, and the answer is lost. */
+    | "loseAnswer"
+    /** Not carried out now, but `lateMs` later if its conditions hold then; no answer. */
+    | "late"
+    /** Never reaches the store, and no answer comes. */
+    | "silent";
+
+export interface StoreFaults {
+    /** `caller` is the name under which the view of the store was opened. */
+    decide(caller: string, call: "transact" | "read" | "feed"): StoreFault;
+    readonly lateMs: number;
+}
+
+export interface EmulatedStoreOptions {
+    readonly clock: clock.Clock;
+    /** From a call to its answer. */
+    readonly latencyMs: number;
+    readonly faults?: StoreFaults;
+}
+
+export interface EmulatedStore {
+    /** The store as one caller sees it. */
+    open(caller: string): rows.RowStore;
+    /** Writes a row as the operator or a worker would. */
+    put(row: rows.RowPut): void;
+    remove(row: rows.RowKey): void;
+    getRows(table: string): readonly rows.Row[];
+    /** Forgets the history: who follows has to read anew. */
+    forgetHistory(): void;
+    readonly transactions: () => number;
+}
+
+const NO_FAULTS: StoreFaults = { decide: () => "none", lateMs: 0 };
+const PAGE_ROWS = 500;
+
+export function createEmulatedStore(options: EmulatedStoreOptions): EmulatedStore {
+    const { clock: time } = options;
+    const faults = options.faults ?? NO_FAULTS;
+    const present = new Map<string, rows.Row>();
+    let history: rows.RowChange[] = [];
+    let forgottenUpTo = 0;
+    let version = 0;
+    let transactions = 0;
+    const waiters = new Set<() => void>();
+
+    const write = (puts: readonly rows.RowPut[], removals: readonly rows.RowKey[]) => {
+        version++;
+        for (const put of puts) {
+            const row = { ...put, version };
+            present.set(getId(put), row);
+            history.push({ ...row, removed: false });
+        }
+        for (const key of removals) {
+            present.delete(getId(key));
+            history.push({ ...key, value: "", version, removed: true });
+        }
+        [...waiters].forEach(wake => wake());
+    };
+    const apply = (tx: rows.RowTransaction): rows.TransactResult => {
+        const holds = tx.conditions.every(row => (present.get(getId(row))?.version ?? 0) === row.version);
+        if (!holds) {
+            const current = tx.conditions.map(row => present.get(getId(row))).filter(row => row !== undefined);
+            return { kind: "conflict", rows: current };
+        }
+        transactions++;
+        write(tx.puts, tx.removals);
+        return { kind: "committed", version };
+    };
+    const list = (table: string, part?: string) =>
+        [...present.values()]
+            .filter(row => row.table === table && (part === undefined || row.part === part))
+            .sort((a, b) => a.key < b.key ? -1 : 1);
+
+    const transact = async (caller: string, tx: rows.RowTransaction, timeoutMs: number) => {
+        const fault = faults.decide(caller, "transact");
+        const unknown: rows.TransactResult = { kind: "unknown", message: `emulated: ${fault}` };
+        await time.sleep(options.latencyMs);
+        switch (fault) {
+            case "none":
+                return apply(tx);
+            case "refuse":
+                return { kind: "refused" as const, message: "emulated: refused" };
+            case "loseAnswer":
+                apply(tx);
+                await time.sleep(timeoutMs);
+                return unknown;
+            case "late":
+                time.setTimer(faults.lateMs, () => void apply(tx));
+                await time.sleep(timeoutMs);
+                return unknown;
+            case "silent":
+                await time.sleep(timeoutMs);
+                return unknown;
+        }
+    };
+    const read = async (caller: string, range: rows.RowRange, timeoutMs: number): Promise<rows.ReadResult> => {
+        if (faults.decide(caller, "read") !== "none") {
+            await time.sleep(timeoutMs);
+            return { kind: "unavailable", message: "emulated" };
+        }
+        await time.sleep(options.latencyMs);
+        const limit = Math.min(PAGE_ROWS, range.limit ?? PAGE_ROWS);
+        const all = list(range.table, range.part).filter(row =>
+            (range.from === undefined || row.key >= range.from)
+            && (range.before === undefined || row.key < range.before)
+        );
+        return { kind: "read", rows: all.slice(0, limit), hasMore: all.length > limit, version };
+    };
+    const feed = async (
+        caller: string,
+        table: string,
+        after: number,
+        waitMs: number,
+        timeoutMs: number,
+    ): Promise<rows.FeedResult> => {
+        if (faults.decide(caller, "feed") !== "none") {
+            await time.sleep(timeoutMs);
+            return { kind: "unavailable", message: "emulated" };
+        }
+        await time.sleep(options.latencyMs);
+        const until = time.now() + waitMs;
+        for (;;) {
+            if (after < forgottenUpTo) {
+                return { kind: "gap" };
+            }
+            const changes = history.filter(row => row.table === table && row.version > after);
+            if (changes.length > 0 || time.now() >= until) {
+                return { kind: "changes", rows: changes, version };
+            }
+            await waitForChange(until - time.now());
+        }
+    };
+    const waitForChange = (ms: number) =>
+        new Promise<void>(resolve => {
+            const finish = () => {
+                cancel();
+                waiters.delete(finish);
+                resolve();
+            };
+            const cancel = time.setTimer(ms, finish);
+            waiters.add(finish);
+        });
+
+    return {
+        open: caller => ({
+            transact: (tx, timeoutMs) => transact(caller, tx, timeoutMs),
+            read: (range, timeoutMs) => read(caller, range, timeoutMs),
+            feed: (table, after, waitMs, timeoutMs) => feed(caller, table, after, waitMs, timeoutMs),
+        }),
+        put: row => write([row], []),
+        remove: row => write([], [row]),
+        getRows: table => list(table),
+        forgetHistory: () => {
+            history = [];
+            forgottenUpTo = version + 1;
+            version++;
+        },
+        transactions: () => transactions,
+    };
+}
+
+function getId(row: rows.RowKey): string {
+    return `${row.table}\n${row.part}\n${row.key}`;
+}
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -36,8 +36,6 @@
     readonly histograms: observe.Histograms;
     /** Counts of waiting jobs as the leader last published them, and their age. */
     getWaiting(): { readonly counts: Readonly<Record<string, number>>; readonly ageMs: number; } | undefined;
-    /** The state of a job, where this instance leads and knows it. */
-    getLocalState(jobId: string): work.JobState | undefined;
 }
 
 export interface Intake {
@@ -155,10 +153,6 @@
     };
 
     const readState = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
-        const local = options.getLocalState(jobId);
-        if (local) {
-            return { kind: "state", state: local };
-        }
         const progress = await readProgress(caller, jobId);
         if (typeof progress === "string") {
             return { kind: "undecided", reason: progress };
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -227,6 +227,8 @@
         }
     };
     void run();
+    // Whatever ends the instance ends its term: nothing may be ordered by a process that is about to be gone.
+    options.signal.addEventListener("abort", () => endTerm("this instance ends"));
 
     return {
         getObservation: () => observed,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -4,7 +4,6 @@
 import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
-import * as work from "../work/index";
 import * as advice from "./advice";
 import * as bookOfTasks from "./book";
 import type * as directory from "./directory";
@@ -40,8 +39,6 @@
 export interface Term {
     /** Jobs of each queue of which no task has started. */
     getWaiting(): Readonly<Record<string, number>>;
-    /** The state of a job that this term knows. */
-    getState(jobId: string): work.JobState | undefined;
 }
 
 /** Events of one moment are decided together; short beside the way to a worker and back. */
@@ -333,6 +330,5 @@
             }
             return counts;
         },
-        getState: jobId => book.jobs.get(jobId)?.state,
     };
 }
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -131,7 +131,9 @@
         const answer = await options.port.look(worker, {
             fencingToken: leadership.token,
             recordedUpTo: acknowledged,
-            deadline: getDeadline(),
+            // A silent worker's lease is not prolonged: such a look may be carried out late, and as long as the next
+            // one goes out the work there would never be certain to have lapsed.
+            deadline: heard ? getDeadline() : undefined,
             waitMs,
         }, waitMs + LOOK_SLACK_MS);
         if (signal.aborted) {
--- /dev/null
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -0,0 +1,123 @@
+import type * as catalogs from "../../catalog/index";
+import * as clocks from "../../clock/index";
+import * as emulator from "../../emulator/index";
+import type * as leader from "../../leader/index";
+import * as telemetry from "../../telemetry/index";
+import type * as work from "../../work/index";
+
+export function createWorkerInfo(number: number, perRack = 4): leader.WorkerInfo {
+    const rack = `r${Math.floor(number / perRack)}`;
+    return {
+        id: `worker-${number}`,
+        address: `10.0.0.${number}:1`,
+        zone: "a",
+        service: "booking",
+        rack,
+        labels: ["a", rack],
+        capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 },
+        draining: false,
+        remainingMs: 0,
+    };
+}
+
+function createQueue(name: string, priority: number, maxAttempts: number): catalogs.Queue {
+    return {
+        name,
+        host: "example",
+        pathPrefix: `/${name}/`,
+        service: "booking",
+        priority,
+        maxAttempts,
+        stretch: 3,
+        objectiveMs: 1_000,
+        needsKey: true,
+    };
+}
+
+export const CATALOG: catalogs.Catalog = {
+    version: 1,
+    queues: [createQueue("urgent", 0, 2), createQueue("plan", 1, 2), createQueue("batch", 2, 4)],
+    services: [{ name: "booking", refusesOverload: false, spare: false }],
+    accounts: [{ name: "office", keys: ["key"], guaranteedAccelerators: 16 }],
+    limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+};
+
+export function createStep(fields: Partial<work.StepSpec> = {}): work.StepSpec {
+    return {
+        count: 1,
+        needs: { cpuMillis: 2_000, memoryMb: 4_096, accelerators: 1 },
+        estimateMs: 2_000,
+        after: [],
+        checkpoints: false,
+        gang: false,
+        sameRack: false,
+        maxPerWorker: 0,
+        speculative: false,
+        lasting: false,
+        mayMiss: 0,
+        image: "",
+        targetMs: 0,
+        fills: false,
+        ...fields,
+    };
+}
+
+/** A job of one step; `fields` go to the step. */
+export function createJob(
+    number: number,
+    fields: Partial<work.StepSpec> = {},
+    job: Partial<emulator.EmulatedJob> = {},
+): emulator.EmulatedJob {
+    const step = createStep(fields);
+    return {
+        jobId: number.toString(16).padStart(16, "0"),
+        queue: "plan",
+        account: "office",
+        spec: { payload: "p", steps: [step], repeats: 0, firstDueAt: 0, periodMs: 0 },
+        durationsMs: [step.estimateMs],
+        ...job,
+    };
+}
+
+export interface TestSite extends emulator.Site {
+    readonly clock: clocks.ManualClock;
+    readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
+}
+
+export function openSite(options: {
+    readonly instances?: number;
+    readonly workers?: number;
+    readonly storeFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["storeFaults"];
+    readonly workerFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["workerFaults"];
+}): TestSite {
+    const time = clocks.createManualClock(1_000_000);
+    const metrics = telemetry.createMetrics();
+    const lines: Array<Record<string, unknown>> = [];
+    const keep = (level: string) => (event: string, fields?: Readonly<Record<string, unknown>>) => {
+        lines.push({ at: Math.round(time.now()), level, event, ...fields });
+    };
+    const site = emulator.createSite({
+        clock: time,
+        log: { info: keep("info"), warn: keep("warn"), error: keep("error") },
+        counters: metrics.counters,
+        histograms: metrics.histograms,
+        instances: options.instances ?? 2,
+        workers: Array.from({ length: options.workers ?? 4 }, (_, number) => createWorkerInfo(number)),
+        catalog: CATALOG,
+        storeFaults: options.storeFaults?.(time),
+        workerFaults: options.workerFaults?.(time),
+    });
+    return { ...site, clock: time, lines };
+}
+
+/** Advances the clock until the promise settles, at most `ms`. */
+export async function settle<T>(time: clocks.ManualClock, promise: Promise<T>, ms = 5_000): Promise<T> {
+    let settled = false;
+    void promise.then(() => {
+        settled = true;
+    });
+    for (let waited = 0; waited < ms && !settled; waited += 5) {
+        await time.advance(5);
+    }
+    return promise;
+}
--- /dev/null
+++ b/src/scheduler/index.ts
@@ -0,0 +1,2 @@
+/** One instance of the scheduler, put together from its duties. */
+export { createScheduler, type Scheduler, type SchedulerOptions } from "./scheduler";
