--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -17,7 +17,7 @@
     | { readonly kind: "unknownJob"; }
     | { readonly kind: "notAccepted"; readonly retryAfterMs: number; readonly reason: string; }
     /** The store gave no answer that decides; asking again with the same id is safe. */
-    | { readonly kind: "undecided"; readonly reason: string; };
+    | { readonly kind: "undecided"; readonly retryAfterMs: number; readonly reason: string; };
 
 export interface Caller {
     /** For the log: whatever names the request on its way. */
@@ -30,6 +30,8 @@
 
 export interface IntakeOptions {
     readonly store: rows.RowStore;
+    /** Whether the store is known to be out of reach from here. */
+    isStoreAway(): boolean;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly counters: observe.Counters;
@@ -66,6 +68,10 @@
     /** Creates a row that may be there already. Repeating is safe: the condition holds once only. */
     const createRow = async (caller: Caller, key: string, value: string): Promise<IntakeReply> => {
         const row = { table: work.Table.Jobs, part: work.INTAKE_PART, key };
+        if (options.isStoreAway()) {
+            // Nothing is sent, so that the refusal is certain as well as immediate.
+            return { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason: "the store cannot be reached" };
+        }
         let mayBeWritten = false;
         let refusals = 0;
         let reason = "";
@@ -95,12 +101,15 @@
         }
         while (getLeftMs(caller) > 0);
         return mayBeWritten
-            ? { kind: "undecided", reason }
+            ? { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason }
             : { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason };
     };
 
     /** Reads rows until it succeeds or the caller's time is over. */
     const read = async (caller: Caller, range: rows.RowRange): Promise<readonly rows.Row[] | string> => {
+        if (options.isStoreAway()) {
+            return "the store cannot be reached";
+        }
         let reason = "";
         let failures = 0;
         do {
@@ -155,14 +164,14 @@
     const readState = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
         const progress = await readProgress(caller, jobId);
         if (typeof progress === "string") {
-            return { kind: "undecided", reason: progress };
+            return { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason: progress };
         }
         if (progress[0]) {
             return { kind: "state", state: (JSON.parse(progress[0].value) as work.JobProgress).state };
         }
         const submission = await readSubmission(caller, jobId);
         if (typeof submission === "string") {
-            return { kind: "undecided", reason: submission };
+            return { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason: submission };
         }
         return submission.length > 0 ? { kind: "state", state: "queued" } : { kind: "unknownJob" };
     };
@@ -170,7 +179,7 @@
     const cancel = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
         const submission = await readSubmission(caller, jobId);
         if (typeof submission === "string") {
-            return { kind: "undecided", reason: submission };
+            return { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason: submission };
         }
         if (submission.length === 0) {
             return { kind: "unknownJob" };
@@ -186,7 +195,7 @@
             ? intake
             : await read(caller, { table: work.Table.Progress, part: work.LEADER_PART });
         if (typeof intake === "string" || typeof progress === "string") {
-            return { kind: "undecided", reason: typeof intake === "string" ? intake : String(progress) };
+            return { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason: typeof intake === "string" ? intake : String(progress) };
         }
         const begun = new Set(progress.map(row => row.key));
         const waiting = intake.filter(row =>
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -51,8 +51,6 @@
     readonly signal: AbortSignal;
     getWaiting(): Readonly<Record<string, number>>;
     onElected(leadership: Leadership): void;
-    onContact(): void;
-    onLoss(message: string): void;
 }
 
 export interface Lease {
@@ -123,11 +121,9 @@
         onChanges: changes => changes.filter(row => !row.removed).forEach(observe),
         onContact: () => {
             contactSince ??= time.now();
-            options.onContact();
         },
-        onLoss: message => {
+        onLoss: () => {
             contactSince = undefined;
-            options.onLoss(message);
         },
     });
 
@@ -189,7 +185,6 @@
                 current.version = outcome.version;
                 current.renewedAt = sentAt;
                 observed = { record, version: outcome.version, seenAt: time.now() };
-                options.onContact();
                 break;
             case "conflict": {
                 const row = outcome.rows.find(candidate => candidate.key === LEASE_KEY.key);
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -72,6 +72,7 @@
     let acknowledgedUpTo = 0;
     let mustLook = true;
     let lookNowWanted = false;
+    let lastLookAt = -Infinity;
     let heard = false;
     let fenced = false;
     let gone = false;
@@ -127,6 +128,7 @@
     };
     const look = async (waitMs: number): Promise<boolean> => {
         const sentAt = time.now();
+        lastLookAt = sentAt;
         const acknowledged = recordedUpTo;
         const answer = await options.port.look(worker, {
             fencingToken: leadership.token,
@@ -195,6 +197,11 @@
                 await pause(unacknowledged ? LAST_LOOK_DELAY_MS : IDLE_PAUSE_MS);
                 continue;
             }
+            if (lastEnd > recordedUpTo && time.now() - lastLookAt < UNRECORDED_LOOK_MS) {
+                // A look would answer at once with the same ends until they are recorded.
+                await pause(UNRECORDED_LOOK_MS - (time.now() - lastLookAt));
+                continue;
+            }
             if (!leadership.mayProlong()) {
                 await pause(RETRY_PAUSE_MS);
                 continue;
@@ -260,5 +267,11 @@
     };
 }
 
+/**
+ * While ends are not recorded, as when the store is away, a look prolongs the leases and brings nothing new: this
+ * often is enough for the shortest lease of 6 s. Without the bound looks follow each other without a pause (24,000 in
+ * a minute with a store that was away for 4 s).
+ */
+const UNRECORDED_LOOK_MS = 1_000;
 /** The loop of an idle worker is woken by its next order; this only bounds a missed call. */
 const IDLE_PAUSE_MS = 5_000;
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -21,9 +21,9 @@
     onSnapshot(all: readonly rows.Row[]): void;
     onChanges(changes: readonly rows.RowChange[]): void;
     /** Called after each answer of the store, also when nothing changed. */
-    onContact(): void;
+    onContact?(): void;
     /** Called when a call got no answer or was turned away. */
-    onLoss(message: string): void;
+    onLoss?(message: string): void;
 }
 
 export interface TableFollower {
@@ -47,7 +47,7 @@
     const { store, signal } = options;
     let after: number | undefined;
     const lose = async (message: string) => {
-        options.onLoss(message);
+        options.onLoss?.(message);
         await options.clock.sleep(RETRY_PAUSE_MS, signal);
     };
     while (!signal.aborted) {
@@ -58,7 +58,7 @@
                 continue;
             }
             after = all.version;
-            options.onContact();
+            options.onContact?.();
             options.onSnapshot(all.rows);
             continue;
         }
@@ -66,7 +66,7 @@
         switch (changes.kind) {
             case "changes":
                 after = Math.max(after, changes.version);
-                options.onContact();
+                options.onContact?.();
                 if (changes.rows.length > 0) {
                     options.onChanges(changes.rows);
                 }
--- a/src/rows/index.ts
+++ b/src/rows/index.ts
@@ -75,3 +75,4 @@
 
 export { followTable, type TableFollower, type TableFollowerOptions } from "./followTable";
 export { readAll } from "./readAll";
+export { createStoreHealth, type StoreHealth, type StoreHealthOptions } from "./storeHealth";
--- /dev/null
+++ b/src/rows/storeHealth.ts
@@ -0,0 +1,109 @@
+/**
+ * Whether the store can be reached from here, learned from all calls.
+ *
+ * What goes wrong without it: while the store is silent, every request waits for its own timeouts, and since its
+ * write may have been carried out it cannot even be refused. One notices requests that are held until their deadline.
+ * Once a call has gone unanswered, later ones are refused before anything is sent, which is true and immediate; a
+ * probe finds the store's return.
+ */
+import type * as clock from "../clock/index";
+import type * as rows from "./index";
+
+export interface StoreHealth {
+    /** The store, with each call's outcome taken note of. */
+    readonly store: rows.RowStore;
+    /** True from the first call without an answer, or some refusals in a row, until the next answer. */
+    isAway(): boolean;
+}
+
+export interface StoreHealthOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly signal: AbortSignal;
+    /** What a probe reads: a small table. */
+    readonly probe: rows.RowRange;
+    onAway(why: string): void;
+    onBack(awayMs: number): void;
+}
+
+/** A single refusal is the store's limit on calls, not its absence. */
+const REFUSALS_IN_ROW = 3;
+const PROBE_EVERY_MS = 200;
+/** An answer takes 5 ms, of a store that is 60 times slower 300 ms. */
+const PROBE_TIMEOUT_MS = 500;
+
+export function createStoreHealth(options: StoreHealthOptions): StoreHealth {
+    const { store, clock: time } = options;
+    let failures = 0;
+    let awaySince: number | undefined;
+
+    const succeed = () => {
+        failures = 0;
+        if (awaySince !== undefined) {
+            const awayMs = time.now() - awaySince;
+            awaySince = undefined;
+            options.onBack(awayMs);
+        }
+    };
+    const fail = (weight: number, why: string, sentAt: number) => {
+        failures += weight;
+        if (failures < REFUSALS_IN_ROW || awaySince !== undefined || lastSuccessAt > sentAt) {
+            return;
+        }
+        awaySince = time.now();
+        options.onAway(why);
+        void probe();
+    };
+    let lastSuccessAt = -Infinity;
+    const takeNote = (kind: "answered" | "refused" | "silent", why: string, sentAt: number) => {
+        switch (kind) {
+            case "answered":
+                lastSuccessAt = time.now();
+                succeed();
+                break;
+            case "refused":
+                fail(1, why, sentAt);
+                break;
+            case "silent":
+                fail(REFUSALS_IN_ROW, why, sentAt);
+                break;
+        }
+    };
+    const probe = async () => {
+        while (awaySince !== undefined && !options.signal.aborted) {
+            const pause = time.sleep(PROBE_EVERY_MS, options.signal);
+            void health.store.read({ ...options.probe, limit: 1 }, PROBE_TIMEOUT_MS);
+            await pause;
+        }
+    };
+
+    const health: StoreHealth = {
+        isAway: () => awaySince !== undefined,
+        store: {
+            transact: async (tx, timeoutMs) => {
+                const sentAt = time.now();
+                const outcome = await store.transact(tx, timeoutMs);
+                const why = outcome.kind === "refused" || outcome.kind === "unknown" ? outcome.message : "";
+                const kind = outcome.kind === "refused" ? "refused" : outcome.kind === "unknown" ? "silent" : "answered";
+                takeNote(kind, why, sentAt);
+                return outcome;
+            },
+            read: async (range, timeoutMs) => {
+                const sentAt = time.now();
+                const outcome = await store.read(range, timeoutMs);
+                const failed = outcome.kind === "unavailable";
+                takeNote(failed ? "refused" : "answered", failed ? outcome.message : "", sentAt);
+                return outcome;
+            },
+            feed: async (table, after, waitMs, timeoutMs) => {
+                const sentAt = time.now();
+                const outcome = await store.feed(table, after, waitMs, timeoutMs);
+                const failed = outcome.kind === "unavailable";
+                // A poll may have waited on a connection that fell silent by itself, so it weighs as one refusal.
+                takeNote(failed ? "refused" : "answered", failed ? outcome.message : "", sentAt);
+                return outcome;
+            },
+        },
+    };
+    return health;
+}
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -4,7 +4,8 @@
 import * as intakes from "../intake/index";
 import * as leader from "../leader/index";
 import type * as observe from "../observe/index";
-import type * as rows from "../rows/index";
+import * as rows from "../rows/index";
+import * as work from "../work/index";
 
 export interface SchedulerOptions {
     readonly instance: string;
@@ -26,9 +27,8 @@
 export interface Scheduler {
     readonly catalog: catalogs.CurrentCatalog;
     readonly intake: intakes.Intake;
-    /** Each answer of the store, and each call that failed, by whichever part made it. */
-    readonly onStoreContact: () => void;
-    readonly onStoreLoss: (why: string) => void;
+    /** The store, for what else this instance reads there: each call tells whether it can be reached. */
+    readonly store: rows.RowStore;
     /** Whether this instance can serve callers now. */
     isReady(): boolean;
     isLeading(): boolean;
@@ -36,32 +36,24 @@
     release(): Promise<void>;
 }
 
-/** Without an answer of the store for this long, an instance asks not to be given callers. */
-const READY_CONTACT_MS = 1_900;
-
 export function createScheduler(options: SchedulerOptions): Scheduler {
     const { clock: time, log } = options;
     const current = catalogs.createCurrentCatalog();
-    let contactAt: number | undefined;
-    let inContact = false;
-    const onStoreContact = () => {
-        contactAt = time.now();
-        if (!inContact) {
-            inContact = true;
-            log.info("storeRegained", {});
-        }
-    };
-    const onStoreLoss = (why: string) => {
-        if (inContact) {
-            inContact = false;
-            log.warn("storeLost", { why });
-        }
-    };
+    const health = rows.createStoreHealth({
+        store: options.store,
+        clock: time,
+        signal: options.signal,
+        probe: { table: work.Table.Lead, part: work.LEADER_PART },
+        onAway: why => log.warn("storeLost", { why }),
+        onBack: awayMs => log.info("storeRegained", { awayMs: Math.round(awayMs) }),
+    });
+    const { store } = health;
 
     let term: leader.Term | undefined;
     const openTerm = (leadership: leader.Leadership) => {
         const started = leader.createTerm({
             ...options,
+            store,
             catalog: current,
             leadership,
             onDeposed: reason => lease.depose(reason),
@@ -74,19 +66,18 @@
         });
     };
     const lease = leader.createLease({
-        store: options.store,
+        store,
         clock: time,
         log,
         instance: options.instance,
         life: options.life,
         signal: options.signal,
         getWaiting: () => term?.getWaiting() ?? {},
-        onContact: onStoreContact,
-        onLoss: onStoreLoss,
         onElected: openTerm,
     });
     const intake = intakes.createIntake({
-        store: options.store,
+        store,
+        isStoreAway: health.isAway,
         clock: time,
         log,
         counters: options.counters,
@@ -99,10 +90,8 @@
     return {
         catalog: current,
         intake,
-        onStoreContact,
-        onStoreLoss,
-        isReady: () =>
-            current.get() !== undefined && contactAt !== undefined && time.now() - contactAt < READY_CONTACT_MS,
+        store,
+        isReady: () => current.get() !== undefined && !health.isAway(),
         isLeading: lease.isLeading,
         release: lease.release,
     };
