Claims to room, lasting tasks, and fillers paced beside serving tasks

Ruled out: a fixed pace for fillers (the disturbance differs by image and changes within seconds). Before: lasting tasks waited behind all urgent work. Cases in plan.test.ts.

--- a/src/decisions/__tests__/fixtures.ts
+++ b/src/decisions/__tests__/fixtures.ts
@@ -1,4 +1,4 @@
-import type * as types from "../types";
+import * as types from "../types";
 
 /** A worker with 8 accelerators, 32 cores and 64 GB, all free. */
 export function createWorker(id: string, fields: Partial<types.PlaceableWorker> = {}): types.PlaceableWorker {
@@ -10,6 +10,8 @@
         capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 },
         used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
         freeing: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        serving: 0,
+        filling: 0,
         ...fields,
     };
 }
@@ -26,8 +28,9 @@
         gang: false,
         sameRack: false,
         maxPerWorker: 0,
-        priority: 1,
-        guaranteed: false,
+        claim: types.Claim.None,
+        serves: false,
+        fills: false,
         avoided: new Set(),
         waitedMs: 0,
         expectedMs: 5_000,
@@ -43,9 +46,7 @@
 ): types.RunningGroup {
     return {
         key,
-        priority: 2,
-        guaranteed: false,
-        stoppable: true,
+        claim: types.Claim.None,
         members: [{ workerId, needs: { cpuMillis: 1_000, memoryMb: 1_024, accelerators: 1 } }],
         lossCoreSeconds: 10,
         expectedEndAt: 5_000,
--- a/src/decisions/__tests__/plan.test.ts
+++ b/src/decisions/__tests__/plan.test.ts
@@ -1,5 +1,5 @@
 import * as planner from "../plan";
-import type * as types from "../types";
+import * as types from "../types";
 import * as fixtures from "./fixtures";
 
 const FULL = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 };
@@ -64,7 +64,7 @@
     {
         name: "urgent work stops the least work that makes room",
         workers: [fixtures.createWorker("w1", { used: FULL }), fixtures.createWorker("w2", { used: FULL })],
-        units: [fixtures.createUnit("u", { priority: 0 })],
+        units: [fixtures.createUnit("u", { claim: types.Claim.Urgent })],
         groups: [
             fixtures.createGroup("costly", "w1", { lossCoreSeconds: 90 }),
             fixtures.createGroup("cheap", "w2", { lossCoreSeconds: 3 }),
@@ -78,7 +78,7 @@
             used: FULL,
             freeing: { cpuMillis: 1_000, memoryMb: 1_024, accelerators: 1 },
         })],
-        units: [fixtures.createUnit("u", { priority: 0 }), fixtures.createUnit("later", { priority: 2 })],
+        units: [fixtures.createUnit("u", { claim: types.Claim.Urgent }), fixtures.createUnit("later")],
         groups: [fixtures.createGroup("g", "w1")],
         starts: {},
     },
@@ -86,12 +86,38 @@
         name: "work within a guarantee is stopped for nobody, work of lower priority stops nothing",
         workers: [fixtures.createWorker("w1", { used: FULL })],
         units: [
-            fixtures.createUnit("u", { priority: 0, guaranteed: true }),
-            fixtures.createUnit("v", { priority: 1 }),
+            fixtures.createUnit("u", { claim: types.Claim.Guaranteed }),
+            fixtures.createUnit("v"),
         ],
-        groups: [fixtures.createGroup("g", "w1", { priority: 0, guaranteed: true })],
+        groups: [fixtures.createGroup("g", "w1", { claim: types.Claim.Guaranteed })],
         starts: {},
     },
+    {
+        name: "a lasting task stops urgent work beyond a guarantee, and nothing stops a lasting one but a guarantee",
+        workers: [fixtures.createWorker("w1", { used: FULL }), fixtures.createWorker("w2", { used: FULL })],
+        units: [
+            fixtures.createUnit("lasting", { claim: types.Claim.Lasting }),
+            fixtures.createUnit("urgent", { claim: types.Claim.Urgent }),
+        ],
+        groups: [
+            fixtures.createGroup("u", "w1", { claim: types.Claim.Urgent }),
+            fixtures.createGroup("l", "w2", { claim: types.Claim.Lasting }),
+        ],
+        starts: {},
+        stops: ["u"],
+    },
+    {
+        name: "what serves and what fills are kept apart while there is a choice",
+        workers: [
+            fixtures.createWorker("filling", {
+                filling: 1,
+                used: { ...FULL, accelerators: 4, cpuMillis: 0, memoryMb: 0 },
+            }),
+            fixtures.createWorker("empty"),
+        ],
+        units: [fixtures.createUnit("s", { serves: true })],
+        starts: { s: ["empty"] },
+    },
     {
         name: "only workers with the label, the service and a ticket, and without an earlier failure",
         workers: [
--- a/src/decisions/order.ts
+++ b/src/decisions/order.ts
@@ -7,12 +7,14 @@
  * runs when there is room.
  */
 
+import type * as types from "./types";
+
 /** A late job still earns up to this multiple of its objective. */
 const LATE_MULTIPLE = 3;
 
 export interface Urgency {
+    readonly claim: types.Claim;
     readonly priority: number;
-    readonly guaranteed: boolean;
     /** Time since the job was handed in, or was due. */
     readonly ageMs: number;
     /** Time within which the job should end. */
@@ -46,10 +48,9 @@
     }
 }
 
-/** Sorts by guarantee, priority 0, prospect, priority and slack. */
+/** Sorts by claim, prospect, priority and slack. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
-    return Number(b.guaranteed) - Number(a.guaranteed)
-        || Number(b.priority === 0) - Number(a.priority === 0)
+    return b.claim - a.claim
         || getProspect(a) - getProspect(b)
         || a.priority - b.priority
         || compareNumbers(getSlackMs(a), getSlackMs(b));
--- a/src/decisions/place.ts
+++ b/src/decisions/place.ts
@@ -83,7 +83,10 @@
     if (mustBeNear) {
         return undefined;
     }
-    const best = findLeast(near.length > 0 ? near : fitting, worker => getLeftover(roomOf(worker)));
+    const best = findLeast(
+        near.length > 0 ? near : fitting,
+        worker => getLeftover(roomOf(worker)) + getCompany(unit, worker),
+    );
     return best && [best.id];
 }
 
@@ -147,6 +150,20 @@
     return true;
 }
 
+/** Serving and filling tasks are kept apart as long as there is a choice: fillers slow down what serves. */
+function getCompany(unit: types.WaitingUnit, worker: types.PlaceableWorker): number {
+    if (unit.serves) {
+        return worker.filling * COMPANY_PENALTY;
+    }
+    if (unit.fills) {
+        return worker.serving * COMPANY_PENALTY + worker.filling;
+    }
+    return 0;
+}
+
+/** More than the accelerators of any worker. */
+const COMPANY_PENALTY = 1_000;
+
 /** Accelerators first, since they bind; processors break ties. */
 function getLeftover(room: rooms.MutableRoom): number {
     return room.accelerators + room.cpuMillis / CPU_TIE_SCALE;
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -7,7 +7,7 @@
 import * as place from "./place";
 import * as preempt from "./preempt";
 import * as rooms from "./room";
-import type * as types from "./types";
+import * as types from "./types";
 
 export function plan(input: types.PlanInput): types.Plan {
     const free = new Map<string, rooms.MutableRoom>();
@@ -76,7 +76,7 @@
             stepTasks.add(unit, later);
             continue;
         }
-        if (unit.priority !== 0 || !tryPreempt(unit)) {
+        if (unit.claim === types.Claim.None || !tryPreempt(unit)) {
             hopeless.add(unit.family);
         }
     }
--- a/src/decisions/preempt.ts
+++ b/src/decisions/preempt.ts
@@ -1,7 +1,7 @@
 /** Whose work is stopped so that an urgent unit begins in time. */
 import * as place from "./place";
 import * as rooms from "./room";
-import type * as types from "./types";
+import * as types from "./types";
 
 export interface Preemption {
     readonly workerIds: readonly string[];
@@ -18,10 +18,7 @@
 
 /** Whether the unit's claim goes before the group's. */
 export function mayStop(unit: types.WaitingUnit, group: types.RunningGroup): boolean {
-    if (!group.stoppable || unit.priority !== 0) {
-        return false;
-    }
-    return group.priority > 0 || (unit.guaranteed && !group.guaranteed);
+    return unit.claim > group.claim;
 }
 
 /** The workers and victims with the least work thrown away; `undefined` where nothing that may be stopped suffices. */
@@ -45,7 +42,7 @@
         }
     }
     // A guarantee is kept within its bound even where no single rack can take the gang.
-    if (!best && unit.sameRack && unit.guaranteed) {
+    if (!best && unit.sameRack && unit.claim === types.Claim.Guaranteed) {
         return choose(unit, hosts);
     }
     return best;
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -12,8 +12,24 @@
     readonly used: work.Room;
     /** The part of `used` that becomes free within the stop time, without any further order. */
     readonly freeing: work.Room;
+    /** Tasks there that serve users of their own, and tasks that fill what the others leave over. */
+    readonly serving: number;
+    readonly filling: number;
 }
 
+/** How strong a claim to room is: a stronger one may stop what runs on a weaker one. */
+export const Claim = {
+    /** Waits for room. */
+    None: 0,
+    /** Priority 0 beyond what the account is guaranteed. */
+    Urgent: 1,
+    /** Runs until it is cancelled, and must be at work all the while. */
+    Lasting: 2,
+    /** Within what the account is guaranteed. */
+    Guaranteed: 3,
+} as const;
+export type Claim = typeof Claim[keyof typeof Claim];
+
 /** Tasks that start together: one task, or all of a gang. */
 export interface WaitingUnit {
     readonly key: string;
@@ -32,9 +48,11 @@
     readonly maxPerWorker: number;
     /** Tasks of the step on each worker, where `maxPerWorker` bounds them. */
     readonly stepTasksByWorker?: ReadonlyMap<string, number>;
-    readonly priority: number;
-    /** Whether the unit belongs to what its account is guaranteed. */
-    readonly guaranteed: boolean;
+    readonly claim: Claim;
+    /** Serves users of its own, whose response times suffer from tasks that fill. */
+    readonly serves: boolean;
+    /** Takes only processor time that others leave over. */
+    readonly fills: boolean;
     /** Workers on which the unit failed before. */
     readonly avoided: ReadonlySet<string>;
     /** Where set, only these workers may run the unit. */
@@ -46,10 +64,7 @@
 /** Tasks that are stopped together: one task, or all of a gang. */
 export interface RunningGroup {
     readonly key: string;
-    readonly priority: number;
-    readonly guaranteed: boolean;
-    /** False for tasks that must not be stopped for others. */
-    readonly stoppable: boolean;
+    readonly claim: Claim;
     readonly members: ReadonlyArray<{ readonly workerId: string; readonly needs: work.Room; }>;
     /** Core-seconds of work that a stop throws away. */
     readonly lossCoreSeconds: number;
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -195,7 +195,11 @@
             ? intake
             : await read(caller, { table: work.Table.Progress, part: work.LEADER_PART });
         if (typeof intake === "string" || typeof progress === "string") {
-            return { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason: typeof intake === "string" ? intake : String(progress) };
+            return {
+                kind: "undecided",
+                retryAfterMs: RETRY_AFTER_MS,
+                reason: typeof intake === "string" ? intake : String(progress),
+            };
         }
         const begun = new Set(progress.map(row => row.key));
         const waiting = intake.filter(row =>
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -154,11 +154,16 @@
         for (const member of members) {
             member.failures = failures;
         }
+        const { job } = step.occurrence;
+        if (step.spec.lasting) {
+            // Lasting tasks may fail at any time, on any worker, and are started again however often.
+            log.info("lastingTaskFailed", { task: task.name, run, worker: worker.id });
+            return;
+        }
         task.failedOn.add(worker.id);
         worker.failuresInRow++;
-        const { job } = step.occurrence;
         log.info("runFailed", { task: task.name, run, worker: worker.id, failures, of: job.queue.maxAttempts });
-        if (!step.spec.lasting && failures >= job.queue.maxAttempts && !step.occurrence.over) {
+        if (failures >= job.queue.maxAttempts && !step.occurrence.over) {
             endOccurrence(step.occurrence, true);
         }
     };
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -21,6 +21,8 @@
     start(tasks: readonly entries.TaskEntry[]): void;
     /** Sees a `stopping` task through to its end. */
     stop(task: entries.TaskEntry): void;
+    /** Tells a running task at which share of its speed it may work. */
+    pace(task: entries.TaskEntry, percent: number): void;
     stopStranger(worker: entries.WorkerEntry, told: port.RunningTask): void;
 }
 
@@ -128,7 +130,24 @@
         }
     };
 
+    const paceOne = async (task: entries.TaskEntry, percent: number) => {
+        const { worker, run, pacePercent } = task;
+        const session = worker && options.getSession(worker);
+        if (!session || !options.mayOrder()) {
+            return;
+        }
+        task.pacePercent = percent;
+        const answer = await session.pace({ task: task.name, run, percent });
+        counters.increment(`paces.${answer.kind}`);
+        log.info("paced", { task: task.name, worker: worker.id, percent, before: pacePercent, answer: answer.kind });
+        if (answer.kind !== "accepted" && task.run === run) {
+            // Not known to hold: the next look decides from the old pace again.
+            task.pacePercent = pacePercent;
+        }
+    };
+
     return {
+        pace: (task, percent) => void paceOne(task, percent),
         start: tasks => tasks.forEach(task => void startOne(task)),
         stop: task => void stopOne(task),
         stopStranger: (worker, told) => {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -14,6 +14,7 @@
 import * as ordersOfTerm from "./orders";
 import * as progressWriter from "./progressWriter";
 import * as reconcile from "./reconcile";
+import * as sharing from "./sharing";
 import * as takeover from "./takeover";
 import * as units from "./units";
 import * as watch from "./watch";
@@ -121,6 +122,7 @@
                     learn(end);
                 }
                 reconcile.reconcile({ book, clock: time, log, stopStranger: orders.stopStranger }, worker, lists);
+                sharing.paceFillers(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
             },
@@ -272,7 +274,7 @@
                 run: tasks[0]!.run,
                 workers: [...new Set(start.workerIds)],
                 waitedMs: Math.round(start.unit.waitedMs),
-                guaranteed: start.unit.guaranteed,
+                claim: start.unit.claim,
             });
         }
         void writer.flush().then(() => orders.start(placed));
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -80,8 +80,9 @@
         dataRack: spec.dataRack,
         maxPerWorker: spec.maxPerWorker,
         stepTasksByWorker: spec.maxPerWorker > 0 ? countByWorker(step) : undefined,
-        priority: job.queue.priority,
-        guaranteed: urgency.guaranteed,
+        claim: urgency.claim,
+        serves: spec.targetMs > 0,
+        fills: spec.fills,
         avoided: unionFailedOn(tasks),
         allowed: job.queue.advice ? getTicketed(step, options.now) : undefined,
         waitedMs,
@@ -127,14 +128,25 @@
     const { job } = occurrence;
     const since = occurrence.dueAt ?? job.submission.acceptedAt;
     return {
+        claim: getClaim(step, options),
         priority: job.queue.priority,
-        guaranteed: options.isGuaranteed(job),
         ageMs: options.wallNow - since,
         objectiveMs: job.queue.stretch * getChainMs(occurrence, options.expect) + job.queue.objectiveMs,
         remainingMs: getChainFromMs(step, options.expect),
     };
 }
 
+function getClaim(step: entries.StepEntry, options: UnitsOptions): decisions.Claim {
+    const { job } = step.occurrence;
+    if (options.isGuaranteed(job)) {
+        return decisions.Claim.Guaranteed;
+    }
+    if (step.spec.lasting) {
+        return decisions.Claim.Lasting;
+    }
+    return job.queue.priority === 0 ? decisions.Claim.Urgent : decisions.Claim.None;
+}
+
 /** The longest chain of work of an occurrence. */
 export function getChainMs(occurrence: entries.OccurrenceEntry, expect: Expect): number {
     return occurrence.steps
@@ -189,15 +201,12 @@
     options: UnitsOptions,
 ): decisions.RunningGroup {
     const { step } = tasks[0]!;
-    const { job } = step.occurrence;
     const since = Math.min(...tasks.map(task => task.phase === "running" ? task.runningSince : options.now));
     const elapsedMs = options.now - since;
     const unsavedMs = step.spec.checkpoints ? Math.min(elapsedMs, SAVE_EVERY_MS) : elapsedMs;
     return {
         key,
-        priority: job.queue.priority,
-        guaranteed: options.isGuaranteed(job),
-        stoppable: !step.spec.lasting,
+        claim: getClaim(step, options),
         members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
         lossCoreSeconds: tasks.length * decisions.getCoreEquivalents(step.spec.needs) * unsavedMs / 1_000,
         expectedEndAt: since + options.expect(step),
@@ -209,7 +218,11 @@
 
 export function toPlaceable(worker: entries.WorkerEntry): decisions.PlaceableWorker {
     const freeing = decisions.copyRoom(work.EMPTY_ROOM);
+    let serving = 0;
+    let filling = 0;
     for (const task of worker.tasks) {
+        serving += task.step.spec.targetMs > 0 ? 1 : 0;
+        filling += task.step.spec.fills ? 1 : 0;
         if (task.phase === "stopping" || task.phase === "done") {
             decisions.addRoom(freeing, task.step.needs);
         }
@@ -222,5 +235,7 @@
         capacity: worker.info.capacity,
         used: worker.used,
         freeing,
+        serving,
+        filling,
     };
 }
--- a/src/rows/storeHealth.ts
+++ b/src/rows/storeHealth.ts
@@ -84,7 +84,11 @@
                 const sentAt = time.now();
                 const outcome = await store.transact(tx, timeoutMs);
                 const why = outcome.kind === "refused" || outcome.kind === "unknown" ? outcome.message : "";
-                const kind = outcome.kind === "refused" ? "refused" : outcome.kind === "unknown" ? "silent" : "answered";
+                const kind = outcome.kind === "refused"
+                    ? "refused"
+                    : outcome.kind === "unknown"
+                    ? "silent"
+                    : "answered";
                 takeNote(kind, why, sentAt);
                 return outcome;
             },
