Waves of upkeep, and tests of the duties on emulated sites

Cause: the operator's waves were read by nobody. What: the leader empties machines (nothing new, what ends soon may end, the rest is stopped with its work saved), takes down at most as many as allowed, stores which are done and reports; lasting tasks move as many as their step may miss. Ruled out: remembering completed machines in memory alone (a successor would empty them again).

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -19,6 +19,9 @@
     readonly catalog: catalogs.Catalog;
     readonly storeFaults?: stores.StoreFaults;
     readonly workerFaults?: workersInMemory.WorkerFaults;
+    readonly adviser?: leader.Adviser;
+    readonly machines?: leader.MachineService;
+    readonly waves?: leader.WaveBoard;
     /** Longest lease of what runs on a worker. */
     readonly maxLeaseMs?: number;
 }
@@ -38,6 +41,8 @@
 export interface Site {
     readonly store: stores.EmulatedStore;
     readonly workers: workersInMemory.EmulatedWorkers;
+    /** Lets a job be asked for that is not handed in. */
+    know(job: EmulatedJob): void;
     submit(job: EmulatedJob, instance: number): Promise<intakes.IntakeReply>;
     cancel(jobId: string, instance: number): Promise<intakes.IntakeReply>;
     getState(jobId: string, instance: number): Promise<intakes.IntakeReply>;
@@ -58,6 +63,15 @@
 const DEFAULT_MAX_LEASE_MS = 6_000;
 const STOP_MS = 200;
 const CALLER_PATIENCE_MS = 3_000;
+const UPKEEP_MS = 2_000;
+const NO_ADVISER: leader.Adviser = {
+    advise: async () => ({ kind: "unavailable", message: "emulated: none" }),
+};
+const NO_MACHINES: leader.MachineService = {
+    list: async () => ({ kind: "unavailable", message: "emulated: none" }),
+    beginUpkeep: async () => ({ kind: "unknown", message: "emulated: none" }),
+};
+const NO_WAVES: leader.WaveBoard = { getOpen: () => [], report: async () => true };
 
 export function createSite(options: SiteOptions): Site {
     const { clock: time } = options;
@@ -91,7 +105,10 @@
             store: store.open(getInstanceName(number)),
             directory: workers.directory,
             workers: workers.port,
-            adviser: { advise: async () => ({ kind: "unavailable", message: "none here" }) },
+            adviser: options.adviser ?? NO_ADVISER,
+            machines: options.machines ?? NO_MACHINES,
+            waves: options.waves ?? NO_WAVES,
+            upkeepMs: UPKEEP_MS,
             clock: time,
             log: options.log,
             counters: options.counters,
@@ -116,6 +133,7 @@
     return {
         store,
         workers,
+        know: job => void jobs.set(job.jobId, job),
         submit: (job, instance) => {
             jobs.set(job.jobId, job);
             return instances[instance]!.scheduler.intake.submit(callerOfJob(instance, job.jobId), job.jobId, job.spec);
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -60,6 +60,8 @@
     /** Ends the worker's life; `listed` says whether the directory still shows it. */
     kill(id: string, listed: boolean): void;
     drain(id: string, remainingMs: number): void;
+    /** How many tasks run there. */
+    getRunning(id: string): number;
     /** Breaches of promises, in words; empty when all were kept. */
     readonly breaches: readonly string[];
     readonly starts: readonly StartRecord[];
@@ -351,6 +353,7 @@
             life.listed = listed;
             life.runs.clear();
         },
+        getRunning: id => lives.get(id)!.runs.size,
         drain: (id, remainingMs) => {
             const life = lives.get(id)!;
             life.info = { ...life.info, draining: true, remainingMs };
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -110,6 +110,8 @@
     heard: boolean;
     /** No new task before this time. */
     setAsideUntil: number;
+    /** To be emptied for its machine's upkeep. */
+    reserved: boolean;
     /** When the directory first said that it drains. */
     drainingSince: number | undefined;
     readonly tasks: Set<TaskEntry>;
@@ -197,6 +199,7 @@
         listed: true,
         heard: false,
         setAsideUntil: 0,
+        reserved: false,
         drainingSince: undefined,
         tasks: new Set(),
         used: decisions.copyRoom(work.EMPTY_ROOM),
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -2,6 +2,7 @@
 export type { AdviceResult, Adviser, DirectoryResult, WorkerDirectory } from "./directory";
 export type { WorkerInfo } from "./entries";
 export { createLease, type Leadership, type Lease, type LeaseObservation, type LeaseRecord } from "./lease";
+export type { Machine, MachineService, MachinesResult, UpkeepAnswer, UpkeepOrder, Wave, WaveBoard } from "./machines";
 export { createTerm, type Term, type TermOptions } from "./term";
 export type {
     EndKind,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -11,12 +11,14 @@
 import * as followIntake from "./followIntake";
 import * as guarantees from "./guarantees";
 import type * as lease from "./lease";
+import type * as machines from "./machines";
 import * as ordersOfTerm from "./orders";
 import * as progressWriter from "./progressWriter";
 import * as reconcile from "./reconcile";
 import * as sharing from "./sharing";
 import * as takeover from "./takeover";
 import * as units from "./units";
+import * as upkeep from "./upkeep";
 import * as watch from "./watch";
 import type * as port from "./workerPort";
 import * as workerSession from "./workerSession";
@@ -32,8 +34,14 @@
     readonly adviser: directory.Adviser;
     readonly workers: port.WorkerPort;
     readonly leadership: lease.Leadership;
+    readonly machines: machines.MachineService;
+    readonly waves: machines.WaveBoard;
+    /** Unique to this life of the instance. */
+    readonly life: string;
     /** Longest lease of what runs on a worker. */
     readonly maxLeaseMs: number;
+    /** How long a machine is down for its upkeep. */
+    readonly upkeepMs: number;
     onDeposed(reason: string): void;
 }
 
@@ -210,7 +218,7 @@
     const expect: units.Expect = step => predictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
 
     const isPlaceable = (worker: entries.WorkerEntry, now: number) =>
-        worker.listed && worker.heard && !worker.info.draining && worker.strangers === 0
+        worker.listed && worker.heard && !worker.info.draining && !worker.reserved && worker.strangers === 0
         && worker.setAsideUntil <= now && sessions.has(worker.id);
 
     const runPass = () => {
@@ -302,6 +310,19 @@
         }
         ready = true;
         void pollDirectory();
+        upkeep.runUpkeep({
+            board: options.waves,
+            service: options.machines,
+            store: options.store,
+            clock: time,
+            log,
+            leadership,
+            holder: options.life,
+            upkeepMs: options.upkeepMs,
+            book,
+            getWorker: id => workers.get(id),
+            onFenced: () => options.onDeposed("a machine has seen a higher fencing token"),
+        });
         planPass(0);
         await followIntake.followIntake({
             store: options.store,
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -87,6 +87,10 @@
 export function openSite(options: {
     readonly instances?: number;
     readonly workers?: number;
+    readonly catalog?: catalogs.Catalog;
+    readonly adviser?: leader.Adviser;
+    readonly machines?: leader.MachineService;
+    readonly waves?: leader.WaveBoard;
     readonly storeFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["storeFaults"];
     readonly workerFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["workerFaults"];
 }): TestSite {
@@ -103,13 +107,34 @@
         histograms: metrics.histograms,
         instances: options.instances ?? 2,
         workers: Array.from({ length: options.workers ?? 4 }, (_, number) => createWorkerInfo(number)),
-        catalog: CATALOG,
+        catalog: options.catalog ?? CATALOG,
+        adviser: options.adviser,
+        machines: options.machines,
+        waves: options.waves,
         storeFaults: options.storeFaults?.(time),
         workerFaults: options.workerFaults?.(time),
     });
     return { ...site, clock: time, lines };
 }
 
+/** Opens a site, lets a leader be found, and hands the jobs in. */
+export async function openWithJobs(
+    options: Parameters<typeof openSite>[0],
+    jobs: readonly emulator.EmulatedJob[],
+): Promise<TestSite> {
+    const site = openSite(options);
+    await site.clock.advance(1_000);
+    for (const job of jobs) {
+        await settle(site.clock, site.submit(job, 1));
+    }
+    return site;
+}
+
+/** Starts of a job's tasks, in order. */
+export function getStarts(site: TestSite, job: emulator.EmulatedJob) {
+    return site.workers.starts.filter(start => start.task.startsWith(job.jobId));
+}
+
 /** Advances the clock until the promise settles, at most `ms`. */
 export async function settle<T>(time: clocks.ManualClock, promise: Promise<T>, ms = 5_000): Promise<T> {
     let settled = false;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -15,12 +15,16 @@
     readonly directory: leader.WorkerDirectory;
     readonly workers: leader.WorkerPort;
     readonly adviser: leader.Adviser;
+    readonly machines: leader.MachineService;
+    readonly waves: leader.WaveBoard;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly counters: observe.Counters;
     readonly histograms: observe.Histograms;
     /** Longest lease that a worker grants to what runs there. */
     readonly maxLeaseMs: number;
+    /** How long a machine is down for its upkeep. */
+    readonly upkeepMs: number;
     readonly signal: AbortSignal;
 }
 
