A leader whose process is gone is succeeded at once

Cause: after a kill nothing starts until the lease lapses, 2.5 s and more. What: each instance holds a silent connection to the leader's process; closed and then refused means that it is gone. Ruled out: taking silence for death (a cut or a loss of power refuses nothing; the lease covers those).

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -51,6 +51,8 @@
     getLeader(): number | undefined;
     /** Ends an instance without a word. */
     kill(instance: number): void;
+    /** Ends an instance as a loss of power does: nobody is told. */
+    silence(instance: number): void;
     /** Starts a killed instance again, as a new life. */
     restart(instance: number): void;
     /** Stops an instance in good order. */
@@ -102,6 +104,17 @@
         const scheduler = schedulers.createScheduler({
             instance: getInstanceName(number),
             life: `life-${++lives}`,
+            watchAddress: getInstanceName(number),
+            watchProcess: (address, onGone) => {
+                const controller = instances.find((_, other) => getInstanceName(other) === address)?.controller;
+                const tell = () => {
+                    if (!silenced.has(address)) {
+                        time.setTimer(WORKER_LATENCY_MS, onGone);
+                    }
+                };
+                controller?.signal.addEventListener("abort", tell);
+                return () => controller?.signal.removeEventListener("abort", tell);
+            },
             store: store.open(getInstanceName(number)),
             directory: workers.directory,
             workers: workers.port,
@@ -119,7 +132,11 @@
         scheduler.catalog.accept(options.catalog);
         return { scheduler, controller };
     };
-    const instances = Array.from({ length: options.instances }, (_, number) => open(number));
+    const silenced = new Set<string>();
+    const instances: Instance[] = [];
+    for (let number = 0; number < options.instances; number++) {
+        instances.push(open(number));
+    }
     const callerOf = (instance: number, queueName: string, account: string): intakes.Caller => ({
         requestId: "",
         queue: instances[instance]!.scheduler.catalog.getQueue(queueName)!,
@@ -149,6 +166,10 @@
             return number < 0 ? undefined : number;
         },
         kill: number => instances[number]!.controller.abort(),
+        silence: number => {
+            silenced.add(getInstanceName(number));
+            instances[number]!.controller.abort();
+        },
         restart: number => {
             instances[number] = open(number);
         },
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -17,6 +17,8 @@
     /** The holder's name, the same in each of its lives. */
     readonly instance: string;
     readonly token: number;
+    /** Where other instances watch the holder's process; empty where it offers no watch. */
+    readonly watchAddress: string;
     /** Jobs of each queue of which no task has started. */
     readonly waiting: Readonly<Record<string, number>>;
 }
@@ -48,6 +50,10 @@
     readonly instance: string;
     /** Unique to this life of the process. */
     readonly life: string;
+    /** Where other instances watch this process; empty: nowhere. */
+    readonly watchAddress: string;
+    /** Watches the holder's process; returns what ends the watch. */
+    watchHolder(address: string, onGone: () => void): () => void;
     readonly signal: AbortSignal;
     getWaiting(): Readonly<Record<string, number>>;
     onElected(leadership: Leadership): void;
@@ -90,16 +96,41 @@
     let contactSince: number | undefined;
     let term: Term | undefined;
     let released = false;
+    let watchedHolder = "";
+    let goneHolder: string | undefined;
+    let endWatch: (() => void) | undefined;
+    let wake: (() => void) | undefined;
 
     const observe = (row: rows.Row) => {
         if (row.key !== LEASE_KEY.key || row.version <= (observed?.version ?? 0)) {
             return;
         }
         observed = { record: JSON.parse(row.value) as LeaseRecord, version: row.version, seenAt: time.now() };
+        watchHolder(observed.record);
+        if (observed.record.holder === "") {
+            wake?.();
+        }
         if (term && observed.record.token > term.leadership.token) {
             endTerm(`instance ${observed.record.instance} holds token ${observed.record.token}`);
         }
     };
+    /** A holder whose process is gone is not waited for: that costs 2.5 s in which nothing starts. */
+    const watchHolder = (record: LeaseRecord) => {
+        if (record.holder === watchedHolder) {
+            return;
+        }
+        endWatch?.();
+        endWatch = undefined;
+        watchedHolder = record.holder;
+        if (record.watchAddress === "" || record.holder === options.life) {
+            return;
+        }
+        endWatch = options.watchHolder(record.watchAddress, () => {
+            log.warn("holderGone", { instance: record.instance, token: record.token });
+            goneHolder = record.holder;
+            wake?.();
+        });
+    };
     const endTerm = (reason: string) => {
         if (term) {
             log.warn("leadershipLost", { token: term.leadership.token, reason });
@@ -132,7 +163,10 @@
             return true;
         }
         // Our own earlier life is over for certain; nobody else can speak for it.
-        if (observed.record.holder === "" || observed.record.instance === options.instance) {
+        if (
+            observed.record.holder === "" || observed.record.holder === goneHolder
+            || observed.record.instance === options.instance
+        ) {
             return true;
         }
         const now = time.now();
@@ -145,6 +179,7 @@
             holder: options.life,
             instance: options.instance,
             token,
+            watchAddress: options.watchAddress,
             waiting: observed?.record.waiting ?? {},
         };
         const wasReleased = observed?.record.holder === "";
@@ -170,6 +205,7 @@
             holder: options.life,
             instance: options.instance,
             token: current.leadership.token,
+            watchAddress: options.watchAddress,
             waiting: options.getWaiting(),
         };
         const outcome = await options.store.transact({
@@ -218,12 +254,17 @@
             if (knowsTable && isFree()) {
                 await takeOver();
             }
-            await time.sleep(TICK_MS, options.signal);
+            const woken = new AbortController();
+            wake = () => woken.abort();
+            await time.sleep(TICK_MS, AbortSignal.any([options.signal, woken.signal]));
         }
     };
     void run();
     // Whatever ends the instance ends its term: nothing may be ordered by a process that is about to be gone.
-    options.signal.addEventListener("abort", () => endTerm("this instance ends"));
+    options.signal.addEventListener("abort", () => {
+        endWatch?.();
+        endTerm("this instance ends");
+    });
 
     return {
         getObservation: () => observed,
@@ -240,6 +281,7 @@
                 holder: "",
                 instance: options.instance,
                 token: current.leadership.token,
+                watchAddress: "",
                 waiting: options.getWaiting(),
             };
             const outcome = await options.store.transact({
--- /dev/null
+++ b/src/liveness/watch.ts
@@ -0,0 +1,61 @@
+/**
+ * Watches another instance's process over a connection on which nothing is sent.
+ *
+ * When a process dies, its system closes its connections and refuses new ones. So a connection that had come about
+ * and was closed, followed by a refusal, means that the process is gone, long before its lease lapses. Silence means
+ * nothing here: a machine without power or behind a cut refuses nothing.
+ */
+import * as net from "node:net";
+
+export interface WatchOptions {
+    /** `IP:PORT` of the process's liveness server. */
+    readonly address: string;
+    /** Called once, when the process is gone. */
+    onGone(): void;
+}
+
+/** Between tries to connect while it is not known whether the process lives. */
+const RETRY_MS = 300;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Returns what ends the watch. */
+export function watchProcess(options: WatchOptions): () => void {
+    const separator = options.address.lastIndexOf(":");
+    const host = options.address.slice(0, separator);
+    const port = Number(options.address.slice(separator + 1));
+    let ended = false;
+    let wasConnected = false;
+    let socket: net.Socket | undefined;
+    let retry: NodeJS.Timeout | undefined;
+
+    const connect = () => {
+        let refused = false;
+        socket = net.connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
+        socket.once("connect", () => {
+            wasConnected = true;
+            socket?.setTimeout(0);
+        });
+        socket.once("timeout", () => socket?.destroy());
+        socket.on("error", (err: NodeJS.ErrnoException) => {
+            refused = err.code === "ECONNREFUSED";
+        });
+        socket.resume();
+        socket.once("close", () => {
+            if (ended) {
+                return;
+            }
+            if (refused && wasConnected) {
+                ended = true;
+                options.onGone();
+                return;
+            }
+            retry = setTimeout(connect, refused ? RETRY_MS : 0);
+        });
+    };
+    connect();
+    return () => {
+        ended = true;
+        clearTimeout(retry);
+        socket?.destroy();
+    };
+}
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -165,19 +165,19 @@
         let tasksEnded = 0;
         let open = true;
         // The machines are a small fake over the site that the test opens below.
-        let opened: fixtures.TestSite | undefined;
+        const ref: { site?: fixtures.TestSite; } = {};
         const machines: leader.MachineService = {
             list: async () => ({
                 kind: "machines",
                 machines: [...lives].map(([id, workerId]) => ({
                     id,
-                    up: (downUntil.get(id) ?? 0) <= opened!.clock.now(),
+                    up: (downUntil.get(id) ?? 0) <= ref.site!.clock.now(),
                     workerId,
                 })),
             }),
             beginUpkeep: async order => {
-                const now = opened!.clock.now();
-                const site = opened!;
+                const now = ref.site!.clock.now();
+                const site = ref.site!;
                 const runs = site.workers.getRunning(lives.get(order.machine)!);
                 tasksEnded += runs;
                 site.workers.kill(lives.get(order.machine)!, false);
@@ -200,7 +200,8 @@
                 return true;
             },
         };
-        opened = fixtures.openSite({ workers: 4, machines, waves });
+        const opened = fixtures.openSite({ workers: 4, machines, waves });
+        ref.site = opened;
         await opened.clock.advance(100);
         const job = fixtures.createJob(1, { count: 6, estimateMs: 6_000, needs: HALF_WORKER });
         await fixtures.settle(opened.clock, opened.submit(job, 1));
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -11,6 +11,10 @@
     readonly instance: string;
     /** Unique to this life of the instance. */
     readonly life: string;
+    /** Where other instances watch this process; empty: nowhere. */
+    readonly watchAddress: string;
+    /** Watches another instance's process; returns what ends the watch. */
+    watchProcess(address: string, onGone: () => void): () => void;
     readonly store: rows.RowStore;
     readonly directory: leader.WorkerDirectory;
     readonly workers: leader.WorkerPort;
@@ -75,6 +79,8 @@
         log,
         instance: options.instance,
         life: options.life,
+        watchAddress: options.watchAddress,
+        watchHolder: options.watchProcess,
         signal: options.signal,
         getWaiting: () => term?.getWaiting() ?? {},
         onElected: openTerm,
