--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -373,12 +373,21 @@
                 markDone(task);
                 return;
             }
+            const wasStopping = task.phase === "stopping";
             toWaiting(task);
             if (end.how === "failed") {
                 countFailure(task, end.run, worker);
             }
             else {
-                log.info("runEnded", { task: task.name, run: end.run, worker: worker.id, how: end.how });
+                log.info("runEnded", {
+                    task: task.name,
+                    run: end.run,
+                    worker: worker.id,
+                    how: end.how,
+                    reason: wasStopping ? task.stopReason : undefined,
+                    ranMs: Math.round(time.now() - task.runningSince),
+                    saved: end.saved !== "",
+                });
             }
             breakGang(task, `gang member ended: ${end.how}`);
         },
