The lead goes to strong machines; unanswered starts are looked for before they are stopped

Ruled out: the store (answers in 5 ms), lost answers (the workers had answered). Also: deadlines from the worker's clock at the answer, not at the middle of a look that waits 2 s; a predecessor that was taken over early counts as able to prolong for its lease more; a start is sent only for the run whose row is stored.

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -104,6 +104,7 @@
         const scheduler = schedulers.createScheduler({
             instance: getInstanceName(number),
             life: `life-${++lives}`,
+            power: 1,
             watchAddress: getInstanceName(number),
             watchProcess: (address, onGone) => {
                 const controller = instances.find((_, other) => getInstanceName(other) === address)?.controller;
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -28,6 +28,8 @@
     /** When the current run was ordered, and when it was confirmed. */
     orderedAt: number;
     runningSince: number;
+    /** When its start was given up as unanswered; undefined while it is answered or under way. */
+    unansweredAt: number | undefined;
     /** When the worker accepted the stop; undefined until then. */
     stopAcceptedAt: number | undefined;
     stopReason: string;
@@ -179,6 +181,7 @@
         worker: undefined,
         orderedAt: 0,
         runningSince: 0,
+        unansweredAt: undefined,
         stopAcceptedAt: undefined,
         stopReason: "",
         percent: 0,
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -19,8 +19,10 @@
     readonly token: number;
     /** Where other instances watch the holder's process; empty where it offers no watch. */
     readonly watchAddress: string;
-    /** Jobs of each queue of which no task has started. */
-    readonly waiting: Readonly<Record<string, number>>;
+    /** How strong the holder's machine is: the processor time that it gets, in cores. */
+    readonly power: number;
+    /** Jobs of each queue of which no task has started; absent while the holder does not know yet. */
+    readonly waiting?: Readonly<Record<string, number>>;
 }
 
 export interface LeaseObservation {
@@ -54,8 +56,10 @@
     readonly watchAddress: string;
     /** Watches the holder's process; returns what ends the watch. */
     watchHolder(address: string, onGone: () => void): () => void;
+    /** Processor time that this instance gets, in cores. */
+    readonly power: number;
     readonly signal: AbortSignal;
-    getWaiting(): Readonly<Record<string, number>>;
+    getWaiting(): Readonly<Record<string, number>> | undefined;
     onElected(leadership: Leadership): void;
 }
 
@@ -81,6 +85,13 @@
  * seconds then stops no work. A successor waits this much longer before it counts work on a silent worker as gone.
  */
 export const PROLONG_MS = 9_000;
+/** A machine with this many times the holder's processor time takes the lead over. */
+const MUCH_STRONGER = 2;
+/** Only an instance that has seen the store for this long does: not right after a start or an outage. */
+const STEADY_MS = 3_000;
+/** A machine with a whole core leads without waiting; one with a third of it leaves others 0.3 s. */
+const STRONG_CORES = 1;
+const MOST_YIELD_MS = 450;
 const CALL_TIMEOUT_MS = 700;
 const RETRY_PAUSE_MS = 100;
 const TICK_MS = 100;
@@ -158,6 +169,26 @@
         },
     });
 
+    /** Since when the lease could be had; a weak instance leaves it to stronger ones for a moment. */
+    let freeSince: number | undefined;
+    const mayTake = (): boolean => {
+        if (!isFree() && !isMuchStronger()) {
+            freeSince = undefined;
+            return false;
+        }
+        freeSince ??= time.now();
+        return time.now() - freeSince >= getYieldMs(options.power);
+    };
+    /**
+     * A leader on a weak machine is succeeded by a strong one: it falls behind under load, takes its own backlog for
+     * unanswered orders and stops sound work. A takeover costs some 0.2 s.
+     */
+    const isMuchStronger = (): boolean =>
+        observed !== undefined && contactSince !== undefined
+        && observed.record.power > 0
+        && options.power >= MUCH_STRONGER * observed.record.power
+        && time.now() - contactSince >= STEADY_MS
+        && time.now() - observed.seenAt < LEASE_MS;
     const isFree = (): boolean => {
         if (!observed) {
             return true;
@@ -180,7 +211,7 @@
             instance: options.instance,
             token,
             watchAddress: options.watchAddress,
-            waiting: observed?.record.waiting ?? {},
+            power: options.power,
         };
         const wasReleased = observed?.record.holder === "";
         const outcome = await options.store.transact({
@@ -206,6 +237,7 @@
             instance: options.instance,
             token: current.leadership.token,
             watchAddress: options.watchAddress,
+            power: options.power,
             waiting: options.getWaiting(),
         };
         const outcome = await options.store.transact({
@@ -251,7 +283,7 @@
                 await time.sleep(Math.min(TICK_MS, RENEW_EVERY_MS - sinceRenewal), options.signal);
                 continue;
             }
-            if (knowsTable && isFree()) {
+            if (knowsTable && mayTake()) {
                 await takeOver();
             }
             const woken = new AbortController();
@@ -282,6 +314,7 @@
                 instance: options.instance,
                 token: current.leadership.token,
                 watchAddress: "",
+                power: 0,
                 waiting: options.getWaiting(),
             };
             const outcome = await options.store.transact({
@@ -294,6 +327,10 @@
     };
 }
 
+function getYieldMs(power: number): number {
+    return Math.max(0, 1 - power / STRONG_CORES) * MOST_YIELD_MS;
+}
+
 /** One moment on both clocks. */
 interface Times {
     readonly monotonic: number;
@@ -331,7 +368,8 @@
             signal: controller.signal,
             mayOrder: () => !controller.signal.aborted && term.getLeftMs() > 0,
             mayProlong: () => !controller.signal.aborted && term.getLeftMs() + PROLONG_MS > 0,
-            othersSilentAt: sentAt.monotonic + (wasReleased ? 0 : PROLONG_MS),
+            // A predecessor that is still there may have renewed a moment before its lease was taken.
+            othersSilentAt: sentAt.monotonic + (wasReleased ? 0 : LEASE_MS + PROLONG_MS),
         },
     };
     return term;
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -16,9 +16,15 @@
     mayOrder(): boolean;
 }
 
+/** A task and the run for which its row is stored; by the time of the order it may be placed anew. */
+export interface PlacedTask {
+    readonly task: entries.TaskEntry;
+    readonly run: number;
+}
+
 export interface Orders {
     /** Starts tasks whose rows are stored. */
-    start(tasks: readonly entries.TaskEntry[]): void;
+    start(placed: readonly PlacedTask[]): void;
     /** Sees a `stopping` task through to its end. */
     stop(task: entries.TaskEntry): void;
     /** Tells a running task at which share of its speed it may work. */
@@ -31,11 +37,36 @@
 /** A worker that says it has no room holds something that we do not know; its next look tells. */
 const NO_ROOM_ASIDE_MS = 500;
 const STOP_RETRY_MS = 200;
+/**
+ * More starts at once only wait for our own processor, and their timeouts run meanwhile: a takeover on a third of a
+ * core sent 250 at once, and 180 of them were taken for unanswered.
+ */
+const MAX_STARTS_IN_FLIGHT = 32;
+/** For a look that is lost as well; members of a gang wait 3 s for each other. */
+const UNANSWERED_PATIENCE_MS = 1_000;
 
 export function createOrders(options: OrdersOptions): Orders {
     const { book: taskBook, clock: time, log, counters } = options;
 
-    const startOne = async (task: entries.TaskEntry) => {
+    const waiting: PlacedTask[] = [];
+    let inFlight = 0;
+    const startNext = () => {
+        while (inFlight < MAX_STARTS_IN_FLIGHT) {
+            const next = waiting.shift();
+            if (!next) {
+                return;
+            }
+            inFlight++;
+            void startOne(next).then(() => {
+                inFlight--;
+                startNext();
+            });
+        }
+    };
+    const startOne = async ({ task, run }: PlacedTask) => {
+        if (task.run !== run) {
+            return;
+        }
         const worker = task.worker;
         const session = worker && options.getSession(worker);
         if (!worker || !session || task.phase !== "recording" || !options.mayOrder()) {
@@ -44,8 +75,8 @@
             }
             return;
         }
-        const { run } = task;
         task.phase = "ordered";
+        task.unansweredAt = undefined;
         task.orderedAt = time.now();
         const { submission } = task.step.occurrence.job;
         const answer = await session.start({
@@ -91,7 +122,9 @@
                 takeBackStart(task);
                 break;
             case "unknown":
-                taskBook.requestStop(task, "startUnanswered");
+                if (task.phase === "ordered") {
+                    void settleUnanswered(task, worker);
+                }
                 break;
             case "otherLife":
                 // The session has reported the end of that life, which took the task back.
@@ -99,6 +132,21 @@
         }
     };
 
+    /**
+     * A start without an answer was often carried out all the same. A look tells: listed, the task goes on; not
+     * listed, it is stopped, after which the worker refuses the order should it come late. Stopping at once threw
+     * away sound work whenever answers were slow.
+     */
+    const settleUnanswered = async (task: entries.TaskEntry, worker: entries.WorkerEntry) => {
+        const { run } = task;
+        task.unansweredAt = time.now();
+        options.getSession(worker)?.lookNow();
+        await time.sleep(UNANSWERED_PATIENCE_MS, options.signal);
+        if (task.run === run && task.phase === "ordered" && !options.signal.aborted) {
+            taskBook.requestStop(task, "startUnanswered");
+        }
+    };
+
     const takeBackStart = (task: entries.TaskEntry) => {
         // A look may have confirmed or a request stopped it in the meantime; then that decides.
         if (task.phase === "ordered" || task.phase === "stopping") {
@@ -148,7 +196,10 @@
 
     return {
         pace: (task, percent) => void paceOne(task, percent),
-        start: tasks => tasks.forEach(task => void startOne(task)),
+        start: placed => {
+            waiting.push(...placed);
+            startNext();
+        },
         stop: task => void stopOne(task),
         stopStranger: (worker, told) => {
             const session = options.getSession(worker);
--- a/src/leader/reconcile.ts
+++ b/src/leader/reconcile.ts
@@ -69,9 +69,13 @@
                     options.book.takeBack(task);
                 }
                 break;
+            case "ordered":
+                if (task.unansweredAt !== undefined && task.unansweredAt < sentAt) {
+                    options.book.requestStop(task, "startUnanswered");
+                }
+                break;
             case "waiting":
             case "recording":
-            case "ordered":
                 break;
         }
     }
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -46,8 +46,8 @@
 }
 
 export interface Term {
-    /** Jobs of each queue of which no task has started. */
-    getWaiting(): Readonly<Record<string, number>>;
+    /** Jobs of each queue of which no task has started; `undefined` until the stored jobs are read. */
+    getWaiting(): Readonly<Record<string, number>> | undefined;
 }
 
 /** Events of one moment are decided together; short beside the way to a worker and back. */
@@ -272,11 +272,11 @@
             return;
         }
         const tasksByUnit = new Map(waiting.map(item => [item.unit.key, item.tasks]));
-        const placed: entries.TaskEntry[] = [];
+        const placed: ordersOfTerm.PlacedTask[] = [];
         for (const start of plan.starts) {
             const tasks = tasksByUnit.get(start.unit.key)!;
             book.place(tasks, start.workerIds.map(id => workers.get(id)!));
-            placed.push(...tasks);
+            placed.push(...tasks.map(task => ({ task, run: task.run })));
             log.info("placed", {
                 unit: start.unit.key,
                 run: tasks[0]!.run,
@@ -345,6 +345,9 @@
 
     return {
         getWaiting: () => {
+            if (!ready) {
+                return undefined;
+            }
             const counts: Record<string, number> = {};
             for (const job of book.active) {
                 if (job.state === "queued") {
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -78,9 +78,11 @@
     let gone = false;
     let wake: (() => void) | undefined;
 
-    const learnClock = (workerClock: number | undefined, sentAt: number) => {
+    const learnClock = (workerClock: number | undefined) => {
         if (workerClock !== undefined && workerClock > 0) {
-            clockOffset = workerClock - (sentAt + time.now()) / 2;
+            // The answer left the worker before it came here, so this is never too high, and a deadline made from it
+            // never later than we count on: a look may have waited there for seconds.
+            clockOffset = workerClock - time.now();
         }
     };
     const getDeadline = () => {
@@ -105,14 +107,14 @@
         }
     };
     /** What each answer says beyond its own order. */
-    const takeNote = (answer: port.OrderAnswer | port.LookAnswer, sentAt: number) => {
+    const takeNote = (answer: port.OrderAnswer | port.LookAnswer) => {
         switch (answer.kind) {
             case "accepted":
             case "lists":
-                learnClock(answer.workerClock, sentAt);
+                learnClock(answer.workerClock);
                 break;
             case "refused":
-                learnClock(answer.workerClock, sentAt);
+                learnClock(answer.workerClock);
                 if (answer.reason === "fence") {
                     options.onFenced();
                 }
@@ -141,7 +143,7 @@
         if (signal.aborted) {
             return false;
         }
-        takeNote(answer, sentAt);
+        takeNote(answer);
         if (answer.kind !== "lists") {
             if (answer.kind !== "otherLife") {
                 options.log.info("lookFailed", { worker: worker.id, answer: answer.kind });
@@ -235,10 +237,9 @@
         if (!leadership.mayOrder()) {
             return { kind: "unreachable", message: "the lease is not certain" };
         }
-        const sentAt = time.now();
         const answer = await send();
         if (!signal.aborted) {
-            takeNote(answer, sentAt);
+            takeNote(answer);
         }
         return answer;
     };
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -11,6 +11,8 @@
     readonly instance: string;
     /** Unique to this life of the instance. */
     readonly life: string;
+    /** Processor time that this instance gets, in cores. */
+    readonly power: number;
     /** Where other instances watch this process; empty: nowhere. */
     readonly watchAddress: string;
     /** Watches another instance's process; returns what ends the watch. */
@@ -82,7 +84,8 @@
         watchAddress: options.watchAddress,
         watchHolder: options.watchProcess,
         signal: options.signal,
-        getWaiting: () => term?.getWaiting() ?? {},
+        power: options.power,
+        getWaiting: () => term?.getWaiting(),
         onElected: openTerm,
     });
     const intake = intakes.createIntake({
@@ -94,7 +97,8 @@
         histograms: options.histograms,
         getWaiting: () => {
             const observed = lease.getObservation();
-            return observed && { counts: observed.record.waiting, ageMs: time.now() - observed.seenAt };
+            const counts = observed?.record.waiting;
+            return observed && counts && { counts, ageMs: time.now() - observed.seenAt };
         },
     });
     return {
