--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -1,4 +1,4 @@
 /** Time in milliseconds: the one clock type that every duty takes. */
-export type { CancelTimer, Clock } from "./clock";
+export { type CancelTimer, type Clock, createSleep } from "./clock";
 export { createManualClock, type ManualClock } from "./manualClock";
 export { createSystemClock } from "./systemClock";
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -154,6 +154,12 @@
             }
         });
     }
+    for (let freeze = source.nextInt(4); freeze > 0; freeze--) {
+        const ms = 500 + source.nextInt(7_000);
+        const suspended = source.nextInt(2) === 0;
+        // The leader if there is one: the others have nothing to do wrong.
+        add(1_500 + source.nextInt(TROUBLE_MS - 2_000), () => site.freeze(site.getLeader() ?? 0, ms, suspended));
+    }
     if (source.nextInt(2) === 0) {
         const worker = getWorkerId(source.nextInt(WORKERS));
         add(2_000 + source.nextInt(TROUBLE_MS), () => {
@@ -169,7 +175,7 @@
     most: number,
     faults: readonly T[],
     targets: readonly string[],
-): Window<T>[] {
+): Array<Window<T>> {
     return range(source.nextInt(most + 1)).map(() => {
         const from = source.nextInt(TROUBLE_MS);
         return {
@@ -182,7 +188,7 @@
     });
 }
 
-function pick<T>(source: random.Random, windows: readonly Window<T>[], now: number, target: string): T | undefined {
+function pick<T>(source: random.Random, windows: ReadonlyArray<Window<T>>, now: number, target: string): T | undefined {
     const open = windows.find(window =>
         now >= window.from && now < window.to && (window.target === "" || window.target === target)
     );
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -1,4 +1,5 @@
 /** A site in memory: instances of the real scheduler over an emulated store and workers, on a manual clock. */
+import * as events from "node:events";
 import type * as catalogs from "../catalog/index";
 import type * as clock from "../clock/index";
 import type * as intakes from "../intake/index";
@@ -6,6 +7,7 @@
 import type * as observe from "../observe/index";
 import * as schedulers from "../scheduler/index";
 import type * as work from "../work/index";
+import * as freezers from "./freezer";
 import * as stores from "./store";
 import * as workersInMemory from "./workers";
 
@@ -53,6 +55,8 @@
     kill(instance: number): void;
     /** Ends an instance as a loss of power does: nobody is told. */
     silence(instance: number): void;
+    /** Lets an instance stand still, and wake up in the middle of what it was doing. */
+    freeze(instance: number, ms: number, suspended: boolean): void;
     /** Starts a killed instance again, as a new life. */
     restart(instance: number): void;
     /** Stops an instance in good order. */
@@ -97,10 +101,13 @@
     interface Instance {
         readonly scheduler: schedulers.Scheduler;
         readonly controller: AbortController;
+        readonly freezer: freezers.Freezer;
     }
     let lives = 0;
     const open = (number: number): Instance => {
         const controller = new AbortController();
+        events.setMaxListeners(0, controller.signal);
+        const freezer = freezers.createFreezer(time);
         const scheduler = schedulers.createScheduler({
             instance: getInstanceName(number),
             life: `life-${++lives}`,
@@ -116,14 +123,14 @@
                 controller?.signal.addEventListener("abort", tell);
                 return () => controller?.signal.removeEventListener("abort", tell);
             },
-            store: store.open(getInstanceName(number)),
+            store: freezer.wrapStore(store.open(getInstanceName(number))),
             directory: workers.directory,
-            workers: workers.port,
+            workers: freezer.wrapWorkers(workers.port),
             adviser: options.adviser ?? NO_ADVISER,
             machines: options.machines ?? NO_MACHINES,
             waves: options.waves ?? NO_WAVES,
             upkeepMs: UPKEEP_MS,
-            clock: time,
+            clock: freezer.clock,
             log: options.log,
             counters: options.counters,
             histograms: options.histograms,
@@ -131,7 +138,7 @@
             signal: controller.signal,
         });
         scheduler.catalog.accept(options.catalog);
-        return { scheduler, controller };
+        return { scheduler, controller, freezer };
     };
     const silenced = new Set<string>();
     const instances: Instance[] = [];
@@ -142,7 +149,7 @@
         requestId: "",
         queue: instances[instance]!.scheduler.catalog.getQueue(queueName)!,
         account,
-        deadlineAt: time.now() + CALLER_PATIENCE_MS,
+        deadlineAt: instances[instance]!.freezer.clock.now() + CALLER_PATIENCE_MS,
     });
     const callerOfJob = (instance: number, jobId: string) => {
         const job = jobs.get(jobId)!;
@@ -167,6 +174,7 @@
             return number < 0 ? undefined : number;
         },
         kill: number => instances[number]!.controller.abort(),
+        freeze: (number, ms, suspended) => instances[number]!.freezer.freeze(ms, suspended),
         silence: number => {
             silenced.add(getInstanceName(number));
             instances[number]!.controller.abort();
