--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -54,7 +54,8 @@
     takeProgress(task: entries.TaskEntry, told: port.RunningTask): void;
     /** The worker's life is over, or all that ran there has lapsed. */
     loseTasksOf(worker: entries.WorkerEntry, reason: string): void;
-    refreshQueues(): void;
+    /** Drops a job that is over and that nothing runs for. */
+    forgetJob(job: entries.JobEntry): void;
 }
 
 export function createBook(options: BookOptions): Book {
@@ -418,9 +419,12 @@
                 breakGang(task, "gang member lost");
             }
         },
-        refreshQueues: () => {
-            for (const job of active) {
-                job.queue = options.getQueue(job.queue.name) ?? job.queue;
+        forgetJob: job => {
+            jobs.delete(job.submission.jobId);
+            for (const occurrence of job.occurrences.values()) {
+                for (const step of occurrence.steps) {
+                    step.tasks.forEach(task => tasks.delete(task.name));
+                }
             }
         },
     };
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -77,7 +77,7 @@
 
 export interface JobEntry {
     readonly submission: work.Submission;
-    /** As configured now, or last. */
+    /** As configured when this leader learned of the job. */
     queue: catalog.Queue;
     state: work.JobState;
     cancelled: boolean;
--- /dev/null
+++ b/src/leader/retention.ts
@@ -0,0 +1,105 @@
+/**
+ * Removes the rows of jobs that ended long ago. Without it every takeover reads all jobs that ever were.
+ *
+ * The submission goes first: rows of progress without a submission are removed later, while a submission without
+ * progress would run again.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as rows from "../rows/index";
+import * as work from "../work/index";
+import type * as book from "./book";
+import type * as entries from "./entries";
+import type * as lease from "./lease";
+
+export interface RetentionOptions {
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly leadership: lease.Leadership;
+    readonly book: book.Book;
+    /** How long the state of an ended job can be asked for. */
+    readonly retentionMs: number;
+}
+
+const CHECK_EVERY_MS = 10_000;
+/** Jobs of one check: at 3,500 jobs a day one in 25 s is enough, so this catches up with any backlog. */
+const JOBS_PER_CHECK = 20;
+const CALL_TIMEOUT_MS = 2_000;
+
+export async function runRetention(options: RetentionOptions): Promise<void> {
+    const { signal } = options.leadership;
+    while (!signal.aborted) {
+        await options.clock.sleep(CHECK_EVERY_MS, signal);
+        if (signal.aborted || !options.leadership.mayOrder()) {
+            continue;
+        }
+        const before = options.clock.wallTime() - options.retentionMs;
+        const old = [...options.book.jobs.values()]
+            .filter(job => job.endedAt > 0 && job.endedAt < before && !hasPlacedTask(job))
+            .slice(0, JOBS_PER_CHECK);
+        let removed = 0;
+        for (const job of old) {
+            if (await removeRows(options, job)) {
+                options.book.forgetJob(job);
+                removed++;
+            }
+        }
+        if (removed > 0) {
+            options.log.info("jobsForgotten", { removed, left: options.book.jobs.size });
+        }
+    }
+}
+
+/** A task that is still being stopped needs its entry until its worker has said that it is gone. */
+function hasPlacedTask(job: entries.JobEntry): boolean {
+    for (const occurrence of job.occurrences.values()) {
+        if (occurrence.steps.some(step => step.tasks.some(task => task.worker))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+async function removeRows(options: RetentionOptions, job: entries.JobEntry): Promise<boolean> {
+    const { jobId } = job.submission;
+    const intake = await options.store.transact({
+        conditions: [],
+        puts: [],
+        removals: [jobId, work.getCancelKey(jobId)].map(key => ({
+            table: work.Table.Jobs,
+            part: work.INTAKE_PART,
+            key,
+        })),
+    }, CALL_TIMEOUT_MS);
+    if (intake.kind !== "committed") {
+        return false;
+    }
+    const keys = [jobId, ...[...job.occurrences.keys()].map(number => work.getOccurrenceKey(jobId, number))];
+    const progress = await options.store.transact({
+        conditions: [options.leadership.guard],
+        puts: [],
+        removals: keys.map(key => ({ table: work.Table.Progress, part: work.LEADER_PART, key })),
+    }, CALL_TIMEOUT_MS);
+    return progress.kind === "committed";
+}
+
+/** Removes progress whose submission is gone: a leader was lost between the two removals. */
+export async function removeOrphans(
+    options: Pick<RetentionOptions, "store" | "log" | "leadership">,
+    keys: readonly string[],
+): Promise<void> {
+    const outcome = await options.store.transact({
+        conditions: [options.leadership.guard],
+        puts: [],
+        removals: keys.slice(0, MOST_REMOVALS).map(key => ({
+            table: work.Table.Progress,
+            part: work.LEADER_PART,
+            key,
+        })),
+    }, CALL_TIMEOUT_MS);
+    options.log.info("orphansRemoved", { rows: keys.length, outcome: outcome.kind });
+}
+
+/** A transaction holds 100 entries; what is left is removed after the next takeover. */
+const MOST_REMOVALS = 90;
--- a/src/leader/takeover.ts
+++ b/src/leader/takeover.ts
@@ -13,6 +13,8 @@
     readonly signal: AbortSignal;
     readonly book: book.Book;
     getWorker(id: string): entries.WorkerEntry;
+    /** Progress was found whose submission has been removed. */
+    onOrphans(keys: readonly string[]): void;
 }
 
 /** A page of 500 rows takes some 10 ms, with a slow store (60 times) some 300 ms. */
@@ -62,12 +64,13 @@
 }
 
 function restore(options: TakeoverOptions, progressRows: readonly rows.Row[]): void {
+    const orphans: string[] = [];
     const occurrences: Array<{ job: entries.JobEntry; number: number; row: rows.Row; }> = [];
     for (const row of progressRows) {
         const parsed = work.parseOccurrenceKey(row.key);
         const job = options.book.jobs.get(parsed?.jobId ?? row.key);
         if (!job) {
-            options.log.warn("progressWithoutJob", { key: row.key });
+            orphans.push(row.key);
             continue;
         }
         if (parsed) {
@@ -76,6 +79,9 @@
         }
         options.book.restoreJob(job, JSON.parse(row.value) as work.JobProgress, row.version);
     }
+    if (orphans.length > 0) {
+        options.onOrphans(orphans);
+    }
     for (const { job, number, row } of occurrences) {
         const progress = work.decodeOccurrence(row.value);
         options.book.restoreOccurrence(job, number, progress, row.version, options.getWorker);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -15,6 +15,7 @@
 import * as ordersOfTerm from "./orders";
 import * as progressWriter from "./progressWriter";
 import * as reconcile from "./reconcile";
+import * as retention from "./retention";
 import * as sharing from "./sharing";
 import * as takeover from "./takeover";
 import * as units from "./units";
@@ -42,6 +43,8 @@
     readonly maxLeaseMs: number;
     /** How long a machine is down for its upkeep. */
     readonly upkeepMs: number;
+    /** How long the state of an ended job can be asked for. */
+    readonly retentionMs: number;
     onDeposed(reason: string): void;
 }
 
@@ -304,7 +307,15 @@
     };
 
     const run = async () => {
-        const version = await takeover.takeOver({ store: options.store, clock: time, log, signal, book, getWorker });
+        const version = await takeover.takeOver({
+            store: options.store,
+            clock: time,
+            log,
+            signal,
+            book,
+            getWorker,
+            onOrphans: keys => void retention.removeOrphans({ store: options.store, log, leadership }, keys),
+        });
         if (version === undefined) {
             return;
         }
@@ -323,6 +334,14 @@
             getWorker: id => workers.get(id),
             onFenced: () => options.onDeposed("a machine has seen a higher fencing token"),
         });
+        void retention.runRetention({
+            store: options.store,
+            clock: time,
+            log,
+            leadership,
+            book,
+            retentionMs: options.retentionMs,
+        });
         planPass(0);
         await followIntake.followIntake({
             store: options.store,
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -214,3 +214,32 @@
         opened.close();
     });
 });
+
+describe("retention", () => {
+    test("rows of a job that ended long ago are removed, those of others stay", async () => {
+        const ended = fixtures.createJob(1);
+        const running = fixtures.createJob(2, { lasting: true });
+        const site = await fixtures.openWithJobs({}, [ended, running]);
+        await site.clock.advance(50_000);
+        expect(await stateOf(site, ended.jobId)).toBe("completed");
+        await site.clock.advance(40_000);
+        expect(await stateOf(site, ended.jobId)).toBe("unknownJob");
+        expect(await stateOf(site, running.jobId)).toBe("running");
+        expect(site.store.getRows("progress").map(row => row.key)).toEqual([running.jobId, `${running.jobId}.0`]);
+        site.close();
+    });
+
+    test("progress without a submission is removed after a takeover and runs nothing", async () => {
+        const job = fixtures.createJob(1);
+        const site = await fixtures.openWithJobs({}, [job]);
+        await site.clock.advance(4_000);
+        // A leader was lost between removing the submission and removing its progress.
+        site.store.remove({ table: "jobs", part: "intake", key: job.jobId });
+        const before = site.workers.starts.length;
+        site.kill(site.getLeader()!);
+        await site.clock.advance(3_000);
+        expect(site.workers.starts).toHaveLength(before);
+        expect(site.store.getRows("progress")).toEqual([]);
+        site.close();
+    });
+});
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -31,6 +31,8 @@
     readonly maxLeaseMs: number;
     /** How long a machine is down for its upkeep. */
     readonly upkeepMs: number;
+    /** How long the state of an ended job can be asked for. */
+    readonly retentionMs: number;
     readonly signal: AbortSignal;
 }
 
