plantainchute explain: a request's story from log lines alone

Cause: on-call engineers have only logs and metrics, and a job's lines lie with whichever instances took part. What: reads lines of any instances, finds the job of a request's id, prints what was decided in order with what befell these instances meanwhile, and a verdict (refused, undecided, failed, cancelled, completed and what it cost).

--- /dev/null
+++ b/src/explain/__tests__/story.test.ts
@@ -0,0 +1,85 @@
+import * as explain from "../index";
+
+const JOB = "00000000000000aa";
+
+function line(second: number, event: string, fields: Record<string, unknown> = {}, instance = "a"): string {
+    const time = new Date(1_700_000_000_000 + second * 1_000).toISOString();
+    return JSON.stringify({ time, level: "info", instance, event, ...fields });
+}
+
+function submitted(second: number, outcome: string, reason?: string): string {
+    return line(second, "request", { request: "r1", call: "submit", job: JOB, account: "x", outcome, reason });
+}
+
+interface Case {
+    readonly name: string;
+    readonly lines: readonly string[];
+    readonly verdict: explain.Verdict;
+    readonly text: string;
+}
+
+const cases: readonly Case[] = [
+    {
+        name: "refused: the store was out of reach",
+        lines: [line(0, "storeLost", { why: "silence" }), submitted(1, "notAccepted", "the store cannot be reached")],
+        verdict: { kind: "refused", reason: "the store cannot be reached" },
+        text: "Refused, not run: the store cannot be reached.",
+    },
+    {
+        name: "accepted at the second try, and late since other work went first",
+        lines: [
+            submitted(0, "notAccepted", "busy"),
+            submitted(1, "accepted"),
+            line(3, "placed", { unit: `${JOB}.0.0.0`, run: 1 }, "b"),
+            line(4, "runEnded", { task: `${JOB}.0.0.0`, how: "stopped", reason: "preempted for ff.0.0.0" }, "b"),
+            line(9, "jobEnded", { job: JOB, state: "completed", ageMs: 8_000 }, "b"),
+        ],
+        verdict: { kind: "completed", ageMs: 8_000, waitedMs: 2_000, setbacks: { preempted: 1 } },
+        text: "Completed after 8000 ms, first placed after 2000 ms; runs that ended early: 1 preempted.",
+    },
+    {
+        name: "failed on two workers",
+        lines: [
+            submitted(0, "accepted"),
+            line(2, "runFailed", { task: `${JOB}.0.0.0`, worker: "w1" }, "b"),
+            line(4, "runFailed", { task: `${JOB}.0.0.0`, worker: "w2" }, "b"),
+            line(4, "jobEnded", { job: JOB, state: "failed", ageMs: 4_000 }, "b"),
+        ],
+        verdict: { kind: "failed", runs: 2, workers: ["w1", "w2"] },
+        text: "Failed after 2 failed runs, on w1, w2.",
+    },
+    {
+        name: "cancelled",
+        lines: [submitted(0, "accepted"), line(4, "jobEnded", { job: JOB, state: "cancelled" }, "b")],
+        verdict: { kind: "cancelled" },
+        text: "Cancelled by its caller.",
+    },
+    {
+        name: "nothing known",
+        lines: [line(0, "jobEnded", { job: "00000000000000ab" }), "not a line", "{\"cut off"],
+        verdict: { kind: "unknown" },
+        text: "No line tells of it.",
+    },
+];
+
+describe("explain", () => {
+    test.each(cases)("$name", ({ lines, verdict, text }) => {
+        const parsed = lines.map(explain.parseLine).filter(entry => entry !== undefined);
+        for (const id of verdict.kind === "unknown" ? [JOB] : [JOB, "r1"]) {
+            const story = explain.tellStory(parsed, id);
+            expect(story.verdict).toEqual(verdict);
+            expect(explain.renderStory(story).split("\n").at(-1)).toBe(text);
+        }
+    });
+
+    test("lines of several instances stand in the order of their time, with what befell these instances meanwhile", () => {
+        const parsed = [
+            line(4, "jobEnded", { job: JOB, state: "completed", ageMs: 1 }, "b"),
+            line(2, "leadershipTaken", { token: 2 }, "b"),
+            line(2, "leadershipTaken", { token: 9 }, "elsewhere"),
+            `  0.001 a ${submitted(0, "accepted")}`,
+        ].map(explain.parseLine).filter(entry => entry !== undefined);
+        expect(explain.tellStory(parsed, JOB).lines.map(entry => entry.event))
+            .toEqual(["request", "leadershipTaken", "jobEnded"]);
+    });
+});
