An instance that is cut off notices within 1.8 s; leases have five sixths left when a cut begins

Cause: an instance that only polls noticed a cut after three failed polls of 1.6 s, and got callers meanwhile; with looks of 2 s a lease of 6 s had 4 to 6 s left, and cuts last 5 to 6.4 s. What: a failed poll is checked by a call of its own; polls end after 0.7 s; a look waits a sixth of the lease at most. Ruled out: shorter timeouts on writes (a store that is 60 times slower answers in 0.3 s).

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -26,6 +26,8 @@
     readonly waves?: leader.WaveBoard;
     /** Longest lease of what runs on a worker. */
     readonly maxLeaseMs?: number;
+    /** How long rows of ended jobs stay. */
+    readonly retentionMs?: number;
 }
 
 /** A job and what its tasks really do. */
@@ -70,7 +72,7 @@
 const STOP_MS = 200;
 const CALLER_PATIENCE_MS = 3_000;
 const UPKEEP_MS = 2_000;
-const RETENTION_MS = 60_000;
+const DEFAULT_RETENTION_MS = 600_000;
 const NO_ADVISER: leader.Adviser = {
     advise: async () => ({ kind: "unavailable", message: "emulated: none" }),
 };
@@ -131,7 +133,7 @@
             machines: options.machines ?? NO_MACHINES,
             waves: options.waves ?? NO_WAVES,
             upkeepMs: UPKEEP_MS,
-            retentionMs: RETENTION_MS,
+            retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
             clock: freezer.clock,
             log: options.log,
             counters: options.counters,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -61,11 +61,17 @@
 const DIRECTORY_EVERY_MS = 600;
 const DIRECTORY_TIMEOUT_MS = 1_200;
 /** The longest wait that a worker grants a look. */
-const LOOK_WAIT_MS = 2_000;
+const MOST_LOOK_WAIT_MS = 2_000;
+/**
+ * Share of a lease that may pass until it is prolonged: of a lease of 6 s at least 5 s are then left whenever a cut
+ * begins, so that work outlives cuts of that length.
+ */
+const LOOK_SHARE = 1 / 6;
 
 export function createTerm(options: TermOptions): Term {
     const { clock: time, log, leadership } = options;
     const { signal } = leadership;
+    const lookWaitMs = Math.round(Math.min(MOST_LOOK_WAIT_MS, LOOK_SHARE * options.maxLeaseMs));
     const workers = new Map<string, entries.WorkerEntry>();
     const sessions = new Map<string, workerSession.WorkerSession>();
     const predictor = decisions.createPredictor();
@@ -127,7 +133,7 @@
             leadership,
             maxLeaseMs: options.maxLeaseMs,
             isBusy: () => worker.tasks.size > 0 || worker.strangers > 0,
-            getWaitMs: () => watch.getLookWaitMs(worker, LOOK_WAIT_MS),
+            getWaitMs: () => watch.getLookWaitMs(worker, lookWaitMs),
             onLists: async lists => {
                 for (const end of lists.ended) {
                     learn(end);
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -3,7 +3,7 @@
  *
  * What goes wrong without the short wait: a connection to the store can fall silent without a reset, and a poll of
  * half a minute on it hears of no change for that long; callers' keys that were taken away go on working. Each poll
- * ends after about a second, so that a silent connection is given up a moment later.
+ * ends within a second, so that a silent connection is given up a moment later.
  */
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
@@ -32,9 +32,9 @@
 }
 
 /** How long one poll waits for a change: the time until a silent connection is noticed is this and the slack. */
-const POLL_WAIT_MS = 1_000;
+const POLL_WAIT_MS = 700;
 /** Beyond the wait: an answer normally takes 5 ms; a store that is 60 times slower takes 300 ms. */
-const POLL_SLACK_MS = 600;
+const POLL_SLACK_MS = 500;
 const READ_TIMEOUT_MS = 1_200;
 /** Pause after a failed call: long enough not to overrun a store that returns, short beside a second. */
 const RETRY_PAUSE_MS = 150;
--- a/src/rows/storeHealth.ts
+++ b/src/rows/storeHealth.ts
@@ -29,6 +29,8 @@
 /** A single refusal is the store's limit on calls, not its absence. */
 const REFUSALS_IN_ROW = 3;
 const PROBE_EVERY_MS = 200;
+/** A limit on calls holds for moments; a store that turns us away does so still. */
+const CHECK_PAUSE_MS = 100;
 /** An answer takes 5 ms, of a store that is 60 times slower 300 ms. */
 const PROBE_TIMEOUT_MS = 500;
 
@@ -36,6 +38,7 @@
     const { store, clock: time } = options;
     let failures = 0;
     let awaySince: number | undefined;
+    let checking = false;
 
     const succeed = () => {
         failures = 0;
@@ -46,8 +49,12 @@
         }
     };
     const fail = (weight: number, why: string, sentAt: number) => {
+        if (awaySince !== undefined || lastSuccessAt > sentAt) {
+            return;
+        }
         failures += weight;
-        if (failures < REFUSALS_IN_ROW || awaySince !== undefined || lastSuccessAt > sentAt) {
+        if (failures < REFUSALS_IN_ROW) {
+            void check();
             return;
         }
         awaySince = time.now();
@@ -69,6 +76,27 @@
                 break;
         }
     };
+    /**
+     * One failed poll may be a connection that fell silent by itself, or a limit on calls; a call of its own decides.
+     * Without it an instance that asks for nothing else needed three polls, some 5 s, to notice that it is cut off,
+     * and the balancer sent it callers all the while.
+     */
+    const check = async () => {
+        if (checking) {
+            return;
+        }
+        checking = true;
+        await time.sleep(CHECK_PAUSE_MS, options.signal);
+        const sentAt = time.now();
+        const outcome = await store.read({ ...options.probe, limit: 1 }, PROBE_TIMEOUT_MS);
+        checking = false;
+        if (outcome.kind === "read") {
+            takeNote("answered", "", sentAt);
+            return;
+        }
+        const silent = time.now() - sentAt >= PROBE_TIMEOUT_MS;
+        takeNote(silent ? "silent" : "refused", outcome.message, sentAt);
+    };
     const probe = async () => {
         while (awaySince !== undefined && !options.signal.aborted) {
             const pause = time.sleep(PROBE_EVERY_MS, options.signal);
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -219,7 +219,7 @@
     test("rows of a job that ended long ago are removed, those of others stay", async () => {
         const ended = fixtures.createJob(1);
         const running = fixtures.createJob(2, { lasting: true });
-        const site = await fixtures.openWithJobs({}, [ended, running]);
+        const site = await fixtures.openWithJobs({ retentionMs: 60_000 }, [ended, running]);
         await site.clock.advance(50_000);
         expect(await stateOf(site, ended.jobId)).toBe("completed");
         await site.clock.advance(40_000);
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -88,6 +88,7 @@
     readonly instances?: number;
     readonly workers?: number;
     readonly catalog?: catalogs.Catalog;
+    readonly retentionMs?: number;
     readonly adviser?: leader.Adviser;
     readonly machines?: leader.MachineService;
     readonly waves?: leader.WaveBoard;
@@ -108,6 +109,7 @@
         instances: options.instances ?? 2,
         workers: Array.from({ length: options.workers ?? 4 }, (_, number) => createWorkerInfo(number)),
         catalog: options.catalog ?? CATALOG,
+        retentionMs: options.retentionMs,
         adviser: options.adviser,
         machines: options.machines,
         waves: options.waves,
