--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -203,7 +203,7 @@
     const { step } = tasks[0]!;
     const since = Math.min(...tasks.map(task => task.phase === "running" ? task.runningSince : options.now));
     const elapsedMs = options.now - since;
-    const unsavedMs = step.spec.checkpoints ? Math.min(elapsedMs, SAVE_EVERY_MS) : elapsedMs;
+    const unsavedMs = step.spec.checkpoints ? Math.min(elapsedMs, RESTORE_LOSS_MS) : elapsedMs;
     return {
         key,
         claim: getClaim(step, options),
@@ -213,8 +213,8 @@
     };
 }
 
-/** A stop saves first, so a task that saves loses little; this is what its restoring costs, in work. */
-const SAVE_EVERY_MS = 600;
+/** A stop saves all that was done, so a task that saves loses next to nothing and is stopped before others. */
+const RESTORE_LOSS_MS = 100;
 
 export function toPlaceable(worker: entries.WorkerEntry): decisions.PlaceableWorker {
     const freeing = decisions.copyRoom(work.EMPTY_ROOM);
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -99,6 +99,27 @@
         site.close();
     });
 
+    test("for urgent work what saves is stopped before what does not, however long it has run", async () => {
+        const saving = fixtures.createJob(1, {
+            count: 2,
+            needs: WHOLE_WORKER,
+            checkpoints: true,
+            estimateMs: 30_000,
+        }, { queue: "batch" });
+        const plain = fixtures.createJob(2, { count: 2, needs: WHOLE_WORKER, estimateMs: 30_000 }, { queue: "batch" });
+        const urgent = fixtures.createJob(3, { needs: WHOLE_WORKER }, { queue: "urgent" });
+        const site = await fixtures.openWithJobs({ workers: 4 }, [saving]);
+        await site.clock.advance(5_000);
+        await fixtures.settle(site.clock, site.submit(plain, 0));
+        await site.clock.advance(1_500);
+        await fixtures.settle(site.clock, site.submit(urgent, 0));
+        await site.clock.advance(2_000);
+        const stopped = site.lines.filter(line => line["event"] === "preempting").map(line => String(line["group"]));
+        expect(stopped).toHaveLength(1);
+        expect(stopped[0]).toContain(saving.jobId);
+        site.close();
+    });
+
     test("a lasting task is started again however it ends, also on a full service", async () => {
         const filler = fixtures.createJob(1, { count: 7, needs: HALF_WORKER, estimateMs: 60_000 }, { queue: "plan" });
         const lasting = fixtures.createJob(2, { lasting: true, needs: HALF_WORKER }, { queue: "batch" });
