--- a/src/emulator/store.ts
+++ b/src/emulator/store.ts
@@ -36,7 +36,6 @@
     getRows(table: string): readonly rows.Row[];
     /** Forgets the history: who follows has to read anew. */
     forgetHistory(): void;
-    readonly transactions: () => number;
 }
 
 const NO_FAULTS: StoreFaults = { decide: () => "none", lateMs: 0 };
@@ -49,7 +48,6 @@
     let history: rows.RowChange[] = [];
     let forgottenUpTo = 0;
     let version = 0;
-    let transactions = 0;
     const waiters = new Set<() => void>();
 
     const write = (puts: readonly rows.RowPut[], removals: readonly rows.RowKey[]) => {
@@ -71,7 +69,6 @@
             const current = tx.conditions.map(row => present.get(getId(row))).filter(row => row !== undefined);
             return { kind: "conflict", rows: current };
         }
-        transactions++;
         write(tx.puts, tx.removals);
         return { kind: "committed", version };
     };
@@ -164,7 +161,6 @@
             forgottenUpTo = version + 1;
             version++;
         },
-        transactions: () => transactions,
     };
 }
 
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -67,18 +67,14 @@
     readonly starts: readonly StartRecord[];
     /** Names of tasks that ended well, with how often. */
     readonly doneCounts: ReadonlyMap<string, number>;
-    readonly looks: () => number;
-    readonly wastedMs: () => number;
 }
 
 interface Run {
     readonly task: string;
     readonly run: number;
     readonly model: TaskModel;
-    readonly startedAt: number;
     /** Work done, in milliseconds of the model's duration. */
     doneMs: number;
-    readonly resumedMs: number;
     stoppingAt: number | undefined;
 }
 
@@ -122,8 +118,6 @@
     const starts: StartRecord[] = [];
     const doneCounts = new Map<string, number>();
     const dones: DoneRun[] = [];
-    let looks = 0;
-    let wastedMs = 0;
 
     const end = (life: Life, run: Run, how: leader.EndKind) => {
         life.runs.delete(run.task);
@@ -149,9 +143,6 @@
             });
             doneCounts.set(run.task, (doneCounts.get(run.task) ?? 0) + 1);
         }
-        else {
-            wastedMs += Math.max(0, run.doneMs - Math.max(savedMs, run.resumedMs));
-        }
         [...life.waiters].forEach(wake => wake());
     };
     const findGang = (run: Run) => {
@@ -261,9 +252,7 @@
             task: order.task,
             run: order.run,
             model,
-            startedAt: time.now(),
             doneMs: resumedMs,
-            resumedMs,
             stoppingAt: undefined,
         };
         life.runs.set(order.task, run);
@@ -371,8 +360,6 @@
         breaches,
         starts,
         doneCounts,
-        looks: () => looks,
-        wastedMs: () => wastedMs,
         add: info => {
             lives.set(info.id, {
                 info,
@@ -410,10 +397,8 @@
             stop: (worker, order, timeoutMs) => call(worker, "stop", timeoutMs, life => stop(life, order)),
             pace: (worker, _order, timeoutMs) =>
                 call(worker, "pace", timeoutMs, () => ({ kind: "accepted" as const, workerClock: time.now() })),
-            look: (worker, order, timeoutMs) => {
-                looks++;
-                return call(worker, "look", timeoutMs, life => look(life, order)) as Promise<leader.LookAnswer>;
-            },
+            look: (worker, order, timeoutMs) =>
+                call(worker, "look", timeoutMs, life => look(life, order)) as Promise<leader.LookAnswer>,
         },
     };
 }
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -196,7 +196,6 @@
         // What any member of a gang saved holds for the whole gang, and all must go on from the same.
         for (const member of task.step.spec.gang ? task.step.tasks : [task]) {
             member.saved = saved;
-            member.savedAt = time.now();
         }
     };
 
@@ -305,7 +304,6 @@
                 task.phase = "recording";
                 task.stopAcceptedAt = undefined;
                 task.percent = 0;
-                task.startPercent = 0;
                 task.pacePercent = 100;
                 entries.assign(task, workers[index]!);
             });
@@ -399,7 +397,6 @@
                 book.confirmRunning(task);
             }
             if (told.percent > task.percent) {
-                task.startPercent ||= told.percent;
                 task.percent = told.percent;
                 task.progressAt = time.now();
             }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -36,10 +36,6 @@
     /** Latest progress in percent, and when it last rose. */
     percent: number;
     progressAt: number;
-    /** Percent that the current run began with. */
-    startPercent: number;
-    /** Whether `saved` changed since the current run began. */
-    savedAt: number;
     /** Worker's rough figure for the last half second: a serving task's tail in milliseconds, else processor use. */
     recentFigure: number;
     /** Share of its speed at which the task was last told to work. */
@@ -186,8 +182,6 @@
         stopReason: "",
         percent: 0,
         progressAt: 0,
-        startPercent: 0,
-        savedAt: 0,
         recentFigure: 0,
         pacePercent: 100,
         failedOn: new Set(),
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -186,7 +186,7 @@
      */
     const isMuchStronger = (): boolean =>
         observed !== undefined && contactSince !== undefined
-        && observed.record.power > 0
+        && observed.record.holder !== ""
         && options.power >= MUCH_STRONGER * observed.record.power
         && time.now() - contactSince >= STEADY_MS
         && time.now() - observed.seenAt < LEASE_MS;
@@ -204,16 +204,18 @@
         const now = time.now();
         return now - observed.seenAt >= LEASE_MS && contactSince !== undefined && now - contactSince >= RETURN_MS;
     };
+    const createRecord = (token: number, waiting?: Readonly<Record<string, number>>): LeaseRecord => ({
+        holder: options.life,
+        instance: options.instance,
+        token,
+        watchAddress: options.watchAddress,
+        power: options.power,
+        waiting,
+    });
     const takeOver = async () => {
         const sentAt = readTimes(time);
         const token = (observed?.record.token ?? 0) + 1;
-        const record: LeaseRecord = {
-            holder: options.life,
-            instance: options.instance,
-            token,
-            watchAddress: options.watchAddress,
-            power: options.power,
-        };
+        const record = createRecord(token);
         const wasReleased = observed?.record.holder === "";
         const outcome = await options.store.transact({
             conditions: [{ ...LEASE_KEY, version: observed?.version ?? 0 }],
@@ -233,14 +235,7 @@
     };
     const renew = async (current: Term) => {
         const sentAt = readTimes(time);
-        const record: LeaseRecord = {
-            holder: options.life,
-            instance: options.instance,
-            token: current.leadership.token,
-            watchAddress: options.watchAddress,
-            power: options.power,
-            waiting: options.getWaiting(),
-        };
+        const record = createRecord(current.leadership.token, options.getWaiting());
         const outcome = await options.store.transact({
             conditions: [{ ...LEASE_KEY, version: current.version }],
             puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
@@ -318,15 +313,9 @@
             if (!current) {
                 return;
             }
+            const waiting = options.getWaiting();
             endTerm("this instance stops");
-            const record: LeaseRecord = {
-                holder: "",
-                instance: options.instance,
-                token: current.leadership.token,
-                watchAddress: "",
-                power: 0,
-                waiting: options.getWaiting(),
-            };
+            const record = { ...createRecord(current.leadership.token, waiting), holder: "", watchAddress: "" };
             const outcome = await options.store.transact({
                 conditions: [{ ...LEASE_KEY, version: current.version }],
                 puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -3,12 +3,10 @@
 import type * as observe from "../observe/index";
 import type * as book from "./book";
 import type * as entries from "./entries";
+import * as lapse from "./lapse";
 import type * as lease from "./lease";
 import type * as units from "./units";
 
-/** The worker's clock may be 2% slow; the rest is the way there. */
-const LEASE_STRETCH = 1.03;
-const LEASE_SLACK_MS = 300;
 /** What a stop and the noting of its end take at most, before the worker leaves. */
 const LEAVE_MARGIN_MS = 700;
 /**
@@ -44,8 +42,7 @@
         readonly book: book.Book;
     },
 ): void {
-    const lapsedAt = options.leadership.othersSilentAt + options.maxLeaseMs * LEASE_STRETCH + LEASE_SLACK_MS;
-    if (options.clock.now() > lapsedAt) {
+    if (options.clock.now() > lapse.getLapsedAt(options.leadership.othersSilentAt, options.maxLeaseMs)) {
         options.book.loseTasksOf(worker, "lapsed");
     }
 }
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -6,6 +6,7 @@
  */
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
+import * as lapse from "./lapse";
 import type * as lease from "./lease";
 import * as port from "./workerPort";
 
@@ -53,9 +54,6 @@
 /** An order is answered within milliseconds; one without an answer is settled, and gangs wait for it. */
 const ORDER_TIMEOUT_MS = 600;
 const RETRY_PAUSE_MS = 150;
-/** The worker's clock may be 2% slow, so a lease may last that much longer on ours; the rest is the way there. */
-const LEASE_STRETCH = 1.03;
-const LEASE_SLACK_MS = 300;
 /** An idle worker's last ends are acknowledged this much later, unless a new task brings a look before. */
 const LAST_LOOK_DELAY_MS = 400;
 
@@ -65,8 +63,7 @@
     const { signal } = controller;
     let clockOffset: number | undefined;
     /** Our time by which everything there has lapsed unless it is prolonged. */
-    let lapsedAt = Math.max(leadership.othersSilentAt, time.now()) + options.maxLeaseMs * LEASE_STRETCH
-        + LEASE_SLACK_MS;
+    let lapsedAt = lapse.getLapsedAt(Math.max(leadership.othersSilentAt, time.now()), options.maxLeaseMs);
     let lastEnd = 0;
     let recordedUpTo = 0;
     let acknowledgedUpTo = 0;
@@ -90,7 +87,7 @@
             return undefined;
         }
         const now = time.now();
-        lapsedAt = Math.max(lapsedAt, now + options.maxLeaseMs * LEASE_STRETCH + LEASE_SLACK_MS);
+        lapsedAt = Math.max(lapsedAt, lapse.getLapsedAt(now, options.maxLeaseMs));
         return Math.round(now + clockOffset + options.maxLeaseMs);
     };
     const setHeard = (next: boolean) => {
@@ -153,7 +150,7 @@
         if (!fenced) {
             // From here on the worker obeys no earlier leader, so only our own grants count.
             fenced = true;
-            lapsedAt = time.now() + options.maxLeaseMs * LEASE_STRETCH + LEASE_SLACK_MS;
+            lapsedAt = lapse.getLapsedAt(time.now(), options.maxLeaseMs);
         }
         mustLook = false;
         acknowledgedUpTo = Math.max(acknowledgedUpTo, acknowledged);
