Work that was stopped for urgent work rests for 2 s

Cause: it started again in the room of the next urgent job that ended, and was stopped for the one after that. Ruled out: keeping room free for urgent work, and choosing victims by priority (docs/MEASUREMENTS.md). A test plays it.

--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -58,6 +58,9 @@
     forgetJob(job: entries.JobEntry): void;
 }
 
+/** What urgent jobs take on average: room that one gives back goes to the next. */
+const PREEMPTED_REST_MS = 2_000;
+
 export function createBook(options: BookOptions): Book {
     const { clock: time, log, listener } = options;
     const jobs = new Map<string, entries.JobEntry>();
@@ -373,6 +376,9 @@
                 return;
             }
             const wasStopping = task.phase === "stopping";
+            if (wasStopping && task.stopReason.startsWith("preempted")) {
+                task.restsUntil = time.now() + PREEMPTED_REST_MS;
+            }
             toWaiting(task);
             if (end.how === "failed") {
                 countFailure(task, end.run, worker);
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -43,6 +43,8 @@
     /** Workers on which a run failed. */
     readonly failedOn: Set<string>;
     waitingSince: number;
+    /** Not started before: it was stopped for urgent work, which would soon take its room again. */
+    restsUntil: number;
 }
 
 export interface StepEntry {
@@ -186,6 +188,7 @@
         pacePercent: 100,
         failedOn: new Set(),
         waitingSince: now,
+        restsUntil: 0,
     };
 }
 
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -120,6 +120,22 @@
         site.close();
     });
 
+    test("what was stopped for urgent work leaves the room alone for a while", async () => {
+        // Symptom: the same work is started and stopped several times in a row. Sequence: it is stopped for an urgent
+        // job, starts again in the room of the next one that ends, and is stopped for the one after that.
+        const plain = fixtures.createJob(1, { count: 2, needs: WHOLE_WORKER, estimateMs: 30_000 }, { queue: "batch" });
+        const urgent = fixtures.createJob(2, { needs: WHOLE_WORKER, estimateMs: 500 }, { queue: "urgent" });
+        const site = await fixtures.openWithJobs({ workers: 2 }, [plain]);
+        await site.clock.advance(2_000);
+        await fixtures.settle(site.clock, site.submit(urgent, 0));
+        await site.clock.advance(1_500);
+        expect(await stateOf(site, urgent.jobId)).toBe("completed");
+        expect(fixtures.getStarts(site, plain)).toHaveLength(2);
+        await site.clock.advance(2_000);
+        expect(fixtures.getStarts(site, plain)).toHaveLength(3);
+        site.close();
+    });
+
     test("a lasting task is started again however it ends, also on a full service", async () => {
         const filler = fixtures.createJob(1, { count: 7, needs: HALF_WORKER, estimateMs: 60_000 }, { queue: "plan" });
         const lasting = fixtures.createJob(2, { lasting: true, needs: HALF_WORKER }, { queue: "batch" });
