Worker contract test: the lease lapses by a clock that the test moves

The test was wrong, not the worker. Replaced by one as strict: a lease of 60 s is refused to another holder, and lapses when the test moves the clock past it. Ruled out: the lease's arithmetic (the same case without HTTP passed in that run).

--- a/standins/worker/__tests__/contract.test.ts
+++ b/standins/worker/__tests__/contract.test.ts
@@ -11,13 +11,31 @@
     readonly worker: workers.Worker;
     readonly faults: standin.WorkerFaultSwitch;
     readonly journal: standin.Journal;
+    /** Moves the worker's clock forward at once. */
+    readonly skip: (ms: number) => void;
     readonly close: () => Promise<void>;
 }
 
-function createCore(faults: standin.WorkerFaultSwitch, journal: standin.Journal): standin.WorkerCore {
+/** The system's clock, which a test can move forward: how long a call takes decides nothing then. */
+function createSkippingClock(): { readonly clock: clock.Clock; readonly skip: (ms: number) => void; } {
+    const system = clock.createSystemClock();
+    let skippedMs = 0;
+    return {
+        clock: { ...system, now: () => system.now() + skippedMs },
+        skip: ms => {
+            skippedMs += ms;
+        },
+    };
+}
+
+function createCore(
+    faults: standin.WorkerFaultSwitch,
+    journal: standin.Journal,
+    time: clock.Clock,
+): standin.WorkerCore {
     return standin.createWorkerCore({
         id: "w1",
-        clock: clock.createSystemClock(),
+        clock: time,
         capacity: CAPACITY,
         incarnation: 1,
         journal,
@@ -32,8 +50,10 @@
         create: async () => {
             const faults = standin.createFaultSwitch();
             const journal = standin.createJournal();
-            const core = createCore(faults, journal);
-            return { worker: { ...core, close: async () => undefined }, faults, journal, close: async () => undefined };
+            const { clock: time, skip } = createSkippingClock();
+            const core = createCore(faults, journal, time);
+            const close = async () => undefined;
+            return { worker: { ...core, close }, faults, journal, skip, close };
         },
     },
     {
@@ -41,7 +61,8 @@
         create: async () => {
             const faults = standin.createFaultSwitch();
             const journal = standin.createJournal();
-            const core = createCore(faults, journal);
+            const { clock: time, skip } = createSkippingClock();
+            const core = createCore(faults, journal, time);
             const options = { clock: clock.createSystemClock(), rng: random.createRandom(1), core, faults };
             const server = await standin.startWorkerServer("127.0.0.1", 0, options);
             const worker = workers.createHttpWorker({
@@ -55,6 +76,7 @@
                 worker,
                 faults,
                 journal,
+                skip,
                 close: async () => {
                     await worker.close();
                     await server.close();
@@ -108,9 +130,9 @@
     };
 
     test("one holder at a time, with tokens that rise; an older token is refused", async () => {
-        const first = await acquire("owner-1", 60);
+        const first = await acquire("owner-1", 60_000);
         expect(await worker.acquireLease("owner-2", 1000)).toMatchObject({ fault: { kind: "held" } });
-        await new Promise(resolve => setTimeout(resolve, 80));
+        subject.skip(60_001);
         expect(await worker.create(first, order("t1", 10))).toMatchObject({ fault: { kind: "staleToken" } });
         const second = await acquire("owner-2");
         expect(second).toBeGreaterThan(first);
