--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -38,8 +38,8 @@
 const NO_ROOM_ASIDE_MS = 500;
 const STOP_RETRY_MS = 200;
 /**
- * More starts at once only wait for our own processor, and their timeouts run meanwhile: a takeover on a third of a
- * core sent 250 at once, and 180 of them were taken for unanswered.
+ * More starts at once only wait for our own processor, and their timeouts run meanwhile: a leader on a third of a core
+ * placed up to 348 units within 0.1 s, and over a day of 58 s stopped 712 runs whose answers it had not read in time.
  */
 const MAX_STARTS_IN_FLIGHT = 32;
 /** For a look that is lost as well; members of a gang wait 3 s for each other. */
