--- a/src/telemetry/lineLog.ts
+++ b/src/telemetry/lineLog.ts
@@ -15,7 +15,10 @@
     readonly output: { write(text: string): boolean; readonly writableLength: number; };
 }
 
-/** A busy leader writes about 100 lines a second; the rest is for bursts. */
+/**
+ * The leader of 33 workers wrote 595 lines on a calm day of under a minute, that of 245 workers 17,953 (3.7 MB) on the
+ * heaviest day of about a minute, with lines dropped 1,041 times in seconds of up to 900.
+ */
 const LINES_PER_SECOND = 400;
 const BURST_LINES = 1_200;
 /** Text that waits for a reader; beyond it lines are dropped. */
