--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -11,7 +11,7 @@
 const LEAVE_MARGIN_MS = 700;
 /**
  * A task whose progress has not risen for this long hangs. Progress comes in whole percent with a look every two
- * seconds at most: the longest sound tasks, of 11 s at a third of the speed, rise by 6 percent in that time.
+ * seconds at most: the longest sound tasks, of 11 s at a third of the speed, rise by 13 percent in that time.
  */
 const HANG_MS = 4_500;
 /** A worker with a hanging task gets no other for this long. */
