Tests take ports that no other connection can take between look and use

The test asked the system for any free port, closed it and listened on it again; in between, another test's connection or listener can be given the same port, since both come from the range 32768 to 60999. Ruled out: a server left open by the test before it (each closes its own; the port was never used before).

--- a/standins/site/embeddedSite.ts
+++ b/standins/site/embeddedSite.ts
@@ -176,15 +176,40 @@
     };
 }
 
-/** Ports that were free a moment ago, all different. */
+/**
+ * Ports below the range from which the system takes the ports of outgoing connections and of listeners that ask for
+ * any port: a port of that range that was free a moment ago may be another connection's by the time it is listened on.
+ */
+const FIRST_PORT = 12_000;
+const PORTS_OF_PROCESS = 100;
+/** Processes of one test run have numbers close to each other, so each gets a block of its own. */
+const PROCESS_BLOCKS = 200;
+let portsTried = 0;
+
+/** Ports that are free; a port is not returned again until all others of this process have been. */
 export async function findFreePorts(count: number): Promise<number[]> {
-    const servers = await Promise.all(Array.from({ length: count }, () =>
-        new Promise<net.Server>((resolve, reject) => {
-            const server = net.createServer();
-            server.once("error", reject);
-            server.listen(0, HOST, () => resolve(server));
-        })));
-    const ports = servers.map(server => (server.address() as net.AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    const ports: number[] = [];
+    for (let tries = 0; ports.length < count; tries++) {
+        if (tries === PORTS_OF_PROCESS) {
+            throw new Error(`fewer than ${count} free ports from ${getPort(0)} on`);
+        }
+        const port = getPort(portsTried);
+        portsTried++;
+        if (await isFree(port)) {
+            ports.push(port);
+        }
+    }
     return ports;
 }
+
+function getPort(index: number): number {
+    return FIRST_PORT + process.pid % PROCESS_BLOCKS * PORTS_OF_PROCESS + index % PORTS_OF_PROCESS;
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise((resolve, reject) => {
+        const server = net.createServer();
+        server.once("error", (err: NodeJS.ErrnoException) => err.code === "EADDRINUSE" ? resolve(false) : reject(err));
+        server.listen(port, HOST, () => server.close(() => resolve(true)));
+    });
+}
