Preemption spares victims that the unit does not need after all

Cause: victims were chosen worker by worker, cheapest room first; what was chosen stayed chosen when a worker added later held the whole unit. Change: src/decisions/sparing.ts drops victims, the dearest first, as long as the unit still fits.

--- a/src/decisions/__tests__/plan.test.ts
+++ b/src/decisions/__tests__/plan.test.ts
@@ -72,6 +72,22 @@
         starts: {},
         stops: ["cheap"],
     },
+    {
+        // Symptom: work is stopped on workers on which the urgent unit is never placed. Sequence: the cheapest room is
+        // chosen first, then a worker that holds the whole unit. Cause: what was chosen before stayed chosen.
+        name: "what is not needed once all victims are chosen goes on",
+        workers: [fixtures.createWorker("w1", { used: FULL }), fixtures.createWorker("w2", { used: FULL })],
+        units: [fixtures.createUnit("u", { claim: types.Claim.Urgent, gang: true, count: 8 })],
+        groups: [
+            fixtures.createGroup("cheap", "w1", { lossCoreSeconds: 1 }),
+            fixtures.createGroup("whole", "w2", {
+                lossCoreSeconds: 16,
+                members: [{ workerId: "w2", needs: { cpuMillis: 8_000, memoryMb: 8_192, accelerators: 8 } }],
+            }),
+        ],
+        starts: {},
+        stops: ["whole"],
+    },
     {
         name: "room that is being freed is waited for, and nothing more is stopped",
         workers: [fixtures.createWorker("w1", {
--- a/src/decisions/preempt.ts
+++ b/src/decisions/preempt.ts
@@ -1,13 +1,9 @@
 /** Whose work is stopped so that an urgent unit begins in time. */
 import * as place from "./place";
 import * as rooms from "./room";
+import * as sparing from "./sparing";
 import * as types from "./types";
 
-export interface Preemption {
-    readonly workerIds: readonly string[];
-    readonly victims: readonly types.RunningGroup[];
-}
-
 /** How many members a worker takes once some groups there are stopped. */
 interface Host {
     readonly worker: types.PlaceableWorker;
@@ -27,23 +23,23 @@
     workers: readonly types.PlaceableWorker[],
     groups: readonly types.RunningGroup[],
     roomOf: place.RoomOf,
-): Preemption | undefined {
+): sparing.Needed | undefined {
     const candidates = workers.filter(worker => place.mayRun(unit, worker));
     const victimsByWorker = groupByWorker(groups.filter(group => mayStop(unit, group)));
     const hosts = candidates.map(worker => createHosts(unit, worker, victimsByWorker.get(worker.id) ?? [], roomOf));
     const pools = unit.sameRack ? groupByRack(hosts) : [hosts];
-    let best: Preemption | undefined;
+    let best: sparing.Needed | undefined;
     let leastLoss = Infinity;
     for (const pool of pools) {
-        const choice = choose(unit, pool);
-        if (choice && choice.loss < leastLoss) {
+        const choice = choose(unit, pool, roomOf);
+        if (choice && choice.lossCoreSeconds < leastLoss) {
             best = choice;
-            leastLoss = choice.loss;
+            leastLoss = choice.lossCoreSeconds;
         }
     }
     // A guarantee is kept within its bound even where no single rack can take the gang.
     if (!best && unit.sameRack && unit.claim === types.Claim.Guaranteed) {
-        return choose(unit, hosts);
+        return choose(unit, hosts, roomOf);
     }
     return best;
 }
@@ -116,7 +112,8 @@
 function choose(
     unit: types.WaitingUnit,
     pool: ReadonlyArray<readonly Host[]>,
-): (Preemption & { readonly loss: number; }) | undefined {
+    roomOf: place.RoomOf,
+): sparing.Needed | undefined {
     const ways = pool.flat().sort((a, b) => a.loss / a.fits - b.loss / b.fits || b.fits - a.fits);
     const chosen = new Map<string, Host>();
     let placed = 0;
@@ -134,17 +131,6 @@
     if (placed < unit.count) {
         return undefined;
     }
-    const workerIds: string[] = [];
-    const victims = new Set<types.RunningGroup>();
-    let loss = 0;
-    for (const host of chosen.values()) {
-        for (let member = 0; member < host.fits && workerIds.length < unit.count; member++) {
-            workerIds.push(host.worker.id);
-        }
-        for (const victim of host.victims) {
-            loss += victims.has(victim) ? 0 : victim.lossCoreSeconds;
-            victims.add(victim);
-        }
-    }
-    return { workerIds, victims: [...victims], loss };
+    const hosts = [...chosen.values()];
+    return sparing.spareVictims(unit, hosts.map(host => host.worker), hosts.flatMap(host => host.victims), roomOf);
 }
