Tasks without progress are found by what their worker told, after a share of their duration

Cause: any task whose percentage had not risen for 4.5 s was stopped. A job of 2.5 s was late by then; a task of ten minutes, which rises by one percent in 6 s, was stopped for ever; and members of a gang that are through, and wait at 100 percent for a slower one, were stopped with it. Change: 0.15 of the expected duration, at least 1.5 s, counted up to the worker's latest word; twice the time after each such stop; a gang begins with its last member, and members at 100 percent wait for the others. The emulated gang ends with its slowest member now, as on the platform; four tests, all red before.

--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -176,8 +176,8 @@
             if (gang.length < run.model.gangSize) {
                 continue;
             }
-            run.doneMs += TICK_MS / slowness;
-            if (run.doneMs >= run.model.durationMs) {
+            run.doneMs = Math.min(run.model.durationMs, run.doneMs + TICK_MS / slowness);
+            if (gang.every(member => member.run.doneMs >= member.run.model.durationMs)) {
                 const how = run.model.fails(run.run) ? "failed" : "done";
                 gang.forEach(member =>
                     end(member.life, member.run, how === "done" || member.run === run ? how : "broken")
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -399,6 +399,7 @@
         takeProgress: (task, told) => {
             keepSaved(task, told.saved);
             task.recentFigure = told.recentFigure;
+            task.toldAt = time.now();
             if (task.phase === "ordered") {
                 book.confirmRunning(task);
             }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -36,6 +36,10 @@
     /** Latest progress in percent, and when it last rose. */
     percent: number;
     progressAt: number;
+    /** When its worker last told of its progress. */
+    toldAt: number;
+    /** How often it was stopped because it made no progress. */
+    stalls: number;
     /** Worker's rough figure for the last half second: a serving task's tail in milliseconds, else processor use. */
     recentFigure: number;
     /** Share of its speed at which the task was last told to work. */
@@ -184,6 +188,8 @@
         stopReason: "",
         percent: 0,
         progressAt: 0,
+        toldAt: 0,
+        stalls: 0,
         recentFigure: 0,
         pacePercent: 100,
         failedOn: new Set(),
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -10,10 +10,18 @@
 /** What a stop and the noting of its end take at most, before the worker leaves. */
 const LEAVE_MARGIN_MS = 700;
 /**
- * A task whose progress has not risen for this long hangs. Progress comes in whole percent with a look every two
- * seconds at most: the longest sound tasks, of 11 s at a third of the speed, rise by 13 percent in that time.
+ * A task hangs when its worker tells no progress for this share of its expected duration. Progress comes in whole
+ * percent, so a sound task rises at least once in a hundredth of its duration; this bound leaves room for work that is
+ * fifteen times slower than expected.
  */
-const HANG_MS = 4_500;
+const HANG_SHARE = 0.15;
+/** Of short tasks: two looks, which come every second as a rule, and what their answers are late. */
+const LEAST_HANG_MS = 1_500;
+/**
+ * With each stop for want of progress the task is given twice the time: one whose estimate is far too short makes
+ * progress that does not show in time, and would be stopped without end.
+ */
+const STALL_FACTOR = 2;
 /** A worker with a hanging task gets no other for this long. */
 const HANG_ASIDE_MS = 6_000;
 /** Failures in a row, on different tasks, after which a worker is set aside; 2% of sound runs fail. */
@@ -69,7 +77,8 @@
             if (worker.info.draining && !endsInTime(task, worker, options)) {
                 options.book.requestStop(task, "workerLeaves");
             }
-            else if (hangs(task, options.now)) {
+            else if (hangs(task, options.expect)) {
+                task.stalls++;
                 worker.setAsideUntil = options.now + HANG_ASIDE_MS;
                 options.log.warn("workerSuspect", { worker: worker.id, reason: "no progress", task: task.name });
                 options.book.requestStop(task, "noProgress");
@@ -78,10 +87,31 @@
     }
 }
 
-function hangs(task: entries.TaskEntry, now: number): boolean {
-    return !task.step.spec.lasting && now - Math.max(task.progressAt, task.runningSince) > HANG_MS;
+function hangs(task: entries.TaskEntry, expect: units.Expect): boolean {
+    const { step } = task;
+    if (step.spec.lasting || waitsForOthers(task)) {
+        return false;
+    }
+    // A gang begins to work when its last member has started.
+    const together = step.spec.gang ? step.tasks : [task];
+    const since = together.reduce((latest, member) => Math.max(latest, member.runningSince), task.progressAt);
+    const patienceMs = Math.max(LEAST_HANG_MS, HANG_SHARE * expect(step)) * STALL_FACTOR ** task.stalls;
+    // Counted up to what the worker last told: a late look is no sign that a task stands still.
+    return task.toldAt - since > patienceMs;
+}
+
+/**
+ * Members of a gang end together, so one on a fast worker stands at 100 percent until the slowest is there.
+ * Taken to hang after 1.5 s, they brought a heavy day's worth from 0.721 down to 0.560 (cedarflue-hq scale-1, means of
+ * three runs).
+ */
+function waitsForOthers(task: entries.TaskEntry): boolean {
+    const { step } = task;
+    return step.spec.gang && task.percent >= DONE_PERCENT && step.tasks.some(member => member.percent < DONE_PERCENT);
 }
 
+const DONE_PERCENT = 100;
+
 /** Whether the task ends before its worker leaves; one that saves may stay until shortly before that. */
 function endsInTime(
     task: entries.TaskEntry,
