Workers that turn slow are found by their tasks' own progress

Cause: nothing noticed a worker that works several times slower and stays healthy: new tasks were placed there, and tasks that save stayed to the end. Tests: tables of the decision, and a site on which a worker turns slow (red without it).

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -4,6 +4,15 @@
 export { plan } from "./plan";
 export { createPredictor, type Predictor } from "./prediction";
 export { addRoom, copyRoom, getCoreEquivalents, type MutableRoom, takeRoom } from "./room";
+export {
+    createSpeedTrack,
+    getSlowdown,
+    isSlow,
+    type MoveInput,
+    shouldMove,
+    type SpeedTrack,
+    takeSample,
+} from "./speed";
 export {
     Claim,
     type PlaceableWorker,
--- /dev/null
+++ b/src/decisions/speed.ts
@@ -0,0 +1,89 @@
+/**
+ * How fast a task goes, told by its own progress, and whether it is better off elsewhere.
+ *
+ * What goes wrong without it: a worker turns several times slower and stays healthy; new work goes on being placed
+ * there and urgent work stays. One notices jobs that wait for one slow task. Each task is compared with its own best
+ * rate, since callers' estimates are off by more than the slowness that is looked for.
+ */
+
+export interface SpeedTrack {
+    sampledPercent: number;
+    /** `undefined` until the first sample. */
+    sampledAt: number | undefined;
+    /** Percent a millisecond over the latest interval; 0: not known. */
+    recentRate: number;
+    bestRate: number;
+}
+
+/** An interval must bring this much at the best rate: progress comes in whole percent. */
+const LEAST_SAMPLE_PERCENT = 4;
+/** Shorter intervals are blurred by the way of a look. */
+const LEAST_SAMPLE_MS = 400;
+/** Slower by less than this is what tasks do to each other on a shared worker. */
+const SLOW_FACTOR = 2.5;
+/** How long a slow spell still lasts when it is noticed; known ones took 5 to 8 s in all. */
+const SPELL_MS = 4_000;
+/** Placing a task anew and, where it goes on from what it saved, restoring that. */
+const RESTART_MS = 600;
+/** A move that gains less than this is not worth the work that it throws away. */
+const LEAST_GAIN_MS = 800;
+
+export function createSpeedTrack(): SpeedTrack {
+    return { sampledPercent: 0, sampledAt: undefined, recentRate: 0, bestRate: 0 };
+}
+
+/** Takes note of what the worker tells. The first percent that is told may come from an earlier run. */
+export function takeSample(track: SpeedTrack, percent: number, now: number): void {
+    if (percent <= 0 || percent >= 100) {
+        return;
+    }
+    if (track.sampledAt === undefined) {
+        track.sampledPercent = percent;
+        track.sampledAt = now;
+        return;
+    }
+    const elapsedMs = now - track.sampledAt;
+    const risen = percent - track.sampledPercent;
+    const isLongEnough = elapsedMs >= LEAST_SAMPLE_MS
+        && (risen >= LEAST_SAMPLE_PERCENT || track.bestRate * elapsedMs >= LEAST_SAMPLE_PERCENT);
+    if (!isLongEnough) {
+        return;
+    }
+    track.recentRate = risen / elapsedMs;
+    track.bestRate = Math.max(track.bestRate, track.recentRate);
+    track.sampledPercent = percent;
+    track.sampledAt = now;
+}
+
+/** How many times slower than at its best the task goes; `undefined` until two rates can be compared. */
+export function getSlowdown(track: SpeedTrack): number | undefined {
+    return track.bestRate > 0 ? track.bestRate / Math.max(track.recentRate, track.bestRate / MOST_SLOWDOWN) : undefined;
+}
+
+/** Stands for any larger figure: a task that stands still is another matter. */
+const MOST_SLOWDOWN = 100;
+
+export function isSlow(slowdowns: readonly number[]): boolean {
+    if (slowdowns.length === 0) {
+        return false;
+    }
+    const sorted = [...slowdowns].sort((a, b) => a - b);
+    return sorted[Math.floor(sorted.length / 2)]! >= SLOW_FACTOR;
+}
+
+export interface MoveInput {
+    readonly percent: number;
+    readonly bestRate: number;
+    readonly recentRate: number;
+    /** Whether it goes on elsewhere from where it was stopped. */
+    readonly saves: boolean;
+}
+
+/** Whether a task on a slow worker ends sooner when it is stopped now and started elsewhere. */
+export function shouldMove(input: MoveInput): boolean {
+    const left = 100 - input.percent;
+    const inSpell = input.recentRate * SPELL_MS;
+    const stayMs = inSpell >= left ? left / input.recentRate : SPELL_MS + (left - inSpell) / input.bestRate;
+    const moveMs = RESTART_MS + (input.saves ? left : 100) / input.bestRate;
+    return stayMs - moveMs >= LEAST_GAIN_MS;
+}
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -4,6 +4,7 @@
  */
 import type * as catalog from "../catalog/index";
 import type * as clock from "../clock/index";
+import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
 import * as entries from "./entries";
@@ -307,6 +308,7 @@
                 task.phase = "recording";
                 task.stopAcceptedAt = undefined;
                 task.percent = 0;
+                task.speed = decisions.createSpeedTrack();
                 task.pacePercent = 100;
                 entries.assign(task, workers[index]!);
             });
@@ -400,6 +402,7 @@
             keepSaved(task, told.saved);
             task.recentFigure = told.recentFigure;
             task.toldAt = time.now();
+            decisions.takeSample(task.speed, told.percent, time.now());
             if (task.phase === "ordered") {
                 book.confirmRunning(task);
             }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -38,6 +38,8 @@
     progressAt: number;
     /** When its worker last told of its progress. */
     toldAt: number;
+    /** How fast the current run goes. */
+    speed: decisions.SpeedTrack;
     /** How often it was stopped because it made no progress. */
     stalls: number;
     /** Worker's rough figure for the last half second: a serving task's tail in milliseconds, else processor use. */
@@ -189,6 +191,7 @@
         percent: 0,
         progressAt: 0,
         toldAt: 0,
+        speed: decisions.createSpeedTrack(),
         stalls: 0,
         recentFigure: 0,
         pacePercent: 100,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -17,6 +17,7 @@
 import * as reconcile from "./reconcile";
 import * as retention from "./retention";
 import * as sharing from "./sharing";
+import * as slowness from "./slowness";
 import * as takeover from "./takeover";
 import * as units from "./units";
 import * as upkeep from "./upkeep";
@@ -139,6 +140,7 @@
                     learn(end);
                 }
                 reconcile.reconcile({ book, clock: time, log, stopStranger: orders.stopStranger }, worker, lists);
+                slowness.judgeSpeed(worker, { now: time.now(), book, log });
                 sharing.paceFillers(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
--- a/src/scheduler/__tests__/progress.test.ts
+++ b/src/scheduler/__tests__/progress.test.ts
@@ -12,8 +12,10 @@
     readonly mostStarts: number;
     /** Members of the gang, one a worker; absent: a single task. */
     readonly members?: number;
-    /** How many times slower the first worker is. */
+    /** How many times slower the first worker is, and from when on. */
     readonly slowness?: number;
+    readonly slowFrom?: number;
+    readonly checkpoints?: boolean;
 }
 
 const cases: readonly Case[] = [
@@ -56,14 +58,29 @@
         endsWithinMs: 13_000,
         mostStarts: 2,
     },
+    {
+        name: "a task that saves leaves a worker that has turned slow",
+        story:
+            `Symptom: a job ends when its slowest worker is through. Sequence: a sound worker turns eight times slower
+            after 2 s. Cause: only work without any progress was moved.`,
+        estimateMs: 6_000,
+        durationMs: 6_000,
+        slowness: 8,
+        slowFrom: 2_000,
+        checkpoints: true,
+        endsWithinMs: 9_500,
+        mostStarts: 2,
+    },
 ];
 
 describe("tasks without progress", () => {
     test.each(cases)("$name", async item => {
-        const { estimateMs, durationMs, standsStillAt, endsWithinMs, mostStarts, members = 1, slowness = 1 } = item;
+        const { estimateMs, durationMs, standsStillAt, endsWithinMs, mostStarts, members = 1 } = item;
+        const { slowness = 1, slowFrom = 0, checkpoints = false } = item;
         const job = fixtures.createJob(1, {
             estimateMs,
             count: members,
+            checkpoints,
             gang: members > 1,
             needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 8 },
         }, { queue: "urgent", durationsMs: [durationMs] });
@@ -78,7 +95,8 @@
                     if (id !== firstWorker) {
                         return 1;
                     }
-                    return stands ? Infinity : slowness;
+                    const slow = time.now() >= startedAt + slowFrom ? slowness : 1;
+                    return stands ? Infinity : slow;
                 },
             }),
         }, [job]);
