Upkeep: an order is stored before it goes out, and waves run side by side

Cause: the machines of a wave were stored after the platform had taken the order. When the leader died in between, its successor took down another machine beside the one that was down: more than the wave allows. Machines that were still on their way down also counted as done after a takeover. Ruled out: the platform's own guard (it refuses lower fencing tokens only where that is required). Change: upkeepStages.ts (where each machine is), upkeepRows.ts (what is stored), upkeep.ts (the loop). Machines that the platform lists in upkeep count as down; without the stored orders nothing is ordered; a second wave does not wait for the first.

--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -1,5 +1,11 @@
 /** Store and workers in memory, with faults: for tests of the whole scheduler and for experiments on a manual clock. */
 export { type ChaosReport, runChaos } from "./chaos";
+export {
+    createEmulatedMachines,
+    type EmulatedMachines,
+    type EmulatedMachinesOptions,
+    type MachineFault,
+} from "./machines";
 export { createSite, type EmulatedJob, getInstanceName, type Site, type SiteOptions } from "./site";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
 export {
--- a/src/leader/machines.ts
+++ b/src/leader/machines.ts
@@ -3,6 +3,8 @@
 export interface Machine {
     readonly id: string;
     readonly up: boolean;
+    /** Down for its upkeep. */
+    readonly inUpkeep: boolean;
     /** The worker that is the machine's present life; empty while it is not up. */
     readonly workerId: string;
 }
--- a/src/leader/upkeep.ts
+++ b/src/leader/upkeep.ts
@@ -2,17 +2,17 @@
  * Carries out waves of upkeep: empties machines, takes them down a few at a time, and says when all are done.
  *
  * Taking a machine down ends all that runs there at once, so it is emptied first: nothing new is placed, what ends
- * soon may end, the rest is stopped with its work saved. Which machines are done is stored: a successor would empty
- * them again for nothing.
+ * soon may end, the rest is stopped with its work saved.
  */
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
-import * as work from "../work/index";
 import type * as book from "./book";
 import type * as entries from "./entries";
 import type * as lease from "./lease";
 import type * as machines from "./machines";
+import * as upkeepRows from "./upkeepRows";
+import * as stagesOfWave from "./upkeepStages";
 
 export interface UpkeepOptions {
     readonly board: machines.WaveBoard;
@@ -30,14 +30,13 @@
     onFenced(): void;
 }
 
-/** Where a machine is on its way through a wave. */
-type Stage =
-    | { readonly kind: "pending"; }
-    | { readonly kind: "emptying"; readonly workerId: string; readonly since: number; }
-    /** Ordered down; up again once another worker stands for it. */
-    | { readonly kind: "down"; readonly workerId: string; readonly since: number; }
-    | { readonly kind: "done"; }
-    | { readonly kind: "gone"; };
+/** A wave that this leader carries out. */
+interface RunningWave {
+    readonly wave: machines.Wave;
+    /** Monotonic time at which this instance learned of it. */
+    readonly knownAt: number;
+    readonly stages: stagesOfWave.Stages;
+}
 
 /** The platform takes some 60 list calls a second from all; one wave needs one. */
 const STEP_MS = 700;
@@ -49,12 +48,16 @@
     void follow(options);
 }
 
+/** Waves run side by side: one that waits for a machine must not make the next one late. */
 async function follow(options: UpkeepOptions): Promise<void> {
     const { signal } = options.leadership;
+    const running = new Set<number>();
     while (!signal.aborted) {
-        const open = options.board.getOpen()[0];
-        if (open && options.leadership.mayOrder()) {
-            await runWave(options, open.wave, open.knownAt);
+        for (const open of options.board.getOpen()) {
+            if (!running.has(open.wave.number)) {
+                running.add(open.wave.number);
+                void runWave(options, open.wave, open.knownAt).then(() => running.delete(open.wave.number));
+            }
         }
         await options.clock.sleep(STEP_MS, signal);
     }
@@ -62,134 +65,144 @@
 
 async function runWave(options: UpkeepOptions, wave: machines.Wave, knownAt: number): Promise<void> {
     const { clock: time, log, leadership } = options;
-    const done = await readDone(options, wave.number);
-    const stages = new Map<string, Stage>(
-        wave.machines.map(id => [id, done.has(id) ? { kind: "done" } : { kind: "pending" }]),
-    );
-    log.info("waveBegun", { wave: wave.number, machines: wave.machines.length, done: done.size });
-    if (wave.machines.some(id => !done.has(id))) {
-        await options.board.report(wave.number, "running", CALL_TIMEOUT_MS);
+    const stages = await upkeepRows.readStages(toRows(options), wave.number, wave.machines, time.now());
+    if (!stages) {
+        // Without the stored orders more machines than allowed might go down; the next step tries again.
+        log.warn("waveProgressNotRead", { wave: wave.number });
+        return;
     }
+    const ordered = [...stages.values()].filter(stage => stage.kind === "ordered").length;
+    log.info("waveBegun", { wave: wave.number, machines: wave.machines.length, ordered });
+    await options.board.report(wave.number, "running", CALL_TIMEOUT_MS);
+    const current: RunningWave = { wave, knownAt, stages };
     while (!leadership.signal.aborted) {
         const listed = await options.service.list(CALL_TIMEOUT_MS);
         if (listed.kind === "machines" && leadership.mayOrder()) {
-            const present = new Map(listed.machines.map(machine => [machine.id, machine]));
-            noteReturns(stages, present);
-            chooseNext(options, wave, knownAt, stages, present);
-            await takeDownEmpty(options, wave, knownAt, stages);
+            await step(options, current, new Map(listed.machines.map(machine => [machine.id, machine])));
         }
         else if (listed.kind === "unavailable") {
             log.info("machinesUnavailable", { wave: wave.number, why: listed.message });
         }
-        const open = [...stages.values()].some(stage => stage.kind !== "done" && stage.kind !== "gone");
-        if (!open && await options.board.report(wave.number, "completed", CALL_TIMEOUT_MS)) {
+        const isOver = stagesOfWave.isOver(stages);
+        if (isOver && await options.board.report(wave.number, "completed", CALL_TIMEOUT_MS)) {
             log.info("waveCompleted", { wave: wave.number, afterMs: Math.round(time.now() - knownAt) });
             return;
         }
         await time.sleep(STEP_MS, leadership.signal);
     }
-    release(options, stages);
 }
 
-function noteReturns(stages: Map<string, Stage>, present: ReadonlyMap<string, machines.Machine>): void {
-    for (const [id, stage] of stages) {
-        const machine = present.get(id);
-        if (!machine) {
-            if (stage.kind !== "done") {
-                stages.set(id, { kind: "gone" });
-            }
-        }
-        else if (stage.kind === "down" && machine.up && machine.workerId !== stage.workerId) {
-            stages.set(id, { kind: "done" });
-        }
-        else if (stage.kind === "gone") {
-            stages.set(id, { kind: "pending" });
+async function step(options: UpkeepOptions, current: RunningWave, present: stagesOfWave.Present): Promise<void> {
+    stagesOfWave.noteMachines(current.stages, present, options.clock.now(), options.upkeepMs + 2 * STEP_MS);
+    chooseNext(options, current, present);
+    reserveWorkers(options, current.stages);
+    for (const [machineId, stage] of current.stages) {
+        const mayOrder = stage.kind === "emptying" || (stage.kind === "ordered" && stage.confirmedAt === undefined);
+        if (mayOrder && present.get(machineId)?.up && isEmpty(options, current, stage)) {
+            await orderDown(options, current, machineId, stage.workerId);
         }
     }
 }
 
-function chooseNext(
-    options: UpkeepOptions,
-    wave: machines.Wave,
-    knownAt: number,
-    stages: Map<string, Stage>,
-    present: ReadonlyMap<string, machines.Machine>,
-): void {
-    const busy = [...stages.values()].filter(stage => stage.kind === "emptying" || stage.kind === "down").length;
+function chooseNext(options: UpkeepOptions, current: RunningWave, present: stagesOfWave.Present): void {
+    const { stages, wave } = current;
+    const room = Math.max(0, wave.maxCount - stagesOfWave.countTaken(stages, present));
     const candidates = [...stages]
         .filter(([id, stage]) => stage.kind === "pending" && present.get(id)?.up)
-        .map(([id]) => ({ id, worker: options.getWorker(present.get(id)!.workerId) }))
-        .sort((a, b) => (a.worker?.tasks.size ?? 0) - (b.worker?.tasks.size ?? 0));
-    for (const { id, worker } of candidates.slice(0, Math.max(0, wave.maxCount - busy))) {
-        const { workerId } = present.get(id)!;
-        if (worker) {
-            worker.reserved = true;
-        }
+        .map(([id]) => ({ id, workerId: present.get(id)!.workerId }))
+        .map(({ id, workerId }) => ({ id, workerId, tasks: options.getWorker(workerId)?.tasks.size ?? 0 }))
+        .sort((a, b) => a.tasks - b.tasks);
+    for (const { id, workerId, tasks } of candidates.slice(0, room)) {
         stages.set(id, { kind: "emptying", workerId, since: options.clock.now() });
         options.log.info("machineEmptying", {
             wave: wave.number,
             machine: id,
             worker: workerId,
-            tasks: worker?.tasks.size ?? 0,
-            patienceMs: Math.round(getPatienceMs(options, wave, knownAt, stages)),
+            tasks,
+            patienceMs: Math.round(getPatienceMs(options, current)),
         });
     }
 }
 
+/** Nothing is placed on a worker that goes down; set again in each step, since the directory may drop and relist it. */
+function reserveWorkers(options: UpkeepOptions, stages: ReadonlyMap<string, stagesOfWave.Stage>): void {
+    for (const stage of stages.values()) {
+        const worker = stage.kind === "emptying" || stage.kind === "ordered"
+            ? options.getWorker(stage.workerId)
+            : undefined;
+        if (worker) {
+            worker.reserved = true;
+        }
+    }
+}
+
 /** How long work may go on where a machine is to be emptied, so that the wave still ends in time. */
-function getPatienceMs(
-    options: UpkeepOptions,
-    wave: machines.Wave,
-    knownAt: number,
-    stages: ReadonlyMap<string, Stage>,
-): number {
+function getPatienceMs(options: UpkeepOptions, { wave, knownAt, stages }: RunningWave): number {
     const left = [...stages.values()].filter(stage => stage.kind === "pending" || stage.kind === "emptying").length;
     const rounds = Math.max(1, Math.ceil(left / wave.maxCount));
     const leftMs = wave.withinMs - (options.clock.now() - knownAt);
     return Math.max(0, (leftMs / rounds - options.upkeepMs - 2 * STEP_MS) * PATIENCE_SHARE);
 }
 
-async function takeDownEmpty(
+/** Whether nothing runs there; otherwise sees to it that nothing does soon. */
+function isEmpty(
+    options: UpkeepOptions,
+    current: RunningWave,
+    stage: Extract<stagesOfWave.Stage, { kind: "emptying" | "ordered"; }>,
+): boolean {
+    const worker = options.getWorker(stage.workerId);
+    if (!worker || worker.tasks.size === 0) {
+        return true;
+    }
+    const isPatienceOver = stage.kind === "ordered"
+        || options.clock.now() - stage.since >= getPatienceMs(options, current);
+    stopWork(options, worker, isPatienceOver);
+    return false;
+}
+
+async function orderDown(
     options: UpkeepOptions,
-    wave: machines.Wave,
-    knownAt: number,
-    stages: Map<string, Stage>,
+    { wave, stages }: RunningWave,
+    machineId: string,
+    workerId: string,
 ): Promise<void> {
-    for (const [id, stage] of stages) {
-        if (stage.kind !== "emptying") {
-            continue;
-        }
-        const worker = options.getWorker(stage.workerId);
-        if (worker && worker.tasks.size > 0) {
-            stopWork(
-                options,
-                worker,
-                options.clock.now() - stage.since >= getPatienceMs(options, wave, knownAt, stages),
-            );
-            continue;
-        }
-        const answer = await options.service.beginUpkeep({
-            machine: id,
-            wave: wave.number,
-            holder: options.holder,
-            fencingToken: options.leadership.token,
-        }, CALL_TIMEOUT_MS);
-        options.log.info("upkeepOrdered", { wave: wave.number, machine: id, answer: answer.kind });
-        switch (answer.kind) {
-            case "accepted":
-                stages.set(id, { kind: "down", workerId: stage.workerId, since: options.clock.now() });
-                await storeDone(options, wave.number, stages);
-                break;
-            case "busy":
-            case "unknown":
-                break;
-            case "unknownMachine":
-                stages.set(id, { kind: "gone" });
-                break;
-            case "fenced":
-                options.onFenced();
-                return;
+    const before = stages.get(machineId)!;
+    stages.set(machineId, { kind: "ordered", workerId, confirmedAt: undefined });
+    if (!await upkeepRows.writeStages(toRows(options), wave.number, stages)) {
+        options.log.warn("waveProgressNotWritten", { wave: wave.number, machine: machineId });
+        stages.set(machineId, before);
+        return;
+    }
+    if (!options.leadership.mayOrder()) {
+        return;
+    }
+    const answer = await options.service.beginUpkeep({
+        machine: machineId,
+        wave: wave.number,
+        holder: options.holder,
+        fencingToken: options.leadership.token,
+    }, CALL_TIMEOUT_MS);
+    options.log.info("upkeepOrdered", { wave: wave.number, machine: machineId, answer: answer.kind });
+    switch (answer.kind) {
+        case "accepted":
+            stages.set(machineId, { kind: "ordered", workerId, confirmedAt: options.clock.now() });
+            await upkeepRows.writeStages(toRows(options), wave.number, stages);
+            break;
+        case "busy":
+        case "unknown":
+            // Asked again in the next step: an order that was carried out is accepted again.
+            break;
+        case "unknownMachine": {
+            stages.set(machineId, { kind: "gone" });
+            const worker = options.getWorker(workerId);
+            if (worker) {
+                worker.reserved = false;
+            }
+            break;
         }
+        case "fenced":
+            options.onFenced();
+            break;
     }
 }
 
@@ -204,47 +217,17 @@
 }
 
 /** Whether one more task of a lasting step may be away from its work. */
-export function mayMissOneMore(step: entries.StepEntry): boolean {
-    if (step.spec.mayMiss === 0) {
-        return true;
-    }
-    const away = step.tasks.filter(task => task.phase !== "running" || task.percent < 100).length;
-    return away < step.spec.mayMiss;
+function mayMissOneMore(step: entries.StepEntry): boolean {
+    return step.spec.mayMiss === 0 || countAway(step) < step.spec.mayMiss;
 }
 
-function release(options: UpkeepOptions, stages: ReadonlyMap<string, Stage>): void {
-    for (const stage of stages.values()) {
-        const worker = stage.kind === "emptying" ? options.getWorker(stage.workerId) : undefined;
-        if (worker) {
-            worker.reserved = false;
-        }
-    }
+/** Tasks of a lasting step that are not at work, whatever the cause. */
+export function countAway(step: entries.StepEntry): number {
+    return step.tasks.filter(task => task.phase !== "running" || task.percent < AT_WORK_PERCENT).length;
 }
 
-const UPKEEP_TABLE = "upkeep";
-
-async function readDone(options: UpkeepOptions, wave: number): Promise<Set<string>> {
-    const key = String(wave);
-    const result = await options.store.read(
-        { table: UPKEEP_TABLE, part: work.LEADER_PART, from: key, before: `${key}!`, limit: 1 },
-        CALL_TIMEOUT_MS,
-    );
-    if (result.kind !== "read") {
-        // Machines that are done answer an order with "accepted" at once, so the wave only takes longer.
-        options.log.warn("waveProgressNotRead", { wave, why: result.message });
-        return new Set();
-    }
-    return new Set(result.rows[0] ? JSON.parse(result.rows[0].value) as string[] : []);
-}
+const AT_WORK_PERCENT = 100;
 
-async function storeDone(options: UpkeepOptions, wave: number, stages: ReadonlyMap<string, Stage>): Promise<void> {
-    const begun = [...stages].filter(([, stage]) => stage.kind === "down" || stage.kind === "done").map(([id]) => id);
-    const outcome = await options.store.transact({
-        conditions: [options.leadership.guard],
-        puts: [{ table: UPKEEP_TABLE, part: work.LEADER_PART, key: String(wave), value: JSON.stringify(begun) }],
-        removals: [],
-    }, CALL_TIMEOUT_MS);
-    if (outcome.kind !== "committed") {
-        options.log.warn("waveProgressNotWritten", { wave, outcome: outcome.kind });
-    }
+function toRows(options: UpkeepOptions): upkeepRows.UpkeepRows {
+    return { store: options.store, leadership: options.leadership, timeoutMs: CALL_TIMEOUT_MS };
 }
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -1,4 +1,3 @@
-import type * as leader from "../../leader/index";
 import * as fixtures from "./fixtures";
 
 const WHOLE_WORKER = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 8 };
@@ -193,65 +192,6 @@
     });
 });
 
-describe("upkeep", () => {
-    test("a wave takes each machine down once it is empty, never more at once than allowed, and is then completed", async () => {
-        const downUntil = new Map<string, number>();
-        const lives = new Map(["m0", "m1", "m2"].map((machine, number) => [machine, `worker-${number}`]));
-        const reports: string[] = [];
-        let mostDown = 0;
-        let tasksEnded = 0;
-        let open = true;
-        // The machines are a small fake over the site that the test opens below.
-        const ref: { site?: fixtures.TestSite; } = {};
-        const machines: leader.MachineService = {
-            list: async () => ({
-                kind: "machines",
-                machines: [...lives].map(([id, workerId]) => ({
-                    id,
-                    up: (downUntil.get(id) ?? 0) <= ref.site!.clock.now(),
-                    workerId,
-                })),
-            }),
-            beginUpkeep: async order => {
-                const now = ref.site!.clock.now();
-                const site = ref.site!;
-                const runs = site.workers.getRunning(lives.get(order.machine)!);
-                tasksEnded += runs;
-                site.workers.kill(lives.get(order.machine)!, false);
-                downUntil.set(order.machine, now + 2_000);
-                mostDown = Math.max(mostDown, [...downUntil.values()].filter(until => until > now).length);
-                const next = `${lives.get(order.machine)!}b`;
-                lives.set(order.machine, next);
-                site.workers.add({ ...fixtures.createWorkerInfo(0), id: next });
-                return { kind: "accepted" };
-            },
-        };
-        const waves: leader.WaveBoard = {
-            getOpen: () =>
-                open
-                    ? [{ wave: { number: 1, machines: ["m0", "m1", "m2"], withinMs: 40_000, maxCount: 1 }, knownAt: 0 }]
-                    : [],
-            report: async (_wave, state) => {
-                reports.push(state);
-                open = state !== "completed";
-                return true;
-            },
-        };
-        const opened = fixtures.openSite({ workers: 4, machines, waves });
-        ref.site = opened;
-        await opened.clock.advance(100);
-        const job = fixtures.createJob(1, { count: 6, estimateMs: 6_000, needs: HALF_WORKER });
-        await fixtures.settle(opened.clock, opened.submit(job, 1));
-        await opened.clock.advance(45_000);
-        expect(reports).toEqual(["running", "completed"]);
-        expect(mostDown).toBe(1);
-        expect(tasksEnded).toBe(0);
-        expect(await stateOf(opened, job.jobId)).toBe("completed");
-        expect(opened.workers.breaches).toEqual([]);
-        opened.close();
-    });
-});
-
 describe("retention", () => {
     test("rows of a job that ended long ago are removed, those of others stay", async () => {
         const ended = fixtures.createJob(1);
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -90,8 +90,8 @@
     readonly catalog?: catalogs.Catalog;
     readonly retentionMs?: number;
     readonly adviser?: leader.Adviser;
-    readonly machines?: leader.MachineService;
-    readonly waves?: leader.WaveBoard;
+    /** Machines `m0`, `m1` … lie beneath the workers of these numbers. */
+    readonly machines?: (time: clocks.Clock) => emulator.EmulatedMachines;
     readonly storeFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["storeFaults"];
     readonly workerFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["workerFaults"];
 }): TestSite {
@@ -101,21 +101,24 @@
     const keep = (level: string) => (event: string, fields?: Readonly<Record<string, unknown>>) => {
         lines.push({ at: Math.round(time.now()), level, event, ...fields });
     };
+    const machines = options.machines?.(time);
+    const workers = Array.from({ length: options.workers ?? 4 }, (_, number) => createWorkerInfo(number));
     const site = emulator.createSite({
         clock: time,
         log: { info: keep("info"), warn: keep("warn"), error: keep("error") },
         counters: metrics.counters,
         histograms: metrics.histograms,
         instances: options.instances ?? 2,
-        workers: Array.from({ length: options.workers ?? 4 }, (_, number) => createWorkerInfo(number)),
+        workers,
         catalog: options.catalog ?? CATALOG,
         retentionMs: options.retentionMs,
         adviser: options.adviser,
-        machines: options.machines,
-        waves: options.waves,
+        machines: machines?.service,
+        waves: machines?.board,
         storeFaults: options.storeFaults?.(time),
         workerFaults: options.workerFaults?.(time),
     });
+    workers.forEach((info, number) => machines?.put(`m${number}`, info, site.workers));
     return { ...site, clock: time, lines };
 }
 
