Preemption keeps lasting steps at work

Cause: guaranteed work may stop lasting tasks, and chose among them by cost alone: as many tasks of one step at once as it needed, whatever the step may miss. Ruled out: upkeep (it counts what is away); draining workers, slow and hanging ones (lasting tasks are left out there). Change: src/decisions/protection.ts; victims beyond the bound are left out and the choice is made anew. Tasks that are not at work may still be stopped. One copy of what counts as away, in entries.ts. Before and after: a gang and a single unit stopped both tasks of a step that may miss one; now one (plan.test.ts, red without it).

--- a/src/decisions/__tests__/plan.test.ts
+++ b/src/decisions/__tests__/plan.test.ts
@@ -122,6 +122,28 @@
         starts: {},
         stops: ["u"],
     },
+    {
+        // Symptom: no task of a lasting step is at work. Sequence: a guaranteed gang needs the room of two of them.
+        // Cause: each was the cheapest victim.
+        name: "of a lasting step no more tasks are stopped than it may miss, also for two units",
+        workers: ["w1", "w2", "w3"].map(id => fixtures.createWorker(id, { used: FULL })),
+        units: [
+            fixtures.createUnit("gang", { claim: types.Claim.Guaranteed, gang: true, count: 2 }),
+            fixtures.createUnit("single", { claim: types.Claim.Guaranteed }),
+        ],
+        groups: [
+            ...["l1", "l2"].map((key, index) =>
+                fixtures.createGroup(key, `w${index + 1}`, {
+                    claim: types.Claim.Lasting,
+                    lossCoreSeconds: 1,
+                    protection: { step: "serves", mayStop: 1 },
+                })
+            ),
+            fixtures.createGroup("costly", "w3", { lossCoreSeconds: 90 }),
+        ],
+        starts: {},
+        stops: ["costly", "l1"],
+    },
     {
         name: "what serves and what fills are kept apart while there is a choice",
         workers: [
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -21,6 +21,7 @@
     type PlanInput,
     type PlannedStart,
     type PlannedStop,
+    type Protection,
     type RunningGroup,
     type WaitingUnit,
 } from "./types";
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -6,6 +6,7 @@
  */
 import * as place from "./place";
 import * as preempt from "./preempt";
+import * as protection from "./protection";
 import * as rooms from "./room";
 import * as types from "./types";
 
@@ -33,12 +34,26 @@
             rooms.capRoom(free.get(workerId)!, soon.get(workerId)!);
         }
     };
+    const protector = protection.createProtector();
+    /** Without a choice that the protected steps allow, the excess victims are left out, until one does or none is left. */
+    const choosePreemption = (unit: types.WaitingUnit) => {
+        const spared = new Set(stopped);
+        for (;;) {
+            const running = input.groups.filter(group => !spared.has(group) && protector.mayStop(group));
+            const choice = preempt.preempt(unit, input.workers, running, soonOf);
+            const excess = choice ? protector.findExcess(choice.victims) : [];
+            if (!choice || excess.length === 0) {
+                return choice;
+            }
+            excess.forEach(group => spared.add(group));
+        }
+    };
     const tryPreempt = (unit: types.WaitingUnit): boolean => {
-        const running = input.groups.filter(group => !stopped.has(group));
-        const choice = preempt.preempt(unit, input.workers, running, soonOf);
+        const choice = choosePreemption(unit);
         if (!choice) {
             return false;
         }
+        protector.choose(choice.victims);
         for (const victim of choice.victims) {
             stopped.add(victim);
             stops.push({ group: victim, forUnit: unit.key });
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -71,6 +71,15 @@
     /** What a stop costs in all: the work thrown away, and the worth of a job that ends late for it. */
     readonly costCoreSeconds: number;
     readonly expectedEndAt: number;
+    /** Set for a lasting task at work whose step may miss only some of its tasks at a time. */
+    readonly protection?: Protection;
+}
+
+/** How many tasks of a lasting step may be taken from their work. */
+export interface Protection {
+    readonly step: string;
+    /** Beside those that are away now. */
+    readonly mayStop: number;
 }
 
 export interface PlanInput {
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -256,3 +256,15 @@
         remainingMs: 0,
     };
 }
+
+/** A lasting task is at work once its start is over, which its worker tells as 100 percent. */
+export function isAtWork(task: TaskEntry): boolean {
+    return task.phase === "running" && task.percent >= AT_WORK_PERCENT;
+}
+
+const AT_WORK_PERCENT = 100;
+
+/** Tasks of a lasting step that are not at work, whatever the cause. */
+export function countAway(step: StepEntry): number {
+    return step.tasks.filter(task => !isAtWork(task)).length;
+}
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -68,7 +68,7 @@
     const first = tasks[0]!;
     const { job } = step.occurrence;
     const waitedMs = options.now - Math.max(step.readySince ?? options.now, first.waitingSince);
-    const stepName = `${job.submission.jobId}.${step.occurrence.number}.${step.number}`;
+    const stepName = getStepName(step);
     return {
         key: first.name,
         family: first.failures > 0 ? first.name : stepName,
@@ -220,9 +220,24 @@
             preemptions: tasks[0]!.preemptions,
         }),
         expectedEndAt: since + options.expect(step),
+        protection: getProtection(tasks),
     };
 }
 
+/** Tasks that are not at work have nothing to lose: their step misses them already. */
+function getProtection(tasks: readonly entries.TaskEntry[]): decisions.Protection | undefined {
+    const { step } = tasks[0]!;
+    const { mayMiss } = step.spec;
+    if (mayMiss === 0 || !tasks.some(entries.isAtWork)) {
+        return undefined;
+    }
+    return { step: getStepName(step), mayStop: mayMiss - entries.countAway(step) };
+}
+
+function getStepName(step: entries.StepEntry): string {
+    return `${step.occurrence.job.submission.jobId}.${step.occurrence.number}.${step.number}`;
+}
+
 /** A stop saves all that was done, so a task that saves loses next to nothing and is stopped before others. */
 const RESTORE_LOSS_MS = 100;
 
--- a/src/leader/upkeep.ts
+++ b/src/leader/upkeep.ts
@@ -8,7 +8,7 @@
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
 import type * as book from "./book";
-import type * as entries from "./entries";
+import * as entries from "./entries";
 import type * as lease from "./lease";
 import type * as machines from "./machines";
 import * as upkeepRows from "./upkeepRows";
@@ -218,16 +218,9 @@
 
 /** Whether one more task of a lasting step may be away from its work. */
 function mayMissOneMore(step: entries.StepEntry): boolean {
-    return step.spec.mayMiss === 0 || countAway(step) < step.spec.mayMiss;
+    return step.spec.mayMiss === 0 || entries.countAway(step) < step.spec.mayMiss;
 }
 
-/** Tasks of a lasting step that are not at work, whatever the cause. */
-export function countAway(step: entries.StepEntry): number {
-    return step.tasks.filter(task => task.phase !== "running" || task.percent < AT_WORK_PERCENT).length;
-}
-
-const AT_WORK_PERCENT = 100;
-
 function toRows(options: UpkeepOptions): upkeepRows.UpkeepRows {
     return { store: options.store, leadership: options.leadership, timeoutMs: CALL_TIMEOUT_MS };
 }
