Advice for whole gangs and failed tasks; the pace after a takeover is told anew

(2) For a task that had failed the adviser was asked by the task's name, which it does not know. (3) A successor took the pace of running fillers for 100 percent: nothing to raise, so one that stood still did so for good. Ruled out: tickets of one step for another (they are kept by step). Change: room for the whole unit in all dimensions counts; the step's name is asked for; an unknown pace is told.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -3,7 +3,7 @@
 export { decidePace, type PaceInput } from "./pace";
 export { plan } from "./plan";
 export { createPredictor, type Predictor } from "./prediction";
-export { addRoom, copyRoom, getCoreEquivalents, type MutableRoom, takeRoom } from "./room";
+export { addRoom, copyRoom, countFits, getCoreEquivalents, type MutableRoom, takeRoom } from "./room";
 export {
     createSpeedTrack,
     getSlowdown,
--- a/src/leader/advice.ts
+++ b/src/leader/advice.ts
@@ -1,6 +1,6 @@
 /** Asks the adviser for the workers that may run a step, for queues whose tasks need a ticket to start. */
 import type * as clock from "../clock/index";
-import type * as decisions from "../decisions/index";
+import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as directory from "./directory";
 import type * as entries from "./entries";
@@ -15,7 +15,7 @@
 }
 
 export interface AdviceDesk {
-    /** Asks for steps that wait and have no worker left that they may use. */
+    /** Asks for steps that wait while the workers that they may use have no room for them. */
     ask(waiting: readonly units.UnitOfTasks[], placeable: readonly entries.WorkerEntry[]): void;
 }
 
@@ -66,7 +66,7 @@
             const now = options.clock.now();
             for (const { unit, tasks } of waiting) {
                 const step = tasks[0]!.step;
-                if (!unit.allowed || asking.has(unit.family) || hasUsable(unit, placeable)) {
+                if (!unit.allowed || asking.has(unit.step) || hasUsableRoom(unit, placeable)) {
                     continue;
                 }
                 const bad = refused.get(step);
@@ -82,17 +82,24 @@
                 if (candidates.length === 0) {
                     continue;
                 }
-                asking.add(unit.family);
-                void call(unit.family, step, candidates);
+                asking.add(unit.step);
+                void call(unit.step, step, candidates);
             }
         },
     };
 }
 
-function hasUsable(unit: decisions.WaitingUnit, placeable: readonly entries.WorkerEntry[]): boolean {
-    return placeable.some(worker =>
-        unit.allowed!.has(worker.id) && getFreeAccelerators(worker) >= unit.needs.accelerators
-    );
+/** Whether workers whose tickets are at hand have room for the whole unit now. */
+function hasUsableRoom(unit: decisions.WaitingUnit, placeable: readonly entries.WorkerEntry[]): boolean {
+    let members = 0;
+    for (const worker of placeable) {
+        if (unit.allowed!.has(worker.id) && !unit.avoided.has(worker.id)) {
+            const room = decisions.copyRoom(worker.info.capacity);
+            decisions.takeRoom(room, worker.used);
+            members += decisions.countFits(room, unit.needs);
+        }
+    }
+    return members >= unit.count;
 }
 
 function getFreeAccelerators(worker: entries.WorkerEntry): number {
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -250,6 +250,7 @@
                         entries.assign(task, getWorker(stored.workerId));
                         // Taken for running until the worker's lists say otherwise.
                         task.phase = "running";
+                        task.pacePercent = undefined;
                         task.orderedAt = time.now();
                         task.runningSince = time.now();
                         task.progressAt = time.now();
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -46,8 +46,8 @@
     preemptions: number;
     /** Worker's rough figure for the last half second: a serving task's tail in milliseconds, else processor use. */
     recentFigure: number;
-    /** Share of its speed at which the task was last told to work. */
-    pacePercent: number;
+    /** Share of its speed at which the task was last told to work; `undefined` where an earlier leader told it. */
+    pacePercent: number | undefined;
     /** Workers on which a run failed. */
     readonly failedOn: Set<string>;
     waitingSince: number;
--- /dev/null
+++ b/src/scheduler/__tests__/advice.test.ts
@@ -0,0 +1,65 @@
+import type * as leader from "../../leader/index";
+import * as fixtures from "./fixtures";
+
+const ADVICE = { decideMs: 20, eachMs: 1, validMs: 3_000 };
+const CATALOG = { ...fixtures.CATALOG, queues: fixtures.CATALOG.queues.map(queue => ({ ...queue, advice: ADVICE })) };
+const WHOLE_MEMORY = { cpuMillis: 1_000, memoryMb: 65_536, accelerators: 0 };
+
+interface Case {
+    readonly name: string;
+    /** Symptom, sequence, cause. */
+    readonly story: string;
+    readonly workers: number;
+    readonly members: number;
+    readonly isGood: (workerId: string) => boolean;
+    readonly endsWithinMs: number;
+    readonly fails?: (run: number) => boolean;
+}
+
+const cases: readonly Case[] = [
+    {
+        name: "a gang asks on until workers for all its members are known",
+        story: `Symptom: a gang waits for seconds beside free workers. Sequence: of the first 30 workers one may run it.
+            Cause: one worker that may was taken to be enough until its ticket ran out.`,
+        workers: 62,
+        members: 3,
+        isGood: id => Number(id.split("-")[1]) % 30 === 0,
+        endsWithinMs: 2_500,
+    },
+    {
+        name: "a task that failed asks in the name of its step",
+        story: `Symptom: a task that failed once never runs again. Sequence: the only worker that may run it is avoided
+            for its failure, and the adviser is asked for others. Cause: it was asked about the task, which it does
+            not know.`,
+        workers: 40,
+        members: 1,
+        isGood: id => ["worker-0", "worker-35"].includes(id),
+        endsWithinMs: 5_000,
+        fails: run => run === 1,
+    },
+];
+
+describe("advice", () => {
+    test.each(cases)("$name", async ({ workers, members, isGood, endsWithinMs, fails }) => {
+        const job = fixtures.createJob(1, { count: members, gang: members > 1, needs: WHOLE_MEMORY }, {
+            fails: (_task, run) => fails?.(run) ?? false,
+        });
+        const step = `${job.jobId}.0.0`;
+        const adviser: leader.Adviser = {
+            advise: async (name, workerIds) =>
+                name === step
+                    ? {
+                        kind: "advised",
+                        good: workerIds.filter(isGood).map(workerId => ({ workerId, ticket: `t-${workerId}` })),
+                        validMs: ADVICE.validMs,
+                    }
+                    : { kind: "unavailable", message: `no such step: ${name}` },
+        };
+        const site = await fixtures.openWithJobs({ workers, catalog: CATALOG, adviser }, [job]);
+        await site.clock.advance(endsWithinMs);
+        const state = await fixtures.settle(site.clock, site.getState(job.jobId, 1));
+        expect(state).toEqual({ kind: "state", state: "completed" });
+        expect(fixtures.getStarts(site, job).filter(start => !isGood(start.workerId))).toEqual([]);
+        site.close();
+    });
+});
