plantainchute experiment: loads played through the scheduler, with policies to compare and charts

What: src/experiment draws jobs and troubles from a seed (four loads like the users' sites, thirteen that no site has), plays them through the real instances on a manual clock, and tells by class, account and zone what callers got. Policies are injected (src/decisions/policy.ts); instances use the one that was there. Emulated gangs and tasks that are far from their rack or data work three times slower, as on the platform. Charts are drawn by vega, an optional dependency that no instance loads.

--- /dev/null
+++ b/src/cli/experimentCommand.ts
@@ -0,0 +1,104 @@
+import * as commander from "commander";
+import * as fs from "node:fs";
+import * as decisions from "../decisions/index";
+import * as experiment from "../experiment/index";
+import * as result from "../result/index";
+import * as output from "./output";
+
+interface ExperimentOptions {
+    readonly policy: decisions.PolicyName[];
+    readonly seed: number;
+    readonly seeds: number;
+    readonly json?: boolean;
+    readonly report?: string;
+}
+
+/** `experiment`: loads played through the real decisions, faster than time. */
+export function register(program: commander.Command): void {
+    program.command("experiment")
+        .description("Play loads through the scheduler against emulated workers, and tell what callers get")
+        .argument("[loads...]", `of ${Object.keys(experiment.LOADS).join(", ")}; without any: small`)
+        .addOption(
+            new commander.Option("--policy <names...>", "policies to compare")
+                .choices(Object.keys(decisions.POLICIES))
+                .default(["worth"]),
+        )
+        .option("--seed <n>", "seed of the first run", Number, 1)
+        .option("--seeds <n>", "runs with as many seeds in a row", Number, 1)
+        .option("--json", "one JSON document with all figures")
+        .option("--report <file>", "write an HTML page with charts")
+        .action((names: string[], options: ExperimentOptions) => run(names.length > 0 ? names : ["small"], options));
+}
+
+type RunResult = Parameters<typeof experiment.renderReport>[0][number];
+
+async function run(names: readonly string[], options: ExperimentOptions): Promise<void> {
+    const results: RunResult[] = [];
+    for (const name of names) {
+        const load = experiment.LOADS[name];
+        if (!load) {
+            throw new output.CommandError(result.ResultCode.NotFound, `there is no load ${name}`);
+        }
+        for (const policy of options.policy) {
+            for (let seed = options.seed; seed < options.seed + options.seeds; seed++) {
+                results.push(await playOne(name, load, policy, seed, options.json === true));
+            }
+        }
+    }
+    if (options.json) {
+        output.writeLine(JSON.stringify(results.map(({ samples: _samples, ...rest }) => rest)));
+    }
+    if (options.report !== undefined) {
+        fs.writeFileSync(options.report, await experiment.renderReport(results));
+    }
+    const broken = results.filter(item => item.summary.breaches.length > 0);
+    if (broken.length > 0) {
+        throw new output.CommandError(result.ResultCode.TaskFailed, `${broken.length} runs broke a promise`);
+    }
+}
+
+async function playOne(
+    name: string,
+    load: experiment.Load,
+    policy: decisions.PolicyName,
+    seed: number,
+    quiet: boolean,
+): Promise<RunResult> {
+    const played = await experiment.play({ load, seed, policy: decisions.POLICIES[policy] });
+    const summary = experiment.summarise(played);
+    if (!quiet) {
+        printSummary(`${name}, policy ${policy}, seed ${seed}`, summary);
+    }
+    return { load: name, policy, seed, summary, samples: played.samples };
+}
+
+const COLUMNS = "                    asked  in time   late  missed  refused  worth  wait p50/p99 ms   done p50/p99 ms";
+
+function printSummary(title: string, summary: experiment.Summary): void {
+    output.writeLine(title);
+    output.writeLine(COLUMNS);
+    for (const group of [summary.all, ...summary.classes, ...summary.accounts, ...summary.zones]) {
+        output.writeLine(renderGroup(group));
+    }
+    output.writeLine(
+        `  accelerators in use ${summary.utilisation.toFixed(2)}, fragmentation ${summary.fragmentation.toFixed(2)}, `
+            + `runs stopped ${summary.stoppedRuns}, core-seconds thrown away `
+            + `${Math.round(summary.thrownAwayCoreSeconds)}`,
+    );
+    summary.breaches.forEach(breach => output.writeLine(`  BROKEN: ${breach}`));
+}
+
+function renderGroup(group: experiment.Group): string {
+    const number = (value: number, width: number) => String(value).padStart(width);
+    return [
+        `  ${group.name.padEnd(16)}`,
+        number(group.asked - group.cancelled, 7),
+        number(group.inTime, 9),
+        number(group.late, 7),
+        number(group.missed, 8),
+        number(group.refused, 9),
+        group.worth.toFixed(3).padStart(7),
+        `${group.waitMs.p50}/${group.waitMs.p99}`.padStart(17),
+        `${group.completionMs.p50}/${group.completionMs.p99}`.padStart(18),
+    ].join("");
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,6 +1,7 @@
 /** The commands. */
 import * as commander from "commander";
 import * as configCommands from "./configCommands";
+import * as experimentCommand from "./experimentCommand";
 import * as explainCommand from "./explainCommand";
 import * as jobCommands from "./jobCommands";
 import * as loadCommand from "./loadCommand";
@@ -19,6 +20,7 @@
     configCommands.register(program);
     loadCommand.register(program);
     scenarioCommand.register(program);
+    experimentCommand.register(program);
     explainCommand.register(program);
     return program;
 }
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,7 +1,8 @@
 /** Order, place and preemption: decisions without a network or a clock of their own. */
-export { compareUrgency, getProspect, getSlackMs, Prospect, type Urgency } from "./order";
+export { getProspect, Prospect, type Urgency } from "./order";
 export { decidePace, type PaceInput } from "./pace";
 export { plan } from "./plan";
+export { POLICIES, type Policy, type PolicyName } from "./policy";
 export { createPredictor, type Predictor } from "./prediction";
 export { addRoom, copyRoom, countFits, getCoreEquivalents, type MutableRoom, takeRoom } from "./room";
 export {
@@ -13,7 +14,7 @@
     type SpeedTrack,
     takeSample,
 } from "./speed";
-export { getStopCost, REST_MS, type StopCostInput } from "./stopCost";
+export { REST_MS } from "./stopCost";
 export {
     Claim,
     type PlaceableWorker,
--- a/src/decisions/order.ts
+++ b/src/decisions/order.ts
@@ -56,6 +56,7 @@
         || compareNumbers(getSlackMs(a), getSlackMs(b));
 }
 
-function compareNumbers(a: number, b: number): number {
+/** Also of infinite numbers, whose difference is none. */
+export function compareNumbers(a: number, b: number): number {
     return a === b ? 0 : a < b ? -1 : 1;
 }
--- /dev/null
+++ b/src/decisions/policy.ts
@@ -0,0 +1,31 @@
+/** What may differ from one deployment or experiment to the next: the order of the queue and the price of a stop. */
+import * as order from "./order";
+import * as stopCost from "./stopCost";
+
+export interface Policy {
+    compare(a: order.Urgency, b: order.Urgency): number;
+    getStopCost(input: stopCost.StopCostInput): number;
+}
+
+/** Guarantees come first under any policy: they are promises, not preferences. */
+function afterClaims(compare: Policy["compare"]): Policy["compare"] {
+    return (a, b) => b.claim - a.claim || compare(a, b);
+}
+
+const { getStopCost } = stopCost;
+
+/** By name. `worth` is what instances use; the others are there to be compared with it. */
+export const POLICIES = {
+    /** What can still be earned, then priority, then the time that is left. */
+    worth: { compare: order.compareUrgency, getStopCost },
+    /** The same order; stops are weighed by the thrown away work alone. */
+    lossOnly: { compare: order.compareUrgency, getStopCost: input => input.lossCoreSeconds },
+    arrival: { compare: afterClaims((a, b) => b.ageMs - a.ageMs), getStopCost },
+    priority: { compare: afterClaims((a, b) => a.priority - b.priority || b.ageMs - a.ageMs), getStopCost },
+    shortest: { compare: afterClaims((a, b) => a.remainingMs - b.remainingMs), getStopCost },
+    slack: {
+        compare: afterClaims((a, b) => order.compareNumbers(order.getSlackMs(a), order.getSlackMs(b))),
+        getStopCost,
+    },
+} satisfies Readonly<Record<string, Policy>>;
+export type PolicyName = keyof typeof POLICIES;
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -2,6 +2,7 @@
 import * as events from "node:events";
 import type * as catalogs from "../catalog/index";
 import type * as clock from "../clock/index";
+import * as decisions from "../decisions/index";
 import type * as intakes from "../intake/index";
 import type * as leader from "../leader/index";
 import type * as observe from "../observe/index";
@@ -24,6 +25,7 @@
     readonly adviser?: leader.Adviser;
     readonly machines?: leader.MachineService;
     readonly waves?: leader.WaveBoard;
+    readonly policy?: decisions.Policy;
     /** Longest lease of what runs on a worker. */
     readonly maxLeaseMs?: number;
     /** How long rows of ended jobs stay. */
@@ -39,7 +41,7 @@
     /** Duration of each step's tasks. */
     readonly durationsMs: readonly number[];
     /** Whether a run of a task fails at its end; by default none does. */
-    fails?(task: string, run: number): boolean;
+    fails?: (task: string, run: number) => boolean;
 }
 
 export interface Site {
@@ -132,6 +134,7 @@
             adviser: options.adviser ?? NO_ADVISER,
             machines: options.machines ?? NO_MACHINES,
             waves: options.waves ?? NO_WAVES,
+            policy: options.policy ?? decisions.POLICIES.worth,
             upkeepMs: UPKEEP_MS,
             retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
             clock: freezer.clock,
@@ -209,6 +212,8 @@
         gangSize: step.gang ? step.count : 1,
         gang: `${jobId}.${occurrence}.${stepNumber}`,
         checkpoints: step.checkpoints,
+        sameRack: step.gang && step.sameRack,
+        dataRack: step.dataRack,
         fails: run => job.fails?.(task, run) ?? false,
     };
 }
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -15,6 +15,10 @@
     /** Names its gang, the same for all members. */
     readonly gang: string;
     readonly checkpoints: boolean;
+    /** A gang that works several times slower on more than one rack. */
+    readonly sameRack: boolean;
+    /** Work is several times slower on another rack. */
+    readonly dataRack: string | undefined;
     /** Whether the run fails at its end. */
     fails(run: number): boolean;
 }
@@ -62,6 +66,8 @@
     drain(id: string, remainingMs: number): void;
     /** How many tasks run there. */
     getRunning(id: string): number;
+    /** What the tasks there take of the worker's capacity; `undefined` once its life is over. */
+    getUsed(id: string): work.Room | undefined;
     /** Breaches of promises, in words; empty when all were kept. */
     readonly breaches: readonly string[];
     readonly starts: readonly StartRecord[];
@@ -107,6 +113,8 @@
 /** Granularity of the emulated work. */
 const TICK_MS = 50;
 const SAVE_EVERY_MS = 1_000;
+/** As on the users' sheets. */
+const FAR_FACTOR = 3;
 
 const NO_FAULTS: WorkerFaults = { decide: () => "none", lateMs: 0, getSlowness: () => 1 };
 
@@ -176,7 +184,11 @@
             if (gang.length < run.model.gangSize) {
                 continue;
             }
-            run.doneMs = Math.min(run.model.durationMs, run.doneMs + TICK_MS / slowness);
+            const racks = new Set(gang.map(member => member.life.info.rack));
+            const isFar = (run.model.sameRack && racks.size > 1)
+                || (run.model.dataRack !== undefined && run.model.dataRack !== life.info.rack);
+            const stepMs = TICK_MS / slowness / (isFar ? FAR_FACTOR : 1);
+            run.doneMs = Math.min(run.model.durationMs, run.doneMs + stepMs);
             if (gang.every(member => member.run.doneMs >= member.run.model.durationMs)) {
                 const how = run.model.fails(run.run) ? "failed" : "done";
                 gang.forEach(member =>
@@ -203,6 +215,15 @@
             breaches.push(`${done.task} is started again after run ${done.run} ended well`);
         }
     };
+    const sumNeeds = (life: Life): work.Room => {
+        const sum = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+        for (const running of life.runs.values()) {
+            sum.cpuMillis += running.model.needs.cpuMillis;
+            sum.memoryMb += running.model.needs.memoryMb;
+            sum.accelerators += running.model.needs.accelerators;
+        }
+        return sum;
+    };
     const checkStart = (life: Life, task: string, run: number) => {
         for (const done of dones) {
             if (done.task === task) {
@@ -216,12 +237,7 @@
                 breaches.push(`${task} run ${run} is started on ${life.info.id} while it runs on ${other.info.id}`);
             }
         }
-        const sum = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-        for (const running of life.runs.values()) {
-            sum.cpuMillis += running.model.needs.cpuMillis;
-            sum.memoryMb += running.model.needs.memoryMb;
-            sum.accelerators += running.model.needs.accelerators;
-        }
+        const sum = sumNeeds(life);
         const { capacity } = life.info;
         if (
             sum.cpuMillis > capacity.cpuMillis || sum.memoryMb > capacity.memoryMb
@@ -382,6 +398,10 @@
             life.runs.clear();
         },
         getRunning: id => lives.get(id)!.runs.size,
+        getUsed: id => {
+            const life = lives.get(id)!;
+            return life.alive ? sumNeeds(life) : undefined;
+        },
         drain: (id, remainingMs) => {
             const life = lives.get(id)!;
             life.info = { ...life.info, draining: true, remainingMs };
--- /dev/null
+++ b/src/experiment/generate.ts
@@ -0,0 +1,151 @@
+/** The jobs of a load, from a seed. */
+import type * as emulator from "../emulator/index";
+import type * as random from "../random/index";
+import type * as work from "../work/index";
+import type * as loads from "./load";
+
+export interface PlannedJob {
+    readonly job: emulator.EmulatedJob;
+    readonly class: loads.JobClass;
+    readonly arrivesAt: number;
+    /** After its acceptance; `undefined`: never. */
+    readonly cancelAfterMs: number | undefined;
+    /** Whether it fails however often it is tried. */
+    readonly poisoned: boolean;
+    /** Time within which it is in time, from its arrival. */
+    readonly objectiveMs: number;
+    readonly coreSeconds: number;
+}
+
+const CANCEL_WITHIN_MS = 8_000;
+/** Tasks of one step differ by this much. */
+const UNEVEN = 0.15;
+
+export function generateJobs(load: loads.Load, source: random.Random): PlannedJob[] {
+    const jobs: PlannedJob[] = [];
+    for (const item of load.classes) {
+        for (let at = nextArrival(load, item, 0, source); at < load.forMs; at = nextArrival(load, item, at, source)) {
+            jobs.push(createJob(load, item, jobs.length + 1, at, source));
+        }
+    }
+    return jobs.sort((a, b) => a.arrivesAt - b.arrivesAt);
+}
+
+export function getAccountName(number: number): string {
+    return `account-${number}`;
+}
+
+export function getRackName(worker: number, load: loads.Load): string {
+    return `r${Math.floor(worker / load.workersPerRack)}`;
+}
+
+function nextArrival(load: loads.Load, item: loads.JobClass, after: number, source: random.Random): number {
+    const burst = load.troubles.find(trouble =>
+        trouble.kind === "burst" && trouble.class === item.name
+        && after >= trouble.atMs && after < trouble.atMs + trouble.forMs
+    );
+    const times = burst?.kind === "burst" ? burst.times : 1;
+    return after + source.nextExponential(1_000 / (item.perSecond * times));
+}
+
+function createJob(
+    load: loads.Load,
+    item: loads.JobClass,
+    number: number,
+    arrivesAt: number,
+    source: random.Random,
+): PlannedJob {
+    const has = (share: number) => source.nextFloat() < share;
+    const gang = has(item.gangs);
+    const needs: work.Room = { ...item.needs, accelerators: source.pick(item.accelerators) };
+    const checkpoints = has(item.saves);
+    const sameRack = gang && has(item.sameRack);
+    const dataRack = has(item.nearData) ? getRackName(source.nextInt(load.workers), load) : undefined;
+    const maxPerWorker = has(item.bounded) ? 2 : 0;
+    const count = limitWidth(load, needs, draw(item.width, source), gang);
+    const durationsMs = Array.from(
+        { length: Math.max(1, Math.round(draw(item.steps, source))) },
+        () => Math.round(draw(item.durationMs, source)),
+    );
+    const steps = durationsMs.map((durationMs, index): work.StepSpec => ({
+        count,
+        needs,
+        estimateMs: Math.round(durationMs * item.estimateOff ** (2 * source.nextFloat() - 1)),
+        after: index > 0 ? [index - 1] : [],
+        checkpoints,
+        gang,
+        sameRack,
+        dataRack,
+        maxPerWorker,
+        speculative: false,
+        lasting: false,
+        mayMiss: 0,
+        image: "",
+        targetMs: 0,
+        fills: false,
+    }));
+    const poisoned = has(item.poison);
+    const failures = source.nextInt(FAILURE_PATTERNS);
+    const chainMs = durationsMs.reduce((sum, durationMs) => sum + durationMs, 0);
+    return {
+        job: {
+            jobId: number.toString(16).padStart(16, "0"),
+            queue: item.name,
+            account: getAccountName(pickAccount(load, source)),
+            spec: { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 },
+            durationsMs,
+            fails: (task, run) => poisoned || isUnlucky(task, run, failures, item.fails),
+        },
+        class: item,
+        arrivesAt,
+        cancelAfterMs: has(item.cancelled) ? source.nextFloat() * CANCEL_WITHIN_MS : undefined,
+        poisoned,
+        objectiveMs: item.stretch * chainMs * (1 + UNEVEN) + item.objectiveMs,
+        coreSeconds: count * chainMs / 1_000 * (needs.cpuMillis / 1_000 + CORES_PER_ACCELERATOR * needs.accelerators),
+    };
+}
+
+const FAILURE_PATTERNS = 1_000_003;
+/** As the users price them. */
+export const CORES_PER_ACCELERATOR = 8;
+
+/** A coin that depends on the run alone, so that the same run fails whatever was decided before it. */
+function isUnlucky(task: string, run: number, pattern: number, share: number): boolean {
+    let hash = pattern + run * 7_919;
+    for (let index = 0; index < task.length; index++) {
+        hash = (hash * 31 + task.charCodeAt(index)) % FAILURE_PATTERNS;
+    }
+    return hash < share * FAILURE_PATTERNS;
+}
+
+/** A gang must fit into a third of the site. */
+function limitWidth(load: loads.Load, needs: work.Room, width: number, gang: boolean): number {
+    const perWorker = Math.max(
+        1,
+        Math.min(
+            Math.floor(load.capacity.cpuMillis / needs.cpuMillis),
+            Math.floor(load.capacity.memoryMb / needs.memoryMb),
+            Math.floor(load.capacity.accelerators / needs.accelerators),
+        ),
+    );
+    const most = gang ? Math.max(1, Math.floor(load.workers * perWorker / 3)) : Infinity;
+    return Math.max(1, Math.min(most, Math.round(width)));
+}
+
+function draw({ mean, spread, most }: loads.Spread, source: random.Random): number {
+    // Between even and exponential: the sheets' widths have a long tail, their durations next to none.
+    const value = mean * (1 - spread) + (spread > 0 ? source.nextExponential(mean * spread) : 0);
+    return Math.min(most, value);
+}
+
+function pickAccount(load: loads.Load, source: random.Random): number {
+    const weights = Array.from({ length: load.accounts }, (_, number) => load.skew ** number);
+    let left = source.nextFloat() * weights.reduce((sum, weight) => sum + weight, 0);
+    for (let number = 0; number < load.accounts - 1; number++) {
+        left -= weights[number]!;
+        if (left < 0) {
+            return number;
+        }
+    }
+    return load.accounts - 1;
+}
--- /dev/null
+++ b/src/experiment/load.ts
@@ -0,0 +1,76 @@
+/** What a load is made of: a site, classes of jobs that come at random, and troubles. */
+import type * as work from "../work/index";
+
+/** A number around `mean`, at most `most`; `spread` 0 is always the mean. */
+export interface Spread {
+    readonly mean: number;
+    readonly spread: number;
+    readonly most: number;
+}
+
+export interface JobClass {
+    readonly name: string;
+    /** 0 goes first and may preempt others. */
+    readonly priority: number;
+    /** Jobs a second over the whole site. */
+    readonly perSecond: number;
+    readonly durationMs: Spread;
+    /** Tasks of a step. */
+    readonly width: Spread;
+    /** Steps, each after the one before. */
+    readonly steps: Spread;
+    readonly needs: Omit<work.Room, "accelerators">;
+    /** A job takes one of these for each of its tasks. */
+    readonly accelerators: readonly number[];
+    /** Shares of the jobs. */
+    readonly gangs: number;
+    readonly sameRack: number;
+    readonly saves: number;
+    readonly nearData: number;
+    readonly bounded: number;
+    readonly cancelled: number;
+    /** Share of the jobs that fail each time. */
+    readonly poison: number;
+    /** Share of the runs that fail. */
+    readonly fails: number;
+    /** Estimates are off by up to this factor, either way; 1: exact. */
+    readonly estimateOff: number;
+    /** The objective is this multiple of the job's longest chain of work, and `objectiveMs` more. */
+    readonly stretch: number;
+    readonly objectiveMs: number;
+    readonly maxAttempts: number;
+    readonly worth: { readonly inTime: number; readonly late: number; };
+}
+
+export type Trouble =
+    /** A share of the workers is `times` slower. */
+    | { readonly kind: "slow"; readonly atMs: number; readonly forMs: number; readonly share: number; times: number; }
+    /** Tasks on a share of the workers stand still. */
+    | { readonly kind: "hang"; readonly atMs: number; readonly forMs: number; readonly share: number; }
+    /** A share of the workers cannot be reached, and runs on. */
+    | { readonly kind: "cut"; readonly atMs: number; readonly forMs: number; readonly share: number; }
+    /** All that a share of the workers starts fails. */
+    | { readonly kind: "fail"; readonly atMs: number; readonly forMs: number; readonly share: number; }
+    /** A share of the workers is lost for good. */
+    | { readonly kind: "crash"; readonly atMs: number; readonly share: number; }
+    /** A share of the workers drains, and leaves `leftMs` later. */
+    | { readonly kind: "leave"; readonly atMs: number; readonly share: number; readonly leftMs: number; }
+    /** A class comes `times` as often. */
+    | { readonly kind: "burst"; readonly atMs: number; readonly forMs: number; class: string; times: number; };
+
+export interface Load {
+    readonly about: string;
+    readonly workers: number;
+    readonly workersPerRack: number;
+    readonly zones: number;
+    readonly capacity: work.Room;
+    readonly accounts: number;
+    /** Each account sends this share of what the one before it sends; 1: all the same. */
+    readonly skew: number;
+    /** Share of all accelerators that is guaranteed, to all accounts together. */
+    readonly guaranteed: number;
+    readonly classes: readonly JobClass[];
+    /** Jobs come for this long. */
+    readonly forMs: number;
+    readonly troubles: readonly Trouble[];
+}
--- /dev/null
+++ b/src/experiment/summary.ts
@@ -0,0 +1,127 @@
+/** What callers got: by class, account and zone, and in all. */
+import * as hdr from "hdr-histogram-js";
+import type * as play from "./play";
+
+export interface Group {
+    readonly name: string;
+    readonly asked: number;
+    /** Cancelled by their callers; not counted below. */
+    readonly cancelled: number;
+    readonly inTime: number;
+    readonly late: number;
+    /** After three times the objective, or not at all. */
+    readonly missed: number;
+    readonly refused: number;
+    /** Worth earned over worth owed, 0 to 1. */
+    readonly worth: number;
+    readonly waitMs: Quantiles;
+    readonly completionMs: Quantiles;
+}
+
+export interface Quantiles {
+    readonly p50: number;
+    readonly p99: number;
+}
+
+export interface Summary {
+    readonly all: Group;
+    readonly classes: readonly Group[];
+    readonly accounts: readonly Group[];
+    readonly zones: readonly Group[];
+    readonly utilisation: number;
+    readonly fragmentation: number;
+    readonly thrownAwayCoreSeconds: number;
+    readonly stoppedRuns: number;
+    readonly breaches: readonly string[];
+}
+
+/** A late job earns up to this multiple of its objective. */
+const LATE_MULTIPLE = 3;
+/** A job is worth a part by itself and the rest by its work, as the users count. */
+const BASE_WORTH = 0.3;
+const MOST_WORK = 4;
+const HOUR_MS = 3_600_000;
+
+export function summarise(played: play.Played): Summary {
+    const { jobs, samples } = played;
+    const groupBy = (getName: (job: play.JobOutcome) => string) =>
+        [...new Set(jobs.map(getName))].sort().map(name =>
+            createGroup(name, jobs.filter(job => getName(job) === name), jobs)
+        );
+    const mean = (values: readonly number[]) =>
+        values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
+    return {
+        all: createGroup("all", jobs, jobs),
+        classes: groupBy(job => job.planned.class.name),
+        accounts: groupBy(job => job.planned.job.account),
+        zones: groupBy(job => job.zone),
+        utilisation: mean(samples.map(sample => sample.utilisation)),
+        fragmentation: mean(samples.map(sample => sample.fragmentation)),
+        thrownAwayCoreSeconds: played.thrownAwayCoreSeconds,
+        stoppedRuns: played.stoppedRuns,
+        breaches: played.breaches,
+    };
+}
+
+type Served = "inTime" | "late" | "missed" | "refused" | "cancelled";
+
+function getServed(job: play.JobOutcome): Served {
+    if (!job.accepted) {
+        return "refused";
+    }
+    const { planned, end } = job;
+    if (planned.cancelAfterMs !== undefined && end?.state === "cancelled") {
+        return "cancelled";
+    }
+    if (!end || (end.state === "failed" && !planned.poisoned)) {
+        return "missed";
+    }
+    if (end.afterMs <= planned.objectiveMs) {
+        return "inTime";
+    }
+    return end.afterMs <= LATE_MULTIPLE * planned.objectiveMs ? "late" : "missed";
+}
+
+function createGroup(name: string, jobs: readonly play.JobOutcome[], all: readonly play.JobOutcome[]): Group {
+    const counts: Record<Served, number> = { inTime: 0, late: 0, missed: 0, refused: 0, cancelled: 0 };
+    const meanWork = getMeanWork(all);
+    let earned = 0;
+    let owed = 0;
+    for (const job of jobs) {
+        const served = getServed(job);
+        counts[served]++;
+        if (served === "cancelled") {
+            continue;
+        }
+        const { class: item, coreSeconds } = job.planned;
+        const size = BASE_WORTH + (1 - BASE_WORTH) * coreSeconds / meanWork.get(item.name)!;
+        const weight = Math.min(MOST_WORK, size);
+        owed += weight * item.worth.inTime;
+        earned += weight * (served === "inTime" ? item.worth.inTime : served === "late" ? item.worth.late : 0);
+    }
+    return {
+        name,
+        asked: jobs.length,
+        ...counts,
+        worth: owed > 0 ? earned / owed : 1,
+        waitMs: getQuantiles(jobs.flatMap(job => job.firstStartMs ?? [])),
+        completionMs: getQuantiles(jobs.flatMap(job => job.end?.state === "completed" ? job.end.afterMs : [])),
+    };
+}
+
+function getMeanWork(jobs: readonly play.JobOutcome[]): ReadonlyMap<string, number> {
+    const sums = new Map<string, { sum: number; count: number; }>();
+    for (const { planned } of jobs) {
+        const entry = sums.get(planned.class.name) ?? { sum: 0, count: 0 };
+        entry.sum += planned.coreSeconds;
+        entry.count++;
+        sums.set(planned.class.name, entry);
+    }
+    return new Map([...sums].map(([name, { sum, count }]) => [name, sum / count]));
+}
+
+function getQuantiles(values: readonly number[]): Quantiles {
+    const histogram = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: HOUR_MS, useWebAssembly: false });
+    values.forEach(value => histogram.recordValue(Math.max(0, Math.round(value))));
+    return { p50: histogram.getValueAtPercentile(50), p99: histogram.getValueAtPercentile(99) };
+}
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -38,6 +38,7 @@
     readonly leadership: lease.Leadership;
     readonly machines: machines.MachineService;
     readonly waves: machines.WaveBoard;
+    readonly policy: decisions.Policy;
     /** Unique to this life of the instance. */
     readonly life: string;
     /** Longest lease of what runs on a worker. */
@@ -248,6 +249,7 @@
             now,
             wallNow: time.wallTime(),
             expect,
+            policy: options.policy,
             isGuaranteed: job => guaranteed.has(job),
         };
         watch.stopWhatCannotGoOn([...workers.values()], { now, expect, book, log });
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -22,6 +22,7 @@
     readonly now: number;
     readonly wallNow: number;
     readonly expect: Expect;
+    readonly policy: decisions.Policy;
     /** Whether the job's needs lie within what its account is guaranteed. */
     isGuaranteed(job: entries.JobEntry): boolean;
 }
@@ -43,7 +44,7 @@
             }
         }
     }
-    return units.sort((a, b) => decisions.compareUrgency(a.urgency, b.urgency));
+    return units.sort((a, b) => options.policy.compare(a.urgency, b.urgency));
 }
 
 function collectOfStep(step: entries.StepEntry, options: UnitsOptions): UnitOfTasks[] {
@@ -212,7 +213,7 @@
         claim: getClaim(step, options),
         members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
         lossCoreSeconds,
-        costCoreSeconds: decisions.getStopCost({
+        costCoreSeconds: options.policy.getStopCost({
             lossCoreSeconds,
             urgency: getUrgency(step, options),
             elapsedMs,
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -1,6 +1,7 @@
 /** One instance of the scheduler, whatever it is connected to: the entry, the lease, and the term while it leads. */
 import * as catalogs from "../catalog/index";
 import type * as clock from "../clock/index";
+import type * as decisions from "../decisions/index";
 import * as intakes from "../intake/index";
 import * as leader from "../leader/index";
 import type * as observe from "../observe/index";
@@ -23,6 +24,7 @@
     readonly adviser: leader.Adviser;
     readonly machines: leader.MachineService;
     readonly waves: leader.WaveBoard;
+    readonly policy: decisions.Policy;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly counters: observe.Counters;
