--- a/src/experiment/generate.ts
+++ b/src/experiment/generate.ts
@@ -1,6 +1,6 @@
 /** The jobs of a load, from a seed. */
 import type * as emulator from "../emulator/index";
-import type * as random from "../random/index";
+import * as random from "../random/index";
 import type * as work from "../work/index";
 import type * as loads from "./load";
 
@@ -21,6 +21,17 @@
 /** Tasks of one step differ by this much. */
 const UNEVEN = 0.15;
 
+/** The generator's first numbers are close to an end of their range for small seeds, so they are not used. */
+export function createSource(seed: number): random.Random {
+    const source = random.createRandom(seed);
+    for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped++) {
+        source.nextFloat();
+    }
+    return source;
+}
+
+const SKIPPED_NUMBERS = 32;
+
 export function generateJobs(load: loads.Load, source: random.Random): PlannedJob[] {
     const jobs: PlannedJob[] = [];
     for (const item of load.classes) {
--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -4,7 +4,6 @@
 import * as decisions from "../decisions/index";
 import * as emulator from "../emulator/index";
 import type * as leader from "../leader/index";
-import * as random from "../random/index";
 import * as telemetry from "../telemetry/index";
 import * as generate from "./generate";
 import type * as loads from "./load";
@@ -56,7 +55,7 @@
 
 export async function play(options: PlayOptions): Promise<Played> {
     const { load } = options;
-    const source = createSource(options.seed);
+    const source = generate.createSource(options.seed);
     const planned = generate.generateJobs(load, source);
     const time = clocks.createManualClock(1_700_000_000_000);
     const startAt = time.now() + LEAD_MS;
@@ -99,17 +98,6 @@
     };
 }
 
-/** The generator's first numbers are close to an end of their range for small seeds, so they are not used. */
-function createSource(seed: number): random.Random {
-    const source = random.createRandom(seed);
-    for (let skipped = 0; skipped < SKIPPED_NUMBERS; skipped++) {
-        source.nextFloat();
-    }
-    return source;
-}
-
-const SKIPPED_NUMBERS = 32;
-
 function handIn(
     site: emulator.Site,
     planned: generate.PlannedJob,
--- a/standins/worker/__tests__/contract.test.ts
+++ b/standins/worker/__tests__/contract.test.ts
@@ -17,14 +17,34 @@
 }
 
 /** The system's clock, which a test can move forward: how long a call takes decides nothing then. */
-function createSkippingClock(): { readonly clock: clock.Clock; readonly skip: (ms: number) => void; } {
+interface SkippingClock {
+    readonly clock: clock.Clock;
+    readonly skip: (ms: number) => void;
+    /** Ends all timers: those of long tasks would keep the process alive after the tests. */
+    readonly stop: () => void;
+}
+
+function createSkippingClock(): SkippingClock {
     const system = clock.createSystemClock();
+    const cancels = new Set<clock.CancelTimer>();
     let skippedMs = 0;
+    const setTimer: clock.Clock["setTimer"] = (ms, callback) => {
+        const cancel = system.setTimer(ms, () => {
+            cancels.delete(cancel);
+            callback();
+        });
+        cancels.add(cancel);
+        return () => {
+            cancels.delete(cancel);
+            cancel();
+        };
+    };
     return {
-        clock: { ...system, now: () => system.now() + skippedMs },
+        clock: { ...system, setTimer, sleep: clock.createSleep(setTimer), now: () => system.now() + skippedMs },
         skip: ms => {
             skippedMs += ms;
         },
+        stop: () => cancels.forEach(cancel => cancel()),
     };
 }
 
@@ -50,9 +70,9 @@
         create: async () => {
             const faults = standin.createFaultSwitch();
             const journal = standin.createJournal();
-            const { clock: time, skip } = createSkippingClock();
+            const { clock: time, skip, stop } = createSkippingClock();
             const core = createCore(faults, journal, time);
-            const close = async () => undefined;
+            const close = async () => stop();
             return { worker: { ...core, close }, faults, journal, skip, close };
         },
     },
@@ -61,9 +81,9 @@
         create: async () => {
             const faults = standin.createFaultSwitch();
             const journal = standin.createJournal();
-            const { clock: time, skip } = createSkippingClock();
+            const { clock: time, skip, stop } = createSkippingClock();
             const core = createCore(faults, journal, time);
-            const options = { clock: clock.createSystemClock(), rng: random.createRandom(1), core, faults };
+            const options = { clock: time, rng: random.createRandom(1), core, faults };
             const server = await standin.startWorkerServer("127.0.0.1", 0, options);
             const worker = workers.createHttpWorker({
                 id: "w1",
@@ -80,6 +100,7 @@
                 close: async () => {
                     await worker.close();
                     await server.close();
+                    stop();
                 },
             };
         },
