--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -8,10 +8,5 @@
 } from "./machines";
 export { createSite, type EmulatedJob, getInstanceName, type Site, type SiteOptions } from "./site";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
-export {
-    createEmulatedWorkers,
-    type EmulatedWorkers,
-    type OrderFault,
-    type TaskModel,
-    type WorkerFaults,
-} from "./workers";
+export { type TaskModel } from "./workerLife";
+export { createEmulatedWorkers, type EmulatedWorkers, type OrderFault, type WorkerFaults } from "./workers";
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -10,6 +10,7 @@
 import type * as work from "../work/index";
 import * as freezers from "./freezer";
 import * as stores from "./store";
+import type * as workerLife from "./workerLife";
 import * as workersInMemory from "./workers";
 
 export interface SiteOptions {
@@ -201,7 +202,7 @@
     return `instance-${number}`;
 }
 
-function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workersInMemory.TaskModel {
+function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workerLife.TaskModel {
     const [jobId, occurrence, stepNumber] = task.split(".");
     const job = jobs.get(jobId!)!;
     const number = Number(stepNumber);
--- /dev/null
+++ b/src/emulator/workerLife.ts
@@ -0,0 +1,67 @@
+/** What runs on an emulated worker, and how fast. */
+import type * as leader from "../leader/index";
+import type * as work from "../work/index";
+
+/** What an emulated task really does. */
+export interface TaskModel {
+    readonly needs: work.Room;
+    readonly durationMs: number;
+    /** Members of its gang; 1: none. */
+    readonly gangSize: number;
+    /** Names its gang, the same for all members. */
+    readonly gang: string;
+    readonly checkpoints: boolean;
+    /** A gang that works several times slower on more than one rack. */
+    readonly sameRack: boolean;
+    /** Work is several times slower on another rack. */
+    readonly dataRack: string | undefined;
+    /** Whether the run fails at its end. */
+    fails(run: number): boolean;
+}
+
+export interface Run {
+    readonly task: string;
+    readonly run: number;
+    readonly model: TaskModel;
+    /** Work done, in milliseconds of the model's duration. */
+    doneMs: number;
+    stoppingAt: number | undefined;
+}
+
+export interface Life {
+    info: leader.WorkerInfo;
+    alive: boolean;
+    listed: boolean;
+    fence: number;
+    deadline: number;
+    readonly runs: Map<string, Run>;
+    /** Highest run stopped or ended of each task. */
+    readonly closedRuns: Map<string, number>;
+    ends: leader.TaskEnd[];
+    nextEnd: number;
+    readonly waiters: Set<() => void>;
+    /** Ends up to this number were listed when the worker's lease lapsed last. */
+    lapsedEnd: number;
+}
+
+/** What its tasks take of a worker's capacity. */
+export function sumNeeds(life: Life): work.Room {
+    const sum = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+    for (const running of life.runs.values()) {
+        sum.cpuMillis += running.model.needs.cpuMillis;
+        sum.memoryMb += running.model.needs.memoryMb;
+        sum.accelerators += running.model.needs.accelerators;
+    }
+    return sum;
+}
+
+/** How many times slower a run is for being far from its data, or its gang for lying on more than one rack. */
+export function getFarFactor(run: Run, life: Life, gang: readonly Life[]): number {
+    const racks = new Set(gang.map(member => member.info.rack));
+    const isFar = (run.model.sameRack && racks.size > 1)
+        || (run.model.dataRack !== undefined && run.model.dataRack !== life.info.rack);
+    return isFar ? FAR_FACTOR : 1;
+}
+
+/** As on the users' sheets. */
+const FAR_FACTOR = 3;
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -5,23 +5,7 @@
 import type * as clock from "../clock/index";
 import * as leader from "../leader/index";
 import type * as work from "../work/index";
-
-/** What an emulated task really does. */
-export interface TaskModel {
-    readonly needs: work.Room;
-    readonly durationMs: number;
-    /** Members of its gang; 1: none. */
-    readonly gangSize: number;
-    /** Names its gang, the same for all members. */
-    readonly gang: string;
-    readonly checkpoints: boolean;
-    /** A gang that works several times slower on more than one rack. */
-    readonly sameRack: boolean;
-    /** Work is several times slower on another rack. */
-    readonly dataRack: string | undefined;
-    /** Whether the run fails at its end. */
-    fails(run: number): boolean;
-}
+import * as workerLife from "./workerLife";
 
 export type OrderFault =
     | "none"
@@ -47,7 +31,7 @@
     readonly maxLeaseMs: number;
     readonly stopMs: number;
     readonly faults?: WorkerFaults;
-    getModel(task: string): TaskModel;
+    getModel(task: string): workerLife.TaskModel;
 }
 
 export interface StartRecord {
@@ -75,36 +59,11 @@
     readonly doneCounts: ReadonlyMap<string, number>;
 }
 
-interface Run {
-    readonly task: string;
-    readonly run: number;
-    readonly model: TaskModel;
-    /** Work done, in milliseconds of the model's duration. */
-    doneMs: number;
-    stoppingAt: number | undefined;
-}
-
-interface Life {
-    info: leader.WorkerInfo;
-    alive: boolean;
-    listed: boolean;
-    fence: number;
-    deadline: number;
-    readonly runs: Map<string, Run>;
-    /** Highest run stopped or ended of each task. */
-    readonly closedRuns: Map<string, number>;
-    ends: leader.TaskEnd[];
-    nextEnd: number;
-    readonly waiters: Set<() => void>;
-    /** Ends up to this number were listed when the worker's lease lapsed last. */
-    lapsedEnd: number;
-}
-
 /** A run that ended well, and what became of it. */
 interface DoneRun {
     readonly task: string;
     readonly run: number;
-    readonly life: Life;
+    readonly life: workerLife.Life;
     readonly number: number;
     recorded: boolean;
     startedAgain: boolean;
@@ -113,21 +72,19 @@
 /** Granularity of the emulated work. */
 const TICK_MS = 50;
 const SAVE_EVERY_MS = 1_000;
-/** As on the users' sheets. */
-const FAR_FACTOR = 3;
 
 const NO_FAULTS: WorkerFaults = { decide: () => "none", lateMs: 0, getSlowness: () => 1 };
 
 export function createEmulatedWorkers(options: EmulatedWorkersOptions): EmulatedWorkers {
     const { clock: time } = options;
     const faults = options.faults ?? NO_FAULTS;
-    const lives = new Map<string, Life>();
+    const lives = new Map<string, workerLife.Life>();
     const breaches: string[] = [];
     const starts: StartRecord[] = [];
     const doneCounts = new Map<string, number>();
     const dones: DoneRun[] = [];
 
-    const end = (life: Life, run: Run, how: leader.EndKind) => {
+    const end = (life: workerLife.Life, run: workerLife.Run, how: leader.EndKind) => {
         life.runs.delete(run.task);
         life.closedRuns.set(run.task, Math.max(run.run, life.closedRuns.get(run.task) ?? 0));
         const savedMs = run.model.checkpoints
@@ -153,8 +110,8 @@
         }
         [...life.waiters].forEach(wake => wake());
     };
-    const findGang = (run: Run) => {
-        const members: Array<{ life: Life; run: Run; }> = [];
+    const findGang = (run: workerLife.Run) => {
+        const members: Array<{ life: workerLife.Life; run: workerLife.Run; }> = [];
         for (const life of lives.values()) {
             for (const other of life.alive ? life.runs.values() : []) {
                 if (other.model.gang === run.model.gang && other.run === run.run) {
@@ -164,7 +121,7 @@
         }
         return members;
     };
-    const advance = (life: Life) => {
+    const advance = (life: workerLife.Life) => {
         const slowness = faults.getSlowness(life.info.id);
         for (const run of [...life.runs.values()]) {
             if (!life.runs.has(run.task)) {
@@ -184,10 +141,7 @@
             if (gang.length < run.model.gangSize) {
                 continue;
             }
-            const racks = new Set(gang.map(member => member.life.info.rack));
-            const isFar = (run.model.sameRack && racks.size > 1)
-                || (run.model.dataRack !== undefined && run.model.dataRack !== life.info.rack);
-            const stepMs = TICK_MS / slowness / (isFar ? FAR_FACTOR : 1);
+            const stepMs = TICK_MS / slowness / workerLife.getFarFactor(run, life, gang.map(member => member.life));
             run.doneMs = Math.min(run.model.durationMs, run.doneMs + stepMs);
             if (gang.every(member => member.run.doneMs >= member.run.model.durationMs)) {
                 const how = run.model.fails(run.run) ? "failed" : "done";
@@ -215,16 +169,7 @@
             breaches.push(`${done.task} is started again after run ${done.run} ended well`);
         }
     };
-    const sumNeeds = (life: Life): work.Room => {
-        const sum = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-        for (const running of life.runs.values()) {
-            sum.cpuMillis += running.model.needs.cpuMillis;
-            sum.memoryMb += running.model.needs.memoryMb;
-            sum.accelerators += running.model.needs.accelerators;
-        }
-        return sum;
-    };
-    const checkStart = (life: Life, task: string, run: number) => {
+    const checkStart = (life: workerLife.Life, task: string, run: number) => {
         for (const done of dones) {
             if (done.task === task) {
                 // A breach only if that end counts: it is, or will be, recorded before its worker's lease lapses.
@@ -237,7 +182,7 @@
                 breaches.push(`${task} run ${run} is started on ${life.info.id} while it runs on ${other.info.id}`);
             }
         }
-        const sum = sumNeeds(life);
+        const sum = workerLife.sumNeeds(life);
         const { capacity } = life.info;
         if (
             sum.cpuMillis > capacity.cpuMillis || sum.memoryMb > capacity.memoryMb
@@ -246,7 +191,7 @@
             breaches.push(`${task} brings ${life.info.id} over its capacity`);
         }
     };
-    const start = (life: Life, order: leader.StartOrder): leader.OrderAnswer => {
+    const start = (life: workerLife.Life, order: leader.StartOrder): leader.OrderAnswer => {
         const refusal = checkFence(life, order.fencingToken);
         if (refusal) {
             return refusal;
@@ -264,7 +209,7 @@
         prolong(life, order.deadline);
         const model = options.getModel(order.task);
         const resumedMs = Number(order.saved) || 0;
-        const run: Run = {
+        const run: workerLife.Run = {
             task: order.task,
             run: order.run,
             model,
@@ -276,7 +221,7 @@
         checkStart(life, order.task, order.run);
         return { kind: "accepted", workerClock: time.now() };
     };
-    const stop = (life: Life, order: leader.RunOrder): leader.OrderAnswer => {
+    const stop = (life: workerLife.Life, order: leader.RunOrder): leader.OrderAnswer => {
         const refusal = checkFence(life, order.fencingToken);
         if (refusal) {
             return refusal;
@@ -288,17 +233,17 @@
         life.closedRuns.set(order.task, Math.max(order.run, life.closedRuns.get(order.task) ?? 0));
         return { kind: "accepted", workerClock: time.now() };
     };
-    const checkFence = (life: Life, token: number): leader.OrderAnswer | undefined => {
+    const checkFence = (life: workerLife.Life, token: number): leader.OrderAnswer | undefined => {
         if (token < life.fence) {
             return { kind: "refused", reason: "fence", workerClock: time.now() };
         }
         life.fence = token;
         return undefined;
     };
-    const prolong = (life: Life, deadline: number) => {
+    const prolong = (life: workerLife.Life, deadline: number) => {
         life.deadline = Math.max(life.deadline, Math.min(deadline, time.now() + options.maxLeaseMs));
     };
-    const look = async (life: Life, order: leader.LookOrder): Promise<leader.LookAnswer> => {
+    const look = async (life: workerLife.Life, order: leader.LookOrder): Promise<leader.LookAnswer> => {
         const refusal = checkFence(life, order.fencingToken);
         if (refusal) {
             return refusal as leader.LookAnswer;
@@ -332,7 +277,7 @@
             ended: [...life.ends],
         };
     };
-    const waitForEnd = (life: Life, ms: number) =>
+    const waitForEnd = (life: workerLife.Life, ms: number) =>
         new Promise<void>(resolve => {
             const finish = () => {
                 cancel();
@@ -347,7 +292,7 @@
         worker: leader.WorkerAddress,
         kind: "start" | "stop" | "look" | "pace",
         timeoutMs: number,
-        carryOut: (life: Life) => T | Promise<T>,
+        carryOut: (life: workerLife.Life) => T | Promise<T>,
     ): Promise<T | leader.OrderAnswer> => {
         const fault = faults.decide(worker.id, kind);
         await time.sleep(options.latencyMs);
@@ -400,7 +345,7 @@
         getRunning: id => lives.get(id)!.runs.size,
         getUsed: id => {
             const life = lives.get(id)!;
-            return life.alive ? sumNeeds(life) : undefined;
+            return life.alive ? workerLife.sumNeeds(life) : undefined;
         },
         drain: (id, remainingMs) => {
             const life = lives.get(id)!;
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -8,6 +8,7 @@
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
 import * as entries from "./entries";
+import * as outcomes from "./outcomes";
 import type * as port from "./workerPort";
 
 export interface BookListener {
@@ -76,20 +77,6 @@
         return occurrence;
     };
 
-    const endJob = (job: entries.JobEntry, state: work.JobState) => {
-        job.state = state;
-        job.endedAt = time.wallTime();
-        active.delete(job);
-        listener.jobChanged(job);
-        log.info("jobEnded", {
-            job: job.submission.jobId,
-            account: job.submission.account,
-            queue: job.queue.name,
-            state,
-            ageMs: Math.round(job.endedAt - job.submission.acceptedAt),
-        });
-    };
-
     const stopAll = (occurrence: entries.OccurrenceEntry, reason: string) => {
         for (const step of occurrence.steps) {
             for (const task of step.tasks) {
@@ -98,77 +85,13 @@
         }
     };
 
-    const endOccurrence = (occurrence: entries.OccurrenceEntry, failed: boolean) => {
-        const { job } = occurrence;
-        occurrence.over = true;
-        job.ended.add(occurrence.number);
-        job.failed ||= failed;
-        listener.occurrenceChanged(occurrence);
-        if (failed) {
-            stopAll(occurrence, "jobFailed");
-        }
-        if (job.ended.size >= work.getOccurrenceCount(job.submission.spec)) {
-            endJob(job, job.failed ? "failed" : "completed");
-            return;
-        }
-        listener.jobChanged(job);
-    };
-
-    const markStepDone = (step: entries.StepEntry) => {
-        const { occurrence } = step;
-        for (const next of occurrence.steps) {
-            const ready = next.spec.after.every(number => {
-                const earlier = occurrence.steps[number];
-                return !earlier || entries.isStepDone(earlier);
-            });
-            if (ready) {
-                next.readySince ??= time.now();
-            }
-        }
-        if (occurrence.steps.every(entries.isStepDone) && !occurrence.over) {
-            endOccurrence(occurrence, false);
-        }
-    };
-
-    const markDone = (task: entries.TaskEntry) => {
-        const { step } = task;
-        const members = step.spec.gang ? step.tasks : [task];
-        for (const member of members) {
-            if (member.phase !== "done") {
-                member.phase = "done";
-                step.doneCount++;
-            }
-        }
-        listener.occurrenceChanged(step.occurrence);
-        if (entries.isStepDone(step)) {
-            markStepDone(step);
-        }
-    };
-
-    const countFailure = (task: entries.TaskEntry, run: number, worker: entries.WorkerEntry) => {
-        const { step } = task;
-        if (step.spec.gang && step.failedRun === run) {
-            return;
-        }
-        step.failedRun = run;
-        const members = step.spec.gang ? step.tasks : [task];
-        const failures = task.failures + 1;
-        for (const member of members) {
-            member.failures = failures;
-        }
-        const { job } = step.occurrence;
-        if (step.spec.lasting) {
-            // Lasting tasks may fail at any time, on any worker, and are started again however often.
-            log.info("lastingTaskFailed", { task: task.name, run, worker: worker.id });
-            return;
-        }
-        task.failedOn.add(worker.id);
-        worker.failuresInRow++;
-        log.info("runFailed", { task: task.name, run, worker: worker.id, failures, of: job.queue.maxAttempts });
-        if (failures >= job.queue.maxAttempts && !step.occurrence.over) {
-            endOccurrence(step.occurrence, true);
-        }
-    };
+    const { endJob, markDone, markStepDone, countFailure } = outcomes.createOutcomes({
+        clock: time,
+        log,
+        listener,
+        onOver: job => active.delete(job),
+        stopAll,
+    });
 
     const toWaiting = (task: entries.TaskEntry) => {
         task.phase = "waiting";
--- /dev/null
+++ b/src/leader/outcomes.ts
@@ -0,0 +1,118 @@
+/** How steps, occurrences and jobs come to their end: by tasks that are done, or by too many failures. */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import * as work from "../work/index";
+import * as entries from "./entries";
+
+export interface OutcomesOptions {
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly listener: {
+        occurrenceChanged(occurrence: entries.OccurrenceEntry): void;
+        jobChanged(job: entries.JobEntry): void;
+    };
+    onOver(job: entries.JobEntry): void;
+    /** Stops what still runs of an occurrence that is over. */
+    stopAll(occurrence: entries.OccurrenceEntry, reason: string): void;
+}
+
+export interface Outcomes {
+    endJob(job: entries.JobEntry, state: work.JobState): void;
+    /** A run ended well; of a gang it stands for all members. */
+    markDone(task: entries.TaskEntry): void;
+    /** All tasks of the step are done: later steps may begin. */
+    markStepDone(step: entries.StepEntry): void;
+    countFailure(task: entries.TaskEntry, run: number, worker: entries.WorkerEntry): void;
+}
+
+export function createOutcomes(options: OutcomesOptions): Outcomes {
+    const { clock: time, log } = options;
+
+    const endJob = (job: entries.JobEntry, state: work.JobState) => {
+        job.state = state;
+        job.endedAt = time.wallTime();
+        options.onOver(job);
+        options.listener.jobChanged(job);
+        log.info("jobEnded", {
+            job: job.submission.jobId,
+            account: job.submission.account,
+            queue: job.queue.name,
+            state,
+            ageMs: Math.round(job.endedAt - job.submission.acceptedAt),
+        });
+    };
+
+    const endOccurrence = (occurrence: entries.OccurrenceEntry, failed: boolean) => {
+        const { job } = occurrence;
+        occurrence.over = true;
+        job.ended.add(occurrence.number);
+        job.failed ||= failed;
+        options.listener.occurrenceChanged(occurrence);
+        if (failed) {
+            options.stopAll(occurrence, "jobFailed");
+        }
+        if (job.ended.size >= work.getOccurrenceCount(job.submission.spec)) {
+            endJob(job, job.failed ? "failed" : "completed");
+            return;
+        }
+        options.listener.jobChanged(job);
+    };
+
+    const markStepDone = (step: entries.StepEntry) => {
+        const { occurrence } = step;
+        for (const next of occurrence.steps) {
+            const ready = next.spec.after.every(number => {
+                const earlier = occurrence.steps[number];
+                return !earlier || entries.isStepDone(earlier);
+            });
+            if (ready) {
+                next.readySince ??= time.now();
+            }
+        }
+        if (occurrence.steps.every(entries.isStepDone) && !occurrence.over) {
+            endOccurrence(occurrence, false);
+        }
+    };
+
+    const markDone = (task: entries.TaskEntry) => {
+        const { step } = task;
+        const members = step.spec.gang ? step.tasks : [task];
+        for (const member of members) {
+            if (member.phase !== "done") {
+                member.phase = "done";
+                step.doneCount++;
+            }
+        }
+        options.listener.occurrenceChanged(step.occurrence);
+        if (entries.isStepDone(step)) {
+            markStepDone(step);
+        }
+    };
+
+    const countFailure = (task: entries.TaskEntry, run: number, worker: entries.WorkerEntry) => {
+        const { step } = task;
+        if (step.spec.gang && step.failedRun === run) {
+            return;
+        }
+        step.failedRun = run;
+        const members = step.spec.gang ? step.tasks : [task];
+        const failures = task.failures + 1;
+        for (const member of members) {
+            member.failures = failures;
+        }
+        const { job } = step.occurrence;
+        if (step.spec.lasting) {
+            // Lasting tasks may fail at any time, on any worker, and are started again however often.
+            log.info("lastingTaskFailed", { task: task.name, run, worker: worker.id });
+            return;
+        }
+        task.failedOn.add(worker.id);
+        worker.failuresInRow++;
+        log.info("runFailed", { task: task.name, run, worker: worker.id, failures, of: job.queue.maxAttempts });
+        if (failures >= job.queue.maxAttempts && !step.occurrence.over) {
+            endOccurrence(step.occurrence, true);
+        }
+    };
+
+    return { endJob, markDone, markStepDone, countFailure };
+}
