Settings are read again while the process runs

Cause: a changed settings file was read and checked, but nothing of it was used before the next start. Ruled out: closing and opening listeners anew (what the process is bound to is named as needing a restart).

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -136,13 +136,15 @@
             machines: options.machines ?? NO_MACHINES,
             waves: options.waves ?? NO_WAVES,
             policy: options.policy ?? decisions.POLICIES.worth,
-            upkeepMs: UPKEEP_MS,
-            retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
+            getBounds: () => ({
+                maxLeaseMs,
+                upkeepMs: UPKEEP_MS,
+                retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
+            }),
             clock: freezer.clock,
             log: options.log,
             counters: options.counters,
             histograms: options.histograms,
-            maxLeaseMs,
             signal: controller.signal,
         });
         scheduler.catalog.accept(options.catalog);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -29,13 +29,18 @@
     readonly log: observe.Log;
     readonly counters: observe.Counters;
     readonly histograms: observe.Histograms;
+    /** Asked at the beginning of each term. */
+    getBounds(): SchedulerBounds;
+    readonly signal: AbortSignal;
+}
+
+export interface SchedulerBounds {
     /** Longest lease that a worker grants to what runs there. */
     readonly maxLeaseMs: number;
     /** How long a machine is down for its upkeep. */
     readonly upkeepMs: number;
     /** How long the state of an ended job can be asked for. */
     readonly retentionMs: number;
-    readonly signal: AbortSignal;
 }
 
 export interface Scheduler {
@@ -67,6 +72,7 @@
     const openTerm = (leadership: leader.Leadership) => {
         const started = leader.createTerm({
             ...options,
+            ...options.getBounds(),
             store,
             catalog: current,
             leadership,
