Counts without a leader read all pages

Cause: an entry that counts waiting jobs for itself, because no leader has told for 2 s, read one page of 500 rows of each table. Beyond that jobs were missing, or such as had begun were counted. Found by reading. Ruled out: the takeover (it reads all pages). Before and after: 620 waiting jobs were counted as 500 (intake.test.ts), now as 620.

--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -164,4 +164,17 @@
         await opened.submit();
         expect(await count(opened)).toEqual({ kind: "waiting", count: 1 });
     });
+
+    test("from the rows counts those beyond the first page, too", async () => {
+        // Symptom: fewer jobs are said to wait than half of those that do. Sequence: more rows than the store returns
+        // in one answer, and no leader that counts. Cause: only the first page was read.
+        const opened = open({ countsAgeMs: 10_000 });
+        const waiting = 620;
+        for (let number = 0; number < waiting; number++) {
+            const jobId = number.toString(16).padStart(16, "0");
+            const submission: work.Submission = { jobId, queue: QUEUE, account: "x", acceptedAt: 0, spec: SPEC };
+            opened.store.put({ table: "jobs", part: "intake", key: jobId, value: JSON.stringify(submission) });
+        }
+        expect(await count(opened)).toEqual({ kind: "waiting", count: waiting });
+    });
 });
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -5,7 +5,7 @@
 import type * as catalog from "../catalog/index";
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
-import type * as rows from "../rows/index";
+import * as rows from "../rows/index";
 import * as work from "../work/index";
 
 /** How a request ended. Only `notAccepted` says that a submission has not been and will not be carried out. */
@@ -64,6 +64,8 @@
 /** Counts older than this are taken from the rows instead. */
 const COUNTS_AGE_MS = 2_000;
 
+type ReadRange = rows.RowStore["read"];
+
 export function createIntake(options: IntakeOptions): Intake {
     const { store, clock: time, log, counters, health } = options;
 
@@ -112,11 +114,15 @@
     };
 
     /** Reads rows until it succeeds, the store is known to be away or the caller's time is over. */
-    const read = async (caller: Caller, range: rows.RowRange): Promise<readonly rows.Row[] | string> => {
+    const read = async (
+        caller: Caller,
+        range: rows.RowRange,
+        readRange: ReadRange = store.read,
+    ): Promise<readonly rows.Row[] | string> => {
         let reason = "the store cannot be reached";
         let failures = 0;
         while (!isStoreAway() && getLeftMs(caller) > 0 && failures < REFUSALS_BEFORE_REPLY) {
-            const result = await store.read(range, getTimeout(caller, READ_TIMEOUT_MS));
+            const result = await readRange(range, getTimeout(caller, READ_TIMEOUT_MS));
             if (result.kind === "read") {
                 return result.rows;
             }
@@ -225,10 +231,11 @@
 
     /** Without a leader's recent counts: jobs without a progress row have not begun. */
     const countRows = async (caller: Caller): Promise<IntakeReply> => {
-        const intake = await read(caller, { table: work.Table.Jobs, part: work.INTAKE_PART });
+        const readPages: ReadRange = (range, timeoutMs) => rows.readAll(store, range, timeoutMs);
+        const intake = await read(caller, { table: work.Table.Jobs, part: work.INTAKE_PART }, readPages);
         const progress = typeof intake === "string"
             ? intake
-            : await read(caller, { table: work.Table.Progress, part: work.LEADER_PART });
+            : await read(caller, { table: work.Table.Progress, part: work.LEADER_PART }, readPages);
         if (typeof intake === "string" || typeof progress === "string") {
             return createUnavailable(typeof intake === "string" ? intake : String(progress));
         }
