--- /dev/null
+++ b/src/rows/__tests__/followTable.test.ts
@@ -0,0 +1,106 @@
+import * as clocks from "../../clock/index";
+import * as emulator from "../../emulator/index";
+import * as rows from "../index";
+
+const TABLE = "op";
+const LATENCY_MS = 5;
+
+interface Opened {
+    readonly time: clocks.ManualClock;
+    readonly store: emulator.EmulatedStore;
+    /** The value that is known of the key, and when it was learned. */
+    readonly known: Map<string, { readonly value: string; readonly at: number; }>;
+    readonly stop: () => void;
+}
+
+function open(decide: (now: number, call: string) => emulator.StoreFault): Opened {
+    const time = clocks.createManualClock(1_000);
+    const startedAt = time.now();
+    const store = emulator.createEmulatedStore({
+        clock: time,
+        latencyMs: LATENCY_MS,
+        faults: { decide: (_caller, call) => decide(time.now() - startedAt, call), lateMs: 0 },
+    });
+    const known = new Map<string, { value: string; at: number; }>();
+    const take = (row: rows.Row) => {
+        if (known.get(row.key)?.value !== row.value) {
+            known.set(row.key, { value: row.value, at: time.now() - startedAt });
+        }
+    };
+    const stopping = new AbortController();
+    rows.followTable({
+        store: store.open("a"),
+        clock: time,
+        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        table: TABLE,
+        part: "",
+        signal: stopping.signal,
+        onSnapshot: all => all.forEach(take),
+        onChanges: changes => changes.forEach(row => row.removed ? known.delete(row.key) : take(row)),
+    });
+    return { time, store, known, stop: () => stopping.abort() };
+}
+
+interface Case {
+    readonly name: string;
+    readonly story: string;
+    readonly decide?: (now: number, call: string) => emulator.StoreFault;
+    /** The store forgets its history at the change. */
+    readonly forgets?: boolean;
+    /** When the row changes, and until when that must be known. */
+    readonly changedAt: number;
+    readonly knownUntil: number;
+}
+
+const cases: readonly Case[] = [
+    {
+        name: "a change is known at once",
+        story: "A poll waits for changes, so nothing but the way to the store and back passes.",
+        changedAt: 2_000,
+        knownUntil: 2_020,
+    },
+    {
+        name: "a change during an outage is known soon after it",
+        story:
+            `Symptom: a key that was taken away goes on working. Sequence: the store is silent, the operator changes the
+            configuration, the store is back. Cause: the poll that hangs is given up too late.`,
+        decide: now => now >= 1_500 && now < 4_000 ? "silent" : "none",
+        changedAt: 2_000,
+        knownUntil: 5_400,
+    },
+    {
+        name: "a connection that has fallen silent is given up while new ones work",
+        story:
+            `Symptom: one instance follows the configuration half a minute late. Sequence: its poll's connection falls
+            silent without a reset. Cause: the poll was as long as the store allows.`,
+        decide: (now, call) => call === "feed" && now < 100 ? "silent" : "none",
+        changedAt: 300,
+        knownUntil: 1_600,
+    },
+    {
+        name: "what changed while the history was lost is read anew",
+        story:
+            `Symptom: a change never comes into force. Sequence: the store forgets its history between two polls. Cause:
+            the follower goes on from a version that the store knows nothing of.`,
+        decide: now => now >= 1_500 && now < 3_000 ? "refuse" : "none",
+        forgets: true,
+        changedAt: 2_000,
+        knownUntil: 3_600,
+    },
+];
+
+describe("following a table", () => {
+    test.each(cases)("$name", async ({ decide, forgets, changedAt, knownUntil }) => {
+        const opened = open(decide ?? (() => "none"));
+        opened.store.put({ table: TABLE, part: "", key: "config", value: "1" });
+        await opened.time.advance(changedAt);
+        expect(opened.known.get("config")?.value).toBe("1");
+        opened.store.put({ table: TABLE, part: "", key: "config", value: "2" });
+        if (forgets) {
+            opened.store.forgetHistory();
+        }
+        await opened.time.advance(knownUntil - changedAt);
+        expect(opened.known.get("config")).toEqual({ value: "2", at: expect.any(Number) });
+        opened.stop();
+    });
+});
