Read as a newcomer: an unused field, one plain step, a guard that says what it means

- expectedEndAt of running groups was computed in each pass and read by nothing.
- The plain step stood three times (random sites, experiment, fixtures): one constant in src/work.
- A move needs a known rate: said by a guard, and a case, in place of arithmetic that came out as not a number.
- A submission counts as present only by its own row, not by that of its cancellation.
- Victims are chosen by what their stop costs, no longer by loss alone: two comments said the latter.

--- a/src/decisions/__tests__/fixtures.ts
+++ b/src/decisions/__tests__/fixtures.ts
@@ -50,7 +50,6 @@
         members: [{ workerId, needs: { cpuMillis: 1_000, memoryMb: 1_024, accelerators: 1 } }],
         lossCoreSeconds: 10,
         costCoreSeconds: fields.lossCoreSeconds ?? 10,
-        expectedEndAt: 5_000,
         ...fields,
     };
 }
--- a/src/decisions/__tests__/speed.test.ts
+++ b/src/decisions/__tests__/speed.test.ts
@@ -52,6 +52,7 @@
         ["half done, would begin anew", { percent: 50, saves: false }, false],
         ["hardly begun", { percent: 5, saves: false }, true],
         ["nearly done", { percent: 98, saves: true }, false],
+        ["nothing is known of its speed", { percent: 5, saves: true, bestRate: 0, recentRate: 0 }, false],
     ];
     test.each(cases)("%s", (_name, input, move) => {
         expect(speed.shouldMove({ percent: 0, saves: false, ...SLOW, ...input })).toBe(move);
--- a/src/decisions/preempt.ts
+++ b/src/decisions/preempt.ts
@@ -17,7 +17,7 @@
     return unit.claim > group.claim;
 }
 
-/** The workers and victims with the least work thrown away; `undefined` where nothing that may be stopped suffices. */
+/** The workers, and the victims whose stop costs least; `undefined` where nothing that may be stopped suffices. */
 export function preempt(
     unit: types.WaitingUnit,
     workers: readonly types.PlaceableWorker[],
@@ -108,7 +108,7 @@
     return [...racks.values()];
 }
 
-/** Takes the ways with the least loss for each member first, one way a worker, until all members have a place. */
+/** Takes the ways with the least cost for each member first, one way a worker, until all members have a place. */
 function choose(
     unit: types.WaitingUnit,
     pool: ReadonlyArray<readonly Host[]>,
--- a/src/decisions/speed.ts
+++ b/src/decisions/speed.ts
@@ -73,6 +73,7 @@
 
 export interface MoveInput {
     readonly percent: number;
+    /** Percent a millisecond, as in the track; 0: not known. */
     readonly bestRate: number;
     readonly recentRate: number;
     /** Whether it goes on elsewhere from where it was stopped. */
@@ -81,6 +82,9 @@
 
 /** Whether a task on a slow worker ends sooner when it is stopped now and started elsewhere. */
 export function shouldMove(input: MoveInput): boolean {
+    if (input.bestRate === 0) {
+        return false;
+    }
     const left = 100 - input.percent;
     const inSpell = input.recentRate * SPELL_MS;
     const stayMs = inSpell >= left ? left / input.recentRate : SPELL_MS + (left - inSpell) / input.bestRate;
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -70,7 +70,6 @@
     readonly lossCoreSeconds: number;
     /** What a stop costs in all: the work thrown away, and the worth of a job that ends late for it. */
     readonly costCoreSeconds: number;
-    readonly expectedEndAt: number;
     /** Set for a lasting task at work whose step may miss only some of its tasks at a time. */
     readonly protection?: Protection;
 }
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -8,10 +8,10 @@
 import type * as observe from "../observe/index";
 import * as random from "../random/index";
 import * as telemetry from "../telemetry/index";
-import type * as work from "../work/index";
+import * as work from "../work/index";
 import * as sites from "./site";
 import type * as stores from "./store";
-import type * as workersInMemory from "./workers";
+import * as workersInMemory from "./workers";
 
 export interface ChaosReport {
     readonly seed: number;
@@ -197,7 +197,8 @@
 
 function createJob(source: random.Random, number: number): sites.EmulatedJob {
     const gang = source.nextInt(3) === 0;
-    const steps: work.StepSpec[] = range(1 + source.nextInt(2)).map(step => ({
+    const steps = range(1 + source.nextInt(2)).map((step): work.StepSpec => ({
+        ...work.PLAIN_STEP,
         count: 1 + source.nextInt(4),
         needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 1 + source.nextInt(4) },
         estimateMs: 500 + source.nextInt(6_000),
@@ -206,12 +207,6 @@
         gang,
         sameRack: gang && source.nextInt(2) === 0,
         maxPerWorker: source.nextInt(4) === 0 ? 2 : 0,
-        speculative: false,
-        lasting: false,
-        mayMiss: 0,
-        image: "",
-        targetMs: 0,
-        fills: false,
     }));
     const poison = source.nextInt(10) === 0;
     const failing = source.nextInt(5) === 0;
--- a/src/experiment/generate.ts
+++ b/src/experiment/generate.ts
@@ -1,7 +1,7 @@
 /** The jobs of a load, from a seed. */
 import type * as emulator from "../emulator/index";
 import * as random from "../random/index";
-import type * as work from "../work/index";
+import * as work from "../work/index";
 import type * as loads from "./load";
 
 export interface PlannedJob {
@@ -79,6 +79,7 @@
         () => Math.round(draw(item.durationMs, source)),
     );
     const steps = durationsMs.map((durationMs, index): work.StepSpec => ({
+        ...work.PLAIN_STEP,
         count,
         needs,
         estimateMs: Math.round(durationMs * item.estimateOff ** (2 * source.nextFloat() - 1)),
@@ -88,12 +89,6 @@
         sameRack,
         dataRack,
         maxPerWorker,
-        speculative: false,
-        lasting: false,
-        mayMiss: 0,
-        image: "",
-        targetMs: 0,
-        fills: false,
     }));
     const poisoned = has(item.poison);
     const failures = source.nextInt(FAILURE_PATTERNS);
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -168,7 +168,7 @@
         if (typeof present === "string") {
             return { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason: present };
         }
-        return present.length > 0 ? { kind: "accepted" } : undefined;
+        return present.some(row => row.key === jobId) ? { kind: "accepted" } : undefined;
     };
 
     const createUnavailable = (reason: string): IntakeReply => ({
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -220,7 +220,6 @@
             unsavedMs,
             preemptions: tasks[0]!.preemptions,
         }),
-        expectedEndAt: since + options.expect(step),
         protection: getProtection(tasks),
     };
 }
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -3,7 +3,7 @@
 import * as emulator from "../../emulator/index";
 import type * as leader from "../../leader/index";
 import * as telemetry from "../../telemetry/index";
-import type * as work from "../../work/index";
+import * as work from "../../work/index";
 
 export function createWorkerInfo(number: number, perRack = 4): leader.WorkerInfo {
     const rack = `r${Math.floor(number / perRack)}`;
@@ -44,20 +44,10 @@
 
 export function createStep(fields: Partial<work.StepSpec> = {}): work.StepSpec {
     return {
+        ...work.PLAIN_STEP,
         count: 1,
         needs: { cpuMillis: 2_000, memoryMb: 4_096, accelerators: 1 },
         estimateMs: 2_000,
-        after: [],
-        checkpoints: false,
-        gang: false,
-        sameRack: false,
-        maxPerWorker: 0,
-        speculative: false,
-        lasting: false,
-        mayMiss: 0,
-        image: "",
-        targetMs: 0,
-        fills: false,
         ...fields,
     };
 }
--- a/src/work/index.ts
+++ b/src/work/index.ts
@@ -13,6 +13,7 @@
     getDueAt,
     getOccurrenceCount,
     type JobSpec,
+    PLAIN_STEP,
     type Room,
     type StepSpec,
     type Submission,
--- a/src/work/spec.ts
+++ b/src/work/spec.ts
@@ -64,6 +64,21 @@
     readonly spec: JobSpec;
 }
 
+/** A step of which nothing special is asked. */
+export const PLAIN_STEP: Omit<StepSpec, "count" | "needs" | "estimateMs"> = {
+    after: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    maxPerWorker: 0,
+    speculative: false,
+    lasting: false,
+    mayMiss: 0,
+    image: "",
+    targetMs: 0,
+    fills: false,
+};
+
 export const EMPTY_ROOM: Room = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
 /** What a task takes of its worker's capacity. */
