--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,85 @@
+/** Cost of one pass of the decisions: workers by waiting jobs, with the site three quarters full. */
+import * as perfHooks from "node:perf_hooks";
+import * as decisions from "../src/decisions/index";
+import * as random from "../src/random/index";
+
+const WORKERS = [33, 350, 4_800];
+const WAITING = [100, 1_000, 10_000];
+const ROUNDS = 5;
+const WORKERS_PER_RACK = 20;
+const CAPACITY = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 };
+const NEEDS = { cpuMillis: 2_000, memoryMb: 4_096, accelerators: 1 };
+/** Tasks that run on each worker: three quarters of its accelerators. */
+const RUNNING = 6;
+/** Of the waiting units one in so many is urgent, and one in so many a gang. */
+const URGENT_EVERY = 20;
+const GANG_EVERY = 10;
+const GANG_MEMBERS = 8;
+
+function createInput(workerCount: number, unitCount: number, source: random.Random): decisions.PlanInput {
+    const workers = Array.from({ length: workerCount }, (_, number): decisions.PlaceableWorker => ({
+        id: `worker-${number}`,
+        service: "service",
+        rack: `rack-${Math.floor(number / WORKERS_PER_RACK)}`,
+        labels: [],
+        capacity: CAPACITY,
+        used: { cpuMillis: RUNNING * 2_000, memoryMb: RUNNING * 4_096, accelerators: RUNNING },
+        freeing: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        serving: 0,
+        filling: 0,
+    }));
+    const groups = workers.flatMap(worker =>
+        Array.from({ length: RUNNING }, (_, number): decisions.RunningGroup => ({
+            key: `${worker.id}-${number}`,
+            claim: decisions.Claim.None,
+            members: [{ workerId: worker.id, needs: NEEDS }],
+            lossCoreSeconds: 10 * source.nextFloat(),
+            costCoreSeconds: 10 * source.nextFloat(),
+        }))
+    );
+    const units = Array.from({ length: unitCount }, (_, number): decisions.WaitingUnit => {
+        const gang = number % GANG_EVERY === 0;
+        return {
+            key: `unit-${number}`,
+            family: `unit-${number}`,
+            step: `unit-${number}`,
+            service: "service",
+            needs: NEEDS,
+            count: gang ? GANG_MEMBERS : 1,
+            gang,
+            sameRack: gang,
+            maxPerWorker: 0,
+            claim: number % URGENT_EVERY === 0 ? decisions.Claim.Urgent : decisions.Claim.None,
+            serves: false,
+            fills: false,
+            avoided: new Set(),
+            waitedMs: 0,
+            expectedMs: 5_000,
+        };
+    });
+    return { now: 0, workers, units, groups };
+}
+
+function getMedian(values: readonly number[]): number {
+    return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
+}
+
+process.stdout.write("workers  waiting  pass ms  us a unit  starts  stops\n");
+for (const workerCount of WORKERS) {
+    for (const unitCount of WAITING) {
+        const input = createInput(workerCount, unitCount, random.createRandom(unitCount + workerCount));
+        const times: number[] = [];
+        let plan: decisions.Plan | undefined;
+        for (let round = 0; round < ROUNDS; round++) {
+            const startedAt = perfHooks.performance.now();
+            plan = decisions.plan(input);
+            times.push(perfHooks.performance.now() - startedAt);
+        }
+        const passMs = getMedian(times);
+        process.stdout.write(
+            `${String(workerCount).padStart(7)}${String(unitCount).padStart(9)}${passMs.toFixed(1).padStart(9)}`
+                + `${(1_000 * passMs / unitCount).toFixed(0).padStart(11)}${String(plan!.starts.length).padStart(8)}`
+                + `${String(plan!.stops.length).padStart(7)}\n`,
+        );
+    }
+}
