What is left of a gang that was being stopped is stopped by the next leader, too

A leader was lost while it stopped a gang; three of four members had ended. Its successor adopted the fourth as running, alone. Ruled out: a lost order (the stop had been accepted; on the platform the worker would have ended the member by itself). Change: a gang read with some members ended is stopped; a member waits for others only while all of them run.

--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -4,6 +4,7 @@
 const REGRESSION_SEEDS: ReadonlyArray<readonly [seed: number, cause: string]> = [
     [20_130, "ends were acknowledged when an earlier write of progress succeeded"],
     [20_429, "ends were acknowledged when an earlier write of progress succeeded"],
+    [51_063, "what was left of a gang that a lost leader had been stopping was taken to wait for its other members"],
 ];
 const FRESH_SEEDS = 25;
 const FIRST_FRESH_SEED = 1_000;
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -113,6 +113,16 @@
         }
     };
 
+    /**
+     * A gang of which some members have ended is being stopped, as an earlier leader knew. Taken for running, what is left
+     * of it would wait for members that never come.
+     */
+    const stopIncompleteGang = (step: entries.StepEntry) => {
+        if (step.spec.gang && step.tasks.some(member => member.phase === "waiting")) {
+            step.tasks.forEach(member => book.requestStop(member, "gangIncomplete"));
+        }
+    };
+
     const keepSaved = (task: entries.TaskEntry, saved: string) => {
         if (saved === "" || saved === task.saved) {
             return;
@@ -184,6 +194,7 @@
                 if (entries.isStepDone(step)) {
                     markStepDone(step);
                 }
+                stopIncompleteGang(step);
             }
             if (occurrence.over) {
                 stopAll(occurrence, "jobOver");
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -101,13 +101,16 @@
 }
 
 /**
- * Members of a gang end together, so one on a fast worker stands at 100 percent until the slowest is there.
+ * Members of a gang end together, so one on a fast worker stands at 100 percent until the slowest is there, as long as
+ * all of them run.
  * Taken to hang after 1.5 s, they brought a heavy day's worth from 0.721 down to 0.560 (cedarflue-hq scale-1, means of
  * three runs).
  */
 function waitsForOthers(task: entries.TaskEntry): boolean {
     const { step } = task;
-    return step.spec.gang && task.percent >= DONE_PERCENT && step.tasks.some(member => member.percent < DONE_PERCENT);
+    return step.spec.gang && task.percent >= DONE_PERCENT
+        && step.tasks.every(member => member.phase === "running")
+        && step.tasks.some(member => member.percent < DONE_PERCENT);
 }
 
 const DONE_PERCENT = 100;
