--- a/src/experiment/__tests__/experiment.test.ts
+++ b/src/experiment/__tests__/experiment.test.ts
@@ -55,6 +55,20 @@
     });
 });
 
+describe("a report", () => {
+    test("has a row for each run and draws its charts", async () => {
+        const played = await playShort();
+        const summary = experiment.summarise(played);
+        const html = await experiment.renderReport([
+            { load: "short", policy: "worth", seed: 3, summary, samples: played.samples },
+            { load: "short", policy: "slack", seed: 3, summary, samples: played.samples },
+        ]);
+        expect(html.match(/<svg/g)).toHaveLength(4);
+        expect(html).toContain(`<td>short worth 3</td><td>${summary.all.worth.toFixed(3)}</td>`);
+        expect(html).toContain("<td>short slack 3</td>");
+    });
+});
+
 describe("what callers got", () => {
     const [planned] = generate.generateJobs(SHORT, generate.createSource(5));
     const createOutcome = (fields: Partial<play.JobOutcome>): play.JobOutcome => ({
