Stand-ins end their timers

Cause: the last of the suites that kept the tests' process alive was the embedded site, whose workers' tasks of several seconds hold timers. Found by running each suite in two workers beside another one; the others leave nothing. Change: standins/stoppableClock.ts, used by the embedded site and the worker contract.

--- a/standins/site/embeddedSite.ts
+++ b/standins/site/embeddedSite.ts
@@ -1,12 +1,13 @@
 /** A whole site in one process: stand-in platform and workers on loopback ports, and real instances over real TCP. */
 import * as net from "node:net";
-import * as clock from "../../src/clock/index";
+import type * as clock from "../../src/clock/index";
 import type * as configuration from "../../src/configuration/index";
 import * as instanceModule from "../../src/instance/index";
 import * as random from "../../src/random/index";
 import * as settings from "../../src/settings/index";
 import type * as httpServer from "../httpServer";
 import * as platform from "../platform/index";
+import * as stoppableClock from "../stoppableClock";
 import * as worker from "../worker/index";
 
 export interface EmbeddedWorker {
@@ -55,7 +56,7 @@
 const READY_POLL_MS = 50;
 
 export async function startEmbeddedSite(options: EmbeddedSiteOptions): Promise<EmbeddedSite> {
-    const time = clock.createSystemClock();
+    const time = stoppableClock.createStoppableClock();
     const rng = random.createRandom(options.seed);
     const embedded = platform.createEmbeddedPlatform({
         clock: time,
@@ -172,6 +173,7 @@
         stop: async () => {
             await Promise.all(instances.map(item => item.instance.kill()));
             await Promise.all(servers.map(server => server.close()));
+            time.stop();
         },
     };
 }
--- a/standins/worker/__tests__/contract.test.ts
+++ b/standins/worker/__tests__/contract.test.ts
@@ -1,7 +1,8 @@
 /** The contract of a worker, run against the stand-in's core and against its HTTP form through the client. */
-import * as clock from "../../../src/clock/index";
+import type * as clock from "../../../src/clock/index";
 import * as random from "../../../src/random/index";
 import * as workers from "../../../src/workers/index";
+import * as stoppableClock from "../../stoppableClock";
 import * as standin from "../index";
 
 const CAPACITY = { accelerators: 8, slots: 8, cpus: 32, memoryMb: 1024 };
@@ -20,31 +21,19 @@
 interface SkippingClock {
     readonly clock: clock.Clock;
     readonly skip: (ms: number) => void;
-    /** Ends all timers: those of long tasks would keep the process alive after the tests. */
+    /** Ends all timers. */
     readonly stop: () => void;
 }
 
 function createSkippingClock(): SkippingClock {
-    const system = clock.createSystemClock();
-    const cancels = new Set<clock.CancelTimer>();
+    const stoppable = stoppableClock.createStoppableClock();
     let skippedMs = 0;
-    const setTimer: clock.Clock["setTimer"] = (ms, callback) => {
-        const cancel = system.setTimer(ms, () => {
-            cancels.delete(cancel);
-            callback();
-        });
-        cancels.add(cancel);
-        return () => {
-            cancels.delete(cancel);
-            cancel();
-        };
-    };
     return {
-        clock: { ...system, setTimer, sleep: clock.createSleep(setTimer), now: () => system.now() + skippedMs },
+        clock: { ...stoppable, now: () => stoppable.now() + skippedMs },
         skip: ms => {
             skippedMs += ms;
         },
-        stop: () => cancels.forEach(cancel => cancel()),
+        stop: stoppable.stop,
     };
 }
 
