Present interface: four errors that were swallowed are logged, with what happens then

Cause: notices to a queue's owner, the closing of abandoned roles and the stop of an abandoned task ended in an empty catch. Each is harmless by itself (the owner scans its queue, the lease lapses), and none could be seen. Change: a line each, with the reason.

--- a/src/entry/callersApi.ts
+++ b/src/entry/callersApi.ts
@@ -45,6 +45,7 @@
 
 export interface CallersApiOptions {
     readonly clock: clock.Clock;
+    readonly log: observe.Log;
     readonly counters: observe.Counters;
     readonly histograms: observe.Histograms;
     readonly store: jobs.JobStore;
@@ -208,7 +209,9 @@
                 return awaitEnd(account, requestId, waitMs);
             }
             // The row is what counts: an owner that misses this notice finds the job when it next scans its queue.
-            options.notifyJob(notice, NOTICE_TIMEOUT_MS).catch(() => undefined);
+            options.notifyJob(notice, NOTICE_TIMEOUT_MS).catch((err: unknown) => {
+                options.log.info("noticeNotSent", { job: row.jobId, zone: row.zone, why: String(err) });
+            });
             return result.ok(toView(row));
         },
         getJob: async (account, requestId, waitMs) => {
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -205,6 +205,7 @@
 
     const callers = entry.createCallersApi({
         clock: time,
+        log,
         counters,
         histograms,
         store,
--- a/src/instance/ownedRoles.ts
+++ b/src/instance/ownedRoles.ts
@@ -162,7 +162,10 @@
                 findOtherZone: job => options.findOtherZone(job, getName(key)),
                 notifyMoved: (zone, jobId) => {
                     const notice = { jobId, zone, kind: "submitted", waitMs: 0 };
-                    callQueueOwner(zone, calls => calls.notifyJob(notice, REPORT_TIMEOUT_MS)).catch(() => undefined);
+                    // The new zone's owner finds the job when it next scans its queue.
+                    callQueueOwner(zone, calls => calls.notifyJob(notice, REPORT_TIMEOUT_MS)).catch((err: unknown) => {
+                        log.info("noticeNotSent", { job: jobId, zone, why: String(err) });
+                    });
                 },
             }),
         own: (item, signal) => item.own(signal),
@@ -231,7 +234,9 @@
         abandon: () => {
             abandoned = true;
             closing = true;
-            Promise.all([queues.close(), racks.close()]).catch(() => undefined);
+            Promise.all([queues.close(), racks.close()]).catch((err: unknown) => {
+                log.warn("rolesNotClosed", { why: String(err) });
+            });
         },
     };
 }
--- a/src/workers/interactiveRunner.ts
+++ b/src/workers/interactiveRunner.ts
@@ -25,6 +25,7 @@
 
 export interface InteractiveRunnerOptions {
     readonly clock: clock.Clock;
+    readonly log: observe.Log;
     readonly counters: observe.Counters;
     readonly books: rackBooks.RackBooks;
     readonly health: health.WorkerHealth;
@@ -242,7 +243,9 @@
     const abandon = (session: workerSession.WorkerSession, taskId: string) => {
         const token = session.getToken();
         if (token !== undefined) {
-            session.client.stop(token, taskId, "tombstone", "").catch(() => undefined);
+            session.client.stop(token, taskId, "tombstone", "").catch((err: unknown) => {
+                options.log.info("abandonedTaskNotStopped", { task: taskId, why: String(err) });
+            });
         }
     };
 
--- a/src/workers/rackOwner.ts
+++ b/src/workers/rackOwner.ts
@@ -84,6 +84,7 @@
     const books = rackBooks.createRackBooks(() => options.capacity, () => options.getLimits().interactiveReserve);
     const runner = interactiveRunner.createInteractiveRunner({
         clock: time,
+        log: options.log,
         counters,
         books,
         health,
