--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -12,6 +12,7 @@
 /** What became of a job. Times are milliseconds from its arrival. */
 export interface JobOutcome {
     readonly planned: generate.PlannedJob;
+    /** Zone of the instance that took it; each instance stands for one. */
     readonly zone: string;
     readonly accepted: boolean;
     readonly firstStartMs: number | undefined;
@@ -101,7 +102,7 @@
 function handIn(
     site: emulator.Site,
     planned: generate.PlannedJob,
-    record: Record,
+    record: JobRecord,
     time: clocks.ManualClock,
 ): void {
     const { job } = planned;
@@ -117,7 +118,8 @@
     });
 }
 
-interface Record {
+/** What the instances log of the jobs, as it comes. */
+interface JobRecord {
     readonly log: Parameters<typeof emulator.createSite>[0]["log"];
     accept(jobId: string): void;
     /** Whether jobs are still to come or to end. */
@@ -128,7 +130,7 @@
 }
 
 /** Follows the jobs by what the instances log. */
-function createRecord(planned: readonly generate.PlannedJob[], now: () => number): Record {
+function createRecord(planned: readonly generate.PlannedJob[], now: () => number): JobRecord {
     interface Entry {
         readonly planned: generate.PlannedJob;
         accepted: boolean;
@@ -143,7 +145,7 @@
     let thrownAwayCoreSeconds = 0;
     let stoppedRuns = 0;
     const findEntry = (name: unknown) => entries.get(String(name).split(".", 1)[0]!);
-    const take = (event: string, fields: Readonly<globalThis.Record<string, unknown>> = {}) => {
+    const take = (event: string, fields: Readonly<Record<string, unknown>> = {}) => {
         switch (event) {
             case "placed": {
                 const entry = findEntry(fields["unit"]);
