A new leader leaves machines alone for 3.5 s

Cause: orders of two holders for one machine must be 3 s apart. Found by reading. Ruled out: orders to workers (the token decides there). Change: waves wait 3.5 s at the beginning of a term; the emulated machines report holders that take turns too fast.

--- a/src/emulator/machines.ts
+++ b/src/emulator/machines.ts
@@ -50,6 +50,8 @@
 }
 
 const LATENCY_MS = 3;
+/** Orders of two holders for one machine must be further apart. */
+const HOLDER_LEASE_MS = 3_000;
 
 export function createEmulatedMachines(options: EmulatedMachinesOptions): EmulatedMachines {
     const { clock: time } = options;
@@ -60,8 +62,17 @@
     let tasksEnded = 0;
     let upkeeps = 0;
     let highestToken = 0;
+    /** Holder and time of the latest order for each machine. */
+    const lastOrders = new Map<string, { readonly holder: string; readonly at: number; }>();
     const knownAt = time.now();
 
+    const noteOrder = (order: leader.UpkeepOrder) => {
+        const last = lastOrders.get(order.machine);
+        if (last && last.holder !== order.holder && time.now() - last.at < HOLDER_LEASE_MS) {
+            breaches.push(`${order.machine} is ordered by two holders within ${Math.round(time.now() - last.at)} ms`);
+        }
+        lastOrders.set(order.machine, { holder: order.holder, at: time.now() });
+    };
     const carryOut = (order: leader.UpkeepOrder): leader.UpkeepAnswer => {
         const machine = machines.get(order.machine);
         const wave = options.waves.find(candidate => candidate.number === order.wave);
@@ -112,6 +123,7 @@
             },
             beginUpkeep: async (order, timeoutMs) => {
                 await time.sleep(LATENCY_MS);
+                noteOrder(order);
                 const fault = options.decide?.(order) ?? "none";
                 switch (fault) {
                     case "none": {
--- a/src/leader/upkeep.ts
+++ b/src/leader/upkeep.ts
@@ -41,6 +41,12 @@
 /** The platform takes some 60 list calls a second from all; one wave needs one. */
 const STEP_MS = 700;
 const CALL_TIMEOUT_MS = 2_000;
+/**
+ * A new leader gives no order to a machine for this long. The platform wants orders of two holders for one machine to be
+ * further apart than its lease of 3 s, and the predecessor may have given one up to the last moment; a stronger instance
+ * that takes the lead over from one that is well would otherwise repeat that order within milliseconds.
+ */
+const HANDOVER_MS = 3_500;
 /** Of a machine's share of the wave's time, this much may pass before its work is stopped. */
 const PATIENCE_SHARE = 0.6;
 
@@ -52,6 +58,7 @@
 async function follow(options: UpkeepOptions): Promise<void> {
     const { signal } = options.leadership;
     const running = new Set<number>();
+    await options.clock.sleep(HANDOVER_MS, signal);
     while (!signal.aborted) {
         for (const open of options.board.getOpen()) {
             if (!running.has(open.wave.number)) {
