A fault soak: the real programs as processes, with signals, links and a store that fail

Cause: random faults were played only on a manual clock inside one process, so signals, sockets, real timers and the wire were never part of them. Instances of the program, each behind a TCP link of its own to the store and to callers; emulated workers and the store behind HTTP servers that speak the platform's protocol (platform/standin); seeded troubles that overlap; callers, an operator and a balancer; a verdict from what callers and workers have seen. Tests: the wire read as it was written, links, the plan of troubles, the verdict as a table.

--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,7 @@
 /** @type {import("jest").Config} */
 module.exports = {
     testEnvironment: "node",
-    roots: ["<rootDir>/src", "<rootDir>/platform", "<rootDir>/standins", "<rootDir>/bin"],
+    roots: ["<rootDir>/src", "<rootDir>/platform", "<rootDir>/standins", "<rootDir>/bin", "<rootDir>/soak"],
     testMatch: ["**/__tests__/**/*.test.ts"],
     transform: {
         "^.+\\.ts$": ["@swc/jest", {
--- /dev/null
+++ b/soak/balancer.ts
@@ -0,0 +1,45 @@
+/** Which instances take new connections, as the platform's balancer decides it from their readiness checks. */
+import * as events from "node:events";
+import * as httpClient from "../platform/httpClient";
+import * as standin from "../platform/standin/index";
+import type * as clock from "../src/clock/index";
+import type * as random from "../src/random/index";
+import type * as sites from "./site";
+
+const CHECK_EVERY_MS = 1_000;
+const MOST_MISSES = 2;
+
+export interface Balancer {
+    /** Entry of an instance for a new request. */
+    pick(): string;
+    /** Instances that are ready. */
+    countReady(): number;
+    close(): void;
+}
+
+export function createBalancer(site: sites.Site, time: clock.Clock, source: random.Random): Balancer {
+    const client = httpClient.createHttpClient(1);
+    const stopped = new AbortController();
+    events.setMaxListeners(0, stopped.signal);
+    const misses = site.instances.map(() => MOST_MISSES);
+    const check = async (number: number) => {
+        while (!stopped.signal.aborted) {
+            const ready = await standin.isReady(client, site.instances[number]!.readiness, CHECK_EVERY_MS);
+            misses[number] = ready ? 0 : misses[number]! + 1;
+            await time.sleep(CHECK_EVERY_MS, stopped.signal);
+        }
+    };
+    site.instances.forEach((_, number) => void check(number));
+    const getReady = () => site.entries.filter((_, number) => misses[number]! < MOST_MISSES);
+    return {
+        pick: () => {
+            const ready = getReady();
+            return source.pick(ready.length * 2 < site.entries.length ? site.entries : ready);
+        },
+        countReady: () => getReady().length,
+        close: () => {
+            stopped.abort();
+            client.close();
+        },
+    };
+}
--- /dev/null
+++ b/soak/link.ts
@@ -0,0 +1,159 @@
+/** A TCP proxy on loopback whose connections can be delayed, held back one way or both, and reset. */
+import * as net from "node:net";
+
+/** What happens to bytes under way. Held bytes, and the ends of connections, arrive when the link opens again. */
+export const LinkState = {
+    Open: "open",
+    /** Connections are reset, new ones at once. */
+    Reset: "reset",
+    /** Nothing arrives on either side. */
+    Silent: "silent",
+    /** What clients send does not arrive. */
+    RequestsHeld: "requestsHeld",
+    /** What the server sends does not arrive. */
+    AnswersHeld: "answersHeld",
+} as const;
+export type LinkState = typeof LinkState[keyof typeof LinkState];
+
+export interface Link {
+    setState(state: LinkState): void;
+    /** Each way takes so much longer, in milliseconds. */
+    setDelay(ms: number): void;
+    close(): void;
+}
+
+export interface LinkOptions {
+    /** `IP:PORT` that clients connect to. */
+    readonly listen: string;
+    /** `IP:PORT` of the server. */
+    readonly target: string;
+}
+
+type Direction = "requests" | "answers";
+
+const HELD: Readonly<Record<LinkState, readonly Direction[]>> = {
+    open: [],
+    reset: [],
+    silent: ["requests", "answers"],
+    requestsHeld: ["requests"],
+    answersHeld: ["answers"],
+};
+
+export async function createLink(options: LinkOptions): Promise<Link> {
+    const sockets = new Set<net.Socket>();
+    const channels = new Set<Channel>();
+    let state: LinkState = LinkState.Open;
+    let delayMs = 0;
+
+    const isHeld = (direction: Direction) => HELD[state].includes(direction);
+    const join = (from: net.Socket, to: net.Socket, direction: Direction) => {
+        const channel = createChannel(to, () => isHeld(direction), () => delayMs);
+        channels.add(channel);
+        from.on("data", (chunk: Buffer) => channel.push({ kind: "bytes", bytes: chunk }));
+        from.on("end", () => channel.push({ kind: "end" }));
+        from.on("close", hadError => channel.push({ kind: "close", reset: hadError }));
+        to.on("close", () => channels.delete(channel));
+    };
+    const add = (socket: net.Socket) => {
+        sockets.add(socket);
+        socket.setNoDelay(true);
+        // Followed by "close", which is passed on.
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => sockets.delete(socket));
+    };
+    const server = net.createServer({ allowHalfOpen: true }, client => {
+        add(client);
+        if (state === LinkState.Reset) {
+            client.resetAndDestroy();
+            return;
+        }
+        const { host, port } = parseAddress(options.target);
+        const upstream = net.connect({ host, port, allowHalfOpen: true });
+        add(upstream);
+        join(client, upstream, "requests");
+        join(upstream, client, "answers");
+    });
+    await new Promise<void>((resolve, reject) => {
+        const { host, port } = parseAddress(options.listen);
+        server.once("error", reject);
+        server.listen(port, host, () => resolve());
+    });
+    return {
+        setState: next => {
+            state = next;
+            if (state === LinkState.Reset) {
+                sockets.forEach(socket => socket.resetAndDestroy());
+            }
+            channels.forEach(channel => channel.flush());
+        },
+        setDelay: ms => {
+            delayMs = ms;
+        },
+        close: () => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        },
+    };
+}
+
+type Item =
+    | { readonly kind: "bytes"; readonly bytes: Buffer; }
+    | { readonly kind: "end"; }
+    | { readonly kind: "close"; readonly reset: boolean; };
+
+interface Channel {
+    push(item: Item): void;
+    /** Passes on what is due and no longer held. */
+    flush(): void;
+}
+
+/** One way of one connection: what is pushed comes out in the same order. */
+function createChannel(to: net.Socket, isHeld: () => boolean, getDelay: () => number): Channel {
+    const waiting: Array<{ readonly item: Item; readonly dueAt: number; }> = [];
+    let lastDueAt = 0;
+    const flush = () => {
+        while (waiting.length > 0 && !isHeld() && waiting[0]!.dueAt <= Date.now()) {
+            passOn(to, waiting.shift()!.item);
+        }
+    };
+    return {
+        push: item => {
+            lastDueAt = Math.max(lastDueAt, Date.now() + getDelay());
+            waiting.push({ item, dueAt: lastDueAt });
+            if (lastDueAt > Date.now()) {
+                setTimeout(flush, lastDueAt - Date.now()).unref();
+            }
+            else {
+                flush();
+            }
+        },
+        flush,
+    };
+}
+
+function passOn(to: net.Socket, item: Item): void {
+    if (to.destroyed) {
+        return;
+    }
+    switch (item.kind) {
+        case "bytes":
+            to.write(item.bytes);
+            return;
+        case "end":
+            to.end();
+            return;
+        case "close":
+            if (item.reset) {
+                to.resetAndDestroy();
+            }
+            else {
+                to.destroySoon();
+            }
+            return;
+    }
+}
+
+function parseAddress(address: string): { host: string; port: number; } {
+    const separator = address.lastIndexOf(":");
+    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,171 @@
+/** One run: a site starts, serves while troubles come and go, serves in calm, and has to bring every job to its end. */
+import * as events from "node:events";
+import * as clocks from "../src/clock/index";
+import type * as emulator from "../src/emulator/index";
+import * as random from "../src/random/index";
+import * as balancers from "./balancer";
+import * as callersOfSite from "./callers";
+import * as operators from "./operator";
+import * as sites from "./site";
+import * as troubles from "./troubles";
+import * as verdict from "./verdict";
+
+export interface RunOptions {
+    readonly seed: number;
+    readonly instances: number;
+    readonly workers: number;
+    /** How long troubles come. */
+    readonly troubleMs: number;
+    readonly troubles: number;
+    readonly jobsPerSecond: number;
+    readonly addressBlock: number;
+    say(line: string): void;
+}
+
+export interface RunReport {
+    readonly seed: number;
+    readonly breaches: readonly string[];
+    readonly jobs: number;
+    readonly accepted: number;
+    readonly starts: number;
+    /** Settings and output of the processes. */
+    readonly folder: string;
+}
+
+const START_WITHIN_MS = 20_000;
+/** A trouble's effects are over this long after its end, when it counts for promises with a time bound. */
+const AFTERMATH_MS = 5_000;
+/** Callers come on for so long after the last trouble's aftermath. */
+const CALM_MS = 6_000;
+/** Within this time every job has to end. */
+const FINISH_WITHIN_MS = 60_000;
+const POLL_MS = 100;
+
+export async function run(options: RunOptions): Promise<RunReport> {
+    const time = clocks.createSystemClock();
+    const plan = troubles.createTroubles(random.createRandom(options.seed), {
+        instances: options.instances,
+        workers: options.workers,
+        lastMs: options.troubleMs,
+        count: options.troubles,
+    });
+    // Callers, operator and faults draw from sources of their own, so that the plan depends on the seed alone.
+    const createSource = (part: number) => random.createRandom(options.seed * SOURCES + part);
+    const board = troubles.createFaultBoard(createSource(1));
+    const jobs = new Map<string, emulator.EmulatedJob>();
+    const site = await sites.createSite({ ...options, ...board, jobs });
+    const operator = operators.createOperator(site, time, createSource(2));
+    const balancer = balancers.createBalancer(site, time, createSource(3));
+    const callers = callersOfSite.createCallers({
+        clock: time,
+        source: createSource(4),
+        balancer,
+        workers: site.workers,
+        queues: operator.queues,
+        key: operator.key,
+        jobs,
+    });
+    const over = createController();
+    const drains: Array<{ workerId: string; at: number; }> = [];
+    const breaches: string[] = [];
+    const waitFor = async (what: string, withinMs: number, holds: () => boolean) => {
+        const until = time.now() + withinMs;
+        while (!holds()) {
+            if (time.now() > until) {
+                breaches.push(`${what} took longer than ${withinMs} ms`);
+                return;
+            }
+            await time.sleep(POLL_MS);
+        }
+    };
+
+    site.instances.forEach(instance => instance.start());
+    await waitFor("the start of the site", START_WITHIN_MS, () => balancer.countReady() === options.instances);
+    const startedAt = time.now();
+    const calm = createCalm(plan, startedAt);
+    const callersStop = createController();
+    void operator.run(over.signal, calm);
+    void callers.run(options.jobsPerSecond, callersStop.signal);
+    await playTroubles(plan, site, board, time, options.say);
+    await time.sleep(AFTERMATH_MS);
+    drains.push(...drainOne(site, time));
+    await time.sleep(CALM_MS);
+    callersStop.abort();
+    await waitFor("the end of the last jobs", FINISH_WITHIN_MS, callers.isDone);
+
+    breaches.push(
+        ...callers.breaches,
+        ...operator.breaches,
+        ...verdict.findBreaches({ jobs: callers.records, workers: site.workers, drains, calm }),
+    );
+    over.abort();
+    callers.close();
+    balancer.close();
+    await site.close();
+    return {
+        seed: options.seed,
+        breaches,
+        jobs: callers.records.length,
+        accepted: callers.records.filter(record => record.acceptedAt !== undefined).length,
+        starts: site.workers.starts.length,
+        folder: site.folder,
+    };
+}
+
+/** Its signal has a listener for each caller and watcher: more than the default that is warned of. */
+function createController(): AbortController {
+    const controller = new AbortController();
+    events.setMaxListeners(0, controller.signal);
+    return controller;
+}
+
+/** Sources of random numbers that a run uses. */
+const SOURCES = 8;
+
+async function playTroubles(
+    plan: readonly troubles.TimedTrouble[],
+    site: sites.Site,
+    board: troubles.FaultBoard,
+    time: clocks.Clock,
+    say: (line: string) => void,
+): Promise<void> {
+    const startedAt = time.now();
+    const running = plan.map(async ({ at, forMs, trouble }) => {
+        await time.sleep(at);
+        say(`${Math.round(time.now() - startedAt)} ms: ${JSON.stringify(trouble)} for ${forMs} ms`);
+        const end = troubles.begin(trouble, site, board);
+        await time.sleep(forMs);
+        end();
+    });
+    const restarting = restartEnded(site, time, Math.max(...plan.map(item => item.at + item.forMs)));
+    await Promise.all([...running, restarting]);
+}
+
+/** The platform starts an ended process again after a while. */
+async function restartEnded(site: sites.Site, time: clocks.Clock, forMs: number): Promise<void> {
+    const until = time.now() + forMs;
+    const start = () => site.instances.filter(instance => !instance.isRunning()).forEach(instance => instance.start());
+    while (time.now() < until) {
+        await time.sleep(RESTART_EVERY_MS);
+        start();
+    }
+    start();
+}
+
+const RESTART_EVERY_MS = 1_500;
+
+/** A worker that drains in calm shows whether anything is started there later. */
+function drainOne(site: sites.Site, time: clocks.Clock): Array<{ workerId: string; at: number; }> {
+    const place = site.places.at(-1)!;
+    const workerId = place.getId();
+    place.drain(CALM_MS);
+    return workerId === undefined ? [] : [{ workerId, at: time.now() }];
+}
+
+function createCalm(plan: readonly troubles.TimedTrouble[], startedAt: number): verdict.Calm {
+    const spans = plan.map(({ at, forMs }) => ({
+        from: startedAt + at,
+        to: startedAt + at + forMs + AFTERMATH_MS,
+    }));
+    return { isCalm: (from, to) => spans.every(span => span.to <= from || span.from > to) };
+}
--- /dev/null
+++ b/soak/site.ts
@@ -0,0 +1,205 @@
+/**
+ * A site of real processes: instances of the program, each behind a link of its own to the store and to its callers;
+ * emulated workers behind links; and a store in memory, all on loopback addresses of one block.
+ */
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as standin from "../platform/standin/index";
+import type * as catalogs from "../src/catalog/index";
+import * as clocks from "../src/clock/index";
+import * as emulator from "../src/emulator/index";
+import type * as leader from "../src/leader/index";
+import * as instances from "./instance";
+import * as links from "./link";
+
+export interface SiteOptions {
+    readonly instances: number;
+    readonly workers: number;
+    /** Second number of the loopback addresses: sites that run side by side need different ones. */
+    readonly addressBlock: number;
+    readonly storeFaults: emulator.StoreFaults;
+    readonly workerFaults: emulator.WorkerFaults;
+    readonly jobs: ReadonlyMap<string, emulator.EmulatedJob>;
+}
+
+/** One address at which workers live, one after another. */
+export interface WorkerPlace {
+    readonly link: links.Link;
+    /** The worker that lives there now. */
+    getId(): string | undefined;
+    drain(remainingMs: number): void;
+    /** Ends the life there; `tell` says whether the directory learns of it at once. */
+    kill(tell: boolean): void;
+    /** Begins a new life, if none is going on. */
+    revive(): void;
+}
+
+export interface Site {
+    readonly folder: string;
+    readonly instances: readonly instances.Instance[];
+    readonly storeLinks: readonly links.Link[];
+    readonly entryLinks: readonly links.Link[];
+    /** `IP:PORT` at which callers reach each instance. */
+    readonly entries: readonly string[];
+    readonly places: readonly WorkerPlace[];
+    readonly store: emulator.EmulatedStore;
+    readonly workers: emulator.EmulatedWorkers;
+    /** Number of the instance that holds the lead, if one does. */
+    getLeader(): number | undefined;
+    configure(config: catalogs.Catalog): void;
+    close(): Promise<void>;
+}
+
+const ZONES = ["a", "b", "c"];
+const WORKERS_PER_RACK = 3;
+const CAPACITY = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 };
+const MAX_LEASE_MS = 6_000;
+const STOP_MS = 200;
+const GANG_TIMEOUT_MS = 3_000;
+const STORE_LATENCY_MS = 4;
+const WORKER_LATENCY_MS = 1;
+const STORE_PORT = 7_100;
+const WORKER_PORT = 9_000;
+const ENTRY_PORT = 8_521;
+/** What each kind of address has as its third number. */
+const Block = { Instance: 1, StoreServer: 2, StoreLink: 3, EntryLink: 4, WorkerServer: 5, WorkerLink: 6 } as const;
+
+export async function createSite(options: SiteOptions): Promise<Site> {
+    const time = clocks.createSystemClock();
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "plantainchute-soak-"));
+    const getAddress = (block: number, number: number) => `127.${options.addressBlock}.${block}.${number + 1}`;
+    const store = emulator.createEmulatedStore({
+        clock: time,
+        latencyMs: STORE_LATENCY_MS,
+        faults: options.storeFaults,
+    });
+    const workers = emulator.createEmulatedWorkers({
+        clock: time,
+        latencyMs: WORKER_LATENCY_MS,
+        maxLeaseMs: MAX_LEASE_MS,
+        stopMs: STOP_MS,
+        gangTimeoutMs: GANG_TIMEOUT_MS,
+        faults: options.workerFaults,
+        getModel: task => emulator.createModel(options.jobs, task),
+    });
+    const closers: Array<() => void> = [];
+    const openLink = async (listen: string, target: string) => {
+        const link = await links.createLink({ listen, target });
+        closers.push(link.close);
+        return link;
+    };
+    const openServer = async (server: standin.WireServer, address: string) => {
+        await server.listen(address);
+        closers.push(server.close);
+    };
+
+    const openPlace = async (number: number): Promise<WorkerPlace> => {
+        const server = `${getAddress(Block.WorkerServer, number)}:${WORKER_PORT}`;
+        const address = `${getAddress(Block.WorkerLink, number)}:${WORKER_PORT}`;
+        let lives = 0;
+        let info: leader.WorkerInfo | undefined;
+        await openServer(
+            standin.createWorkerServer({ port: workers.port, getWorkerId: () => info?.id }),
+            server,
+        );
+        const link = await openLink(address, server);
+        const place: WorkerPlace = {
+            link,
+            getId: () => info?.id,
+            drain: remainingMs => {
+                if (info && !info.draining) {
+                    info = { ...info, draining: true, remainingMs };
+                    workers.drain(info.id, remainingMs);
+                    store.put(standin.encodeWorkerRow(info));
+                }
+            },
+            kill: tell => {
+                if (!info) {
+                    return;
+                }
+                const { id } = info;
+                info = undefined;
+                workers.kill(id, false);
+                time.setTimer(tell ? 0 : DIRECTORY_SILENCE_MS, () => store.remove(standin.getWorkerRowKey(id)));
+            },
+            revive: () => {
+                if (!info) {
+                    lives++;
+                    info = createWorker(number, lives, address);
+                    workers.add(info);
+                    store.put(standin.encodeWorkerRow(info));
+                }
+            },
+        };
+        place.revive();
+        return place;
+    };
+    const places = await Promise.all(range(options.workers).map(openPlace));
+
+    const openInstance = async (number: number) => {
+        const name = `instance-${number}`;
+        const server = `${getAddress(Block.StoreServer, number)}:${STORE_PORT}`;
+        const storeAddress = `${getAddress(Block.StoreLink, number)}:${STORE_PORT}`;
+        const entry = `${getAddress(Block.EntryLink, number)}:${ENTRY_PORT}`;
+        await openServer(standin.createStoreServer(store.open(name)), server);
+        const storeLink = await openLink(storeAddress, server);
+        const instance = instances.createInstance({
+            name,
+            zone: ZONES[number % ZONES.length]!,
+            address: getAddress(Block.Instance, number),
+            store: storeAddress,
+            folder,
+            maxLeaseMs: MAX_LEASE_MS,
+        });
+        return { instance, storeLink, entry, entryLink: await openLink(entry, instance.callers) };
+    };
+    const opened = await Promise.all(range(options.instances).map(openInstance));
+
+    return {
+        folder,
+        instances: opened.map(item => item.instance),
+        storeLinks: opened.map(item => item.storeLink),
+        entryLinks: opened.map(item => item.entryLink),
+        entries: opened.map(item => item.entry),
+        places,
+        store,
+        workers,
+        getLeader: () => findLeader(store, opened.map(item => item.instance.name)),
+        configure: config => store.put(standin.encodeConfigurationRow(config)),
+        close: async () => {
+            await Promise.all(opened.map(item => item.instance.end()));
+            closers.forEach(close => close());
+        },
+    };
+}
+
+/** A worker that falls silent leaves the directory after three of its heartbeats. */
+const DIRECTORY_SILENCE_MS = 4_500;
+
+/** The holder as the row of the lease names it. */
+function findLeader(store: emulator.EmulatedStore, names: readonly string[]): number | undefined {
+    const lease = store.getRows("lead").find(row => row.key === "lease");
+    const holder = lease && (JSON.parse(lease.value) as { instance: string; }).instance;
+    const number = names.findIndex(name => name === holder);
+    return number < 0 ? undefined : number;
+}
+
+function createWorker(number: number, life: number, address: string): leader.WorkerInfo {
+    const rack = `r${Math.floor(number / WORKERS_PER_RACK)}`;
+    return {
+        id: `worker-${number}-${life}`,
+        address,
+        zone: ZONES[number % ZONES.length]!,
+        service: "service",
+        rack,
+        labels: ["a", rack],
+        capacity: CAPACITY,
+        draining: false,
+        remainingMs: 0,
+    };
+}
+
+function range(count: number): number[] {
+    return Array.from({ length: count }, (_, number) => number);
+}
--- /dev/null
+++ b/soak/troubles.ts
@@ -0,0 +1,257 @@
+/**
+ * What goes wrong and when, all from one seed: signals to processes, links that are cut, delayed or reset, a store
+ * and workers that misbehave, workers that drain, die and come anew. Troubles overlap, and all of them end.
+ */
+import type * as emulator from "../src/emulator/index";
+import type * as random from "../src/random/index";
+import * as links from "./link";
+import type * as sites from "./site";
+
+/** A trouble's target: one instance or worker by number, whoever leads, or all. */
+type Target = number | "leader" | "all";
+
+export type Trouble =
+    /** The process dies and is started again after `forMs`. */
+    | { readonly kind: "kill" | "terminate"; readonly target: Target; }
+    | { readonly kind: "pause"; readonly target: Target; }
+    | { readonly kind: "storeLink" | "entryLink"; readonly target: Target; readonly state: links.LinkState; }
+    | { readonly kind: "workerLink"; readonly target: Target; readonly state: links.LinkState; }
+    | { readonly kind: "slowStore" | "slowWorker"; readonly target: Target; readonly delayMs: number; }
+    | {
+        readonly kind: "storeFault";
+        readonly target: Target;
+        readonly share: number;
+        readonly fault: emulator.StoreFault;
+    }
+    | {
+        readonly kind: "workerFault";
+        readonly target: Target;
+        readonly share: number;
+        readonly fault: emulator.OrderFault;
+    }
+    | { readonly kind: "forgetHistory"; }
+    /** The worker's tasks take `factor` times as long. */
+    | { readonly kind: "slowTasks"; readonly target: Target; readonly factor: number; }
+    /** The worker's life ends; the next one begins after `forMs`. */
+    | { readonly kind: "loseWorker"; readonly target: Target; readonly told: boolean; }
+    /** The worker drains for `forMs`, and is then replaced. */
+    | { readonly kind: "drain"; readonly target: Target; };
+
+export interface TimedTrouble {
+    /** Milliseconds from the start of the run. */
+    readonly at: number;
+    readonly forMs: number;
+    readonly trouble: Trouble;
+}
+
+/** Longest trouble: beyond the longest lease of a worker. */
+const LONGEST_MS = 8_000;
+const STORE_FAULTS: readonly emulator.StoreFault[] = ["refuse", "loseAnswer", "late", "silent"];
+const ORDER_FAULTS: readonly emulator.OrderFault[] = ["loseAnswer", "late", "cut", "unwell"];
+const CUTS: readonly links.LinkState[] = ["reset", "silent", "requestsHeld", "answersHeld"];
+/** One of so many troubles strikes all at once. */
+const ALL_EVERY = 6;
+
+export interface TroubleOptions {
+    readonly instances: number;
+    readonly workers: number;
+    /** Troubles begin and end within this time. */
+    readonly lastMs: number;
+    readonly count: number;
+}
+
+export function createTroubles(source: random.Random, options: TroubleOptions): TimedTrouble[] {
+    const { lastMs } = options;
+    return Array.from({ length: options.count }, () => {
+        const at = source.nextInt(lastMs - 1_000);
+        const forMs = Math.min(lastMs - at, 300 + source.nextInt(LONGEST_MS - 300));
+        return { at, forMs, trouble: createTrouble(source, options) };
+    }).sort((a, b) => a.at - b.at);
+}
+
+function createTrouble(source: random.Random, options: TroubleOptions): Trouble {
+    const instance = (): Target => {
+        if (source.nextInt(ALL_EVERY) === 0) {
+            return "all";
+        }
+        return source.nextInt(2) === 0 ? "leader" : source.nextInt(options.instances);
+    };
+    const worker = (): Target => source.nextInt(ALL_EVERY) === 0 ? "all" : source.nextInt(options.workers);
+    const share = () => 0.1 + 0.9 * source.nextFloat();
+    const kinds: ReadonlyArray<() => Trouble> = [
+        () => ({ kind: "kill", target: instance() }),
+        () => ({ kind: "terminate", target: instance() }),
+        () => ({ kind: "pause", target: instance() }),
+        () => ({ kind: "storeLink", target: instance(), state: source.pick(CUTS) }),
+        () => ({ kind: "entryLink", target: instance(), state: source.pick(CUTS) }),
+        () => ({ kind: "workerLink", target: worker(), state: source.pick(CUTS) }),
+        () => ({ kind: "slowStore", target: instance(), delayMs: 20 + source.nextInt(600) }),
+        () => ({ kind: "slowWorker", target: worker(), delayMs: 20 + source.nextInt(600) }),
+        () => ({ kind: "storeFault", target: instance(), share: share(), fault: source.pick(STORE_FAULTS) }),
+        () => ({ kind: "workerFault", target: worker(), share: share(), fault: source.pick(ORDER_FAULTS) }),
+        () => ({ kind: "forgetHistory" }),
+        () => ({ kind: "slowTasks", target: worker(), factor: source.pick([4, 20, Infinity]) }),
+        () => ({ kind: "loseWorker", target: source.nextInt(options.workers), told: source.nextInt(2) === 0 }),
+        () => ({ kind: "drain", target: source.nextInt(options.workers) }),
+    ];
+    return source.pick(kinds)();
+}
+
+/** Faults of store and workers that are in force. */
+export interface FaultBoard {
+    readonly storeFaults: emulator.StoreFaults;
+    readonly workerFaults: emulator.WorkerFaults;
+    /** Each returns what ends the fault. */
+    addStoreFault(caller: string, share: number, fault: emulator.StoreFault): () => void;
+    addWorkerFault(workerId: string, share: number, fault: emulator.OrderFault): () => void;
+    addSlowness(workerId: string, factor: number): () => void;
+}
+
+/** Calls that are carried out late: up to this long after their caller has given up. */
+const LATE_MS = 2_500;
+
+export function createFaultBoard(source: random.Random): FaultBoard {
+    const store = createFaults<emulator.StoreFault>(source);
+    const workers = createFaults<emulator.OrderFault>(source);
+    const slowness = new Map<string, number[]>();
+    return {
+        storeFaults: { decide: caller => store.decide(caller) ?? "none", lateMs: LATE_MS },
+        workerFaults: {
+            decide: workerId => workers.decide(workerId) ?? "none",
+            lateMs: LATE_MS,
+            getSlowness: workerId => Math.max(1, ...(slowness.get(workerId) ?? [])),
+        },
+        addStoreFault: store.add,
+        addWorkerFault: workers.add,
+        addSlowness: (workerId, factor) => {
+            const factors = slowness.get(workerId) ?? [];
+            slowness.set(workerId, [...factors, factor]);
+            return () => {
+                const left = slowness.get(workerId)!;
+                left.splice(left.indexOf(factor), 1);
+            };
+        },
+    };
+}
+
+function createFaults<T>(source: random.Random) {
+    interface Fault {
+        readonly target: string;
+        readonly share: number;
+        readonly fault: T;
+    }
+    const inForce = new Set<Fault>();
+    return {
+        decide: (target: string): T | undefined =>
+            [...inForce].find(item => item.target === target && source.nextFloat() < item.share)?.fault,
+        add: (target: string, share: number, fault: T) => {
+            const item = { target, share, fault };
+            inForce.add(item);
+            return () => void inForce.delete(item);
+        },
+    };
+}
+
+/** Begins the trouble; returns what ends it, to be called once. */
+export function begin(trouble: Trouble, site: sites.Site, board: FaultBoard): () => void {
+    switch (trouble.kind) {
+        case "kill":
+        case "terminate":
+            return forEach(pickInstances(site, trouble.target), number => {
+                const instance = site.instances[number]!;
+                if (trouble.kind === "kill") {
+                    instance.kill();
+                }
+                else {
+                    instance.terminate();
+                }
+                return () => undefined;
+            });
+        case "pause":
+            return forEach(pickInstances(site, trouble.target), number => {
+                site.instances[number]!.pause();
+                return () => site.instances[number]!.resume();
+            });
+        case "storeLink":
+            return forEach(pickInstances(site, trouble.target), number => cut(site.storeLinks[number]!, trouble.state));
+        case "entryLink":
+            return forEach(pickInstances(site, trouble.target), number => cut(site.entryLinks[number]!, trouble.state));
+        case "workerLink":
+            return forEach(pickWorkers(site, trouble.target), number => cut(site.places[number]!.link, trouble.state));
+        case "slowStore":
+            return forEach(
+                pickInstances(site, trouble.target),
+                number => slow(site.storeLinks[number]!, trouble.delayMs),
+            );
+        case "slowWorker":
+            return forEach(
+                pickWorkers(site, trouble.target),
+                number => slow(site.places[number]!.link, trouble.delayMs),
+            );
+        case "storeFault":
+            return forEach(
+                pickInstances(site, trouble.target),
+                number => board.addStoreFault(site.instances[number]!.name, trouble.share, trouble.fault),
+            );
+        case "workerFault":
+            return forEach(
+                pickWorkerIds(site, trouble.target),
+                id => board.addWorkerFault(id, trouble.share, trouble.fault),
+            );
+        case "forgetHistory":
+            site.store.forgetHistory();
+            return () => undefined;
+        case "slowTasks":
+            return forEach(pickWorkerIds(site, trouble.target), id => board.addSlowness(id, trouble.factor));
+        case "loseWorker":
+            return forEach(pickWorkers(site, trouble.target), number => {
+                site.places[number]!.kill(trouble.told);
+                return () => site.places[number]!.revive();
+            });
+        case "drain":
+            return forEach(pickWorkers(site, trouble.target), number => {
+                const place = site.places[number]!;
+                const id = place.getId();
+                place.drain(DRAIN_REMAINING_MS);
+                return () => {
+                    if (place.getId() === id) {
+                        place.kill(true);
+                        place.revive();
+                    }
+                };
+            });
+    }
+}
+
+/** Least time that a draining worker says is left. */
+const DRAIN_REMAINING_MS = 1_000;
+
+function forEach<T>(targets: readonly T[], start: (target: T) => () => void): () => void {
+    const ends = targets.map(start);
+    return () => ends.forEach(end => end());
+}
+
+function cut(link: links.Link, state: links.LinkState): () => void {
+    link.setState(state);
+    return () => link.setState("open");
+}
+
+function slow(link: links.Link, delayMs: number): () => void {
+    link.setDelay(delayMs);
+    return () => link.setDelay(0);
+}
+
+function pickInstances(site: sites.Site, target: Target): number[] {
+    if (target === "leader") {
+        return [site.getLeader() ?? 0];
+    }
+    return target === "all" ? site.instances.map((_, number) => number) : [target];
+}
+
+function pickWorkers(site: sites.Site, target: Target): number[] {
+    return typeof target === "number" ? [target] : site.places.map((_, number) => number);
+}
+
+function pickWorkerIds(site: sites.Site, target: Target): string[] {
+    return pickWorkers(site, target).map(number => site.places[number]!.getId()).filter(id => id !== undefined);
+}
--- /dev/null
+++ b/soak/verdict.ts
@@ -0,0 +1,117 @@
+/**
+ * What callers and workers have seen, and what of it breaks a promise.
+ *
+ * Promises with a time bound are checked only where no trouble was near: in trouble their bounds are longer, and an
+ * order that a link has held back may be carried out long after it was given.
+ */
+import * as emulator from "../src/emulator/index";
+
+/** What a caller knows of a job that it has handed in. */
+export interface JobRecord {
+    readonly job: emulator.EmulatedJob;
+    /** Each attempt to hand it in was turned away, and none is open. */
+    refused: boolean;
+    acceptedAt: number | undefined;
+    /** When the caller asked to cancel it, and when that was acknowledged. */
+    cancelSentAt: number | undefined;
+    cancelledAt: number | undefined;
+    /** The last state that was shown. */
+    state: string | undefined;
+}
+
+export interface Calm {
+    /** Whether no trouble was in force, or had been shortly before, in that span. */
+    isCalm(from: number, to: number): boolean;
+}
+
+export interface VerdictInput {
+    readonly jobs: readonly JobRecord[];
+    readonly workers: emulator.EmulatedWorkers;
+    readonly drains: ReadonlyArray<{ readonly workerId: string; readonly at: number; }>;
+    readonly calm: Calm;
+}
+
+/** After the acknowledgement of a cancellation no task of the job starts. */
+const CANCEL_MS = 3_000;
+/** After a worker has said that it drains nothing starts there. */
+const DRAIN_MS = 2_000;
+/** Timers of a busy machine, beside the bounds. */
+const SLACK_MS = 500;
+
+/** Breaches in words; empty when every promise was kept. */
+export function findBreaches(input: VerdictInput): string[] {
+    return [
+        ...input.workers.breaches,
+        ...input.jobs.flatMap(record => checkJob(record, input.workers)),
+        ...checkCancelled(input),
+        ...checkDrained(input),
+        ...input.workers.aloneEnds
+            .filter(end => input.calm.isCalm(end.at - GANG_MS, end.at))
+            .map(end => `${end.task} run ${end.run} waited in vain for the rest of its gang`),
+    ];
+}
+
+/** From the start of a gang's first member to its end as "alone". */
+const GANG_MS = 5_000;
+
+/** A state that contradicts what has ended; to be asked at the moment at which the state is shown. */
+export function checkShownState(record: JobRecord, state: string, workers: emulator.EmulatedWorkers): string[] {
+    if (state !== "completed") {
+        return [];
+    }
+    const { job } = record;
+    return listTasks(job)
+        .filter(task => !workers.doneCounts.has(task))
+        .map(task => `job ${job.jobId} is shown as completed, but ${task} has not ended well`);
+}
+
+function checkJob(record: JobRecord, workers: emulator.EmulatedWorkers): string[] {
+    const { job } = record;
+    if (record.refused) {
+        const ran = workers.starts.find(start => start.task.startsWith(`${job.jobId}.`));
+        return ran ? [`${ran.task} ran, but each attempt to hand its job in was turned away`] : [];
+    }
+    if (record.acceptedAt === undefined) {
+        return [];
+    }
+    const expected = record.cancelSentAt === undefined
+        ? [emulator.getOutcome(job)]
+        : ["cancelled", "completed", "failed"];
+    return record.state !== undefined && expected.includes(record.state)
+        ? []
+        : [`job ${job.jobId} is ${record.state ?? "not shown"}, not ${expected.join(" or ")}`];
+}
+
+function checkCancelled({ jobs, workers, calm }: VerdictInput): string[] {
+    return jobs.flatMap(record => {
+        const { cancelledAt } = record;
+        if (cancelledAt === undefined) {
+            return [];
+        }
+        return workers.starts
+            .filter(start => start.task.startsWith(`${record.job.jobId}.`))
+            .filter(start => start.at > cancelledAt + CANCEL_MS + SLACK_MS && calm.isCalm(cancelledAt, start.at))
+            .map(start =>
+                `${start.task} run ${start.run} started ${Math.round(start.at - cancelledAt)} ms after the cancellation`
+            );
+    });
+}
+
+function checkDrained({ drains, workers, calm }: VerdictInput): string[] {
+    return drains.flatMap(drain =>
+        workers.starts
+            .filter(start => start.workerId === drain.workerId)
+            .filter(start => start.at > drain.at + DRAIN_MS + SLACK_MS && calm.isCalm(drain.at, start.at))
+            .map(start =>
+                `${start.task} started on ${drain.workerId} ${
+                    Math.round(start.at - drain.at)
+                } ms after it began to drain`
+            )
+    );
+}
+
+function listTasks(job: emulator.EmulatedJob): string[] {
+    return job.spec.steps.flatMap((step, number) =>
+        Array.from({ length: step.count }, (_, index) => `${job.jobId}.0.${number}.${index}`)
+    );
+}
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -8,7 +8,8 @@
 import type * as observe from "../observe/index";
 import * as random from "../random/index";
 import * as telemetry from "../telemetry/index";
-import * as work from "../work/index";
+import type * as jobModel from "./jobModel";
+import * as randomJob from "./randomJob";
 import * as sites from "./site";
 import type * as stores from "./store";
 import * as workersInMemory from "./workers";
@@ -71,7 +72,7 @@
             getSlowness: worker => worker === getWorkerId(0) && time.now() < slowUntil ? 20 : 1,
         },
     });
-    const jobs = range(JOBS).map(number => createJob(source, number));
+    const jobs = range(JOBS).map(number => randomJob.createRandomJob(source, number));
     const cancelled = new Set<string>();
     const accepted = new Set<string>();
     const events = createEvents(source, site, jobs, accepted, cancelled);
@@ -85,7 +86,7 @@
     const breaches = [...site.workers.breaches];
     for (const job of jobs) {
         const state = await ask(time, site, job);
-        const expected = cancelled.has(job.jobId) ? ["cancelled", "completed", "failed"] : [getOutcome(job)];
+        const expected = cancelled.has(job.jobId) ? ["cancelled", "completed", "failed"] : [randomJob.getOutcome(job)];
         if (accepted.has(job.jobId) && !expected.includes(state)) {
             breaches.push(`job ${job.jobId} is ${state}, not ${expected.join(" or ")}`);
         }
@@ -103,7 +104,7 @@
 function createEvents(
     source: random.Random,
     site: sites.Site,
-    jobs: readonly sites.EmulatedJob[],
+    jobs: readonly jobModel.EmulatedJob[],
     accepted: Set<string>,
     cancelled: Set<string>,
 ): ChaosEvent[] {
@@ -195,36 +196,7 @@
     return open && source.nextFloat() < open.share ? open.fault : undefined;
 }
 
-function createJob(source: random.Random, number: number): sites.EmulatedJob {
-    const gang = source.nextInt(3) === 0;
-    const steps = range(1 + source.nextInt(2)).map((step): work.StepSpec => ({
-        ...work.PLAIN_STEP,
-        count: 1 + source.nextInt(4),
-        needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 1 + source.nextInt(4) },
-        estimateMs: 500 + source.nextInt(6_000),
-        after: step > 0 ? [step - 1] : [],
-        checkpoints: source.nextInt(2) === 0,
-        gang,
-        sameRack: gang && source.nextInt(2) === 0,
-        maxPerWorker: source.nextInt(4) === 0 ? 2 : 0,
-    }));
-    const poison = source.nextInt(10) === 0;
-    const failing = source.nextInt(5) === 0;
-    return {
-        jobId: (number + 1).toString(16).padStart(16, "0"),
-        queue: source.pick(["urgent", "plan", "batch"]),
-        account: "office",
-        spec: { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 },
-        durationsMs: steps.map(step => step.estimateMs),
-        fails: (task, run) => poison || (failing && run === 1 && task.endsWith(".0")),
-    };
-}
-
-function getOutcome(job: sites.EmulatedJob): string {
-    return job.fails?.("0.0.0.1", 2) ? "failed" : "completed";
-}
-
-async function ask(time: clocks.ManualClock, site: sites.Site, job: sites.EmulatedJob): Promise<string> {
+async function ask(time: clocks.ManualClock, site: sites.Site, job: jobModel.EmulatedJob): Promise<string> {
     const reply = site.getState(job.jobId, site.getLeader() ?? 0);
     let answer: string | undefined;
     void reply.then(value => {
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -1,12 +1,14 @@
 /** Store and workers in memory, with faults: for tests of the whole scheduler and for experiments on a manual clock. */
 export { type ChaosReport, runChaos } from "./chaos";
+export { createModel, type EmulatedJob } from "./jobModel";
 export {
     createEmulatedMachines,
     type EmulatedMachines,
     type EmulatedMachinesOptions,
     type MachineFault,
 } from "./machines";
-export { createSite, type EmulatedJob, getInstanceName, type Site, type SiteOptions } from "./site";
+export { createRandomJob, getOutcome } from "./randomJob";
+export { createSite, getInstanceName, type Site, type SiteOptions } from "./site";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
 export { type TaskModel } from "./workerLife";
 export { createEmulatedWorkers, type EmulatedWorkers, type OrderFault, type WorkerFaults } from "./workers";
--- /dev/null
+++ b/src/emulator/jobModel.ts
@@ -0,0 +1,33 @@
+/** Jobs whose tasks run on emulated workers. */
+import type * as work from "../work/index";
+import type * as workerLife from "./workerLife";
+
+/** A job and what its tasks really do. */
+export interface EmulatedJob {
+    readonly jobId: string;
+    readonly queue: string;
+    readonly account: string;
+    readonly spec: work.JobSpec;
+    /** Duration of each step's tasks. */
+    readonly durationsMs: readonly number[];
+    /** Whether a run of a task fails at its end; by default none does. */
+    fails?: (task: string, run: number) => boolean;
+}
+
+/** What the task of that name does; its job must be known. */
+export function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workerLife.TaskModel {
+    const [jobId, occurrence, stepNumber] = task.split(".");
+    const job = jobs.get(jobId!)!;
+    const number = Number(stepNumber);
+    const step = job.spec.steps[number]!;
+    return {
+        needs: step.fills ? { ...step.needs, cpuMillis: 0 } : step.needs,
+        durationMs: step.lasting ? Infinity : job.durationsMs[number]!,
+        gangSize: step.gang ? step.count : 1,
+        gang: `${jobId}.${occurrence}.${stepNumber}`,
+        checkpoints: step.checkpoints,
+        sameRack: step.gang && step.sameRack,
+        dataRack: step.dataRack,
+        fails: run => job.fails?.(task, run) ?? false,
+    };
+}
--- /dev/null
+++ b/src/emulator/randomJob.ts
@@ -0,0 +1,35 @@
+/** Jobs of all shapes, from a seeded source. */
+import type * as random from "../random/index";
+import * as work from "../work/index";
+import type * as jobModel from "./jobModel";
+
+/** The same job for the same seed; `number` gives it its id. */
+export function createRandomJob(source: random.Random, number: number): jobModel.EmulatedJob {
+    const gang = source.nextInt(3) === 0;
+    const steps = Array.from({ length: 1 + source.nextInt(2) }, (_, step): work.StepSpec => ({
+        ...work.PLAIN_STEP,
+        count: 1 + source.nextInt(4),
+        needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 1 + source.nextInt(4) },
+        estimateMs: 500 + source.nextInt(6_000),
+        after: step > 0 ? [step - 1] : [],
+        checkpoints: source.nextInt(2) === 0,
+        gang,
+        sameRack: gang && source.nextInt(2) === 0,
+        maxPerWorker: source.nextInt(4) === 0 ? 2 : 0,
+    }));
+    const poison = source.nextInt(10) === 0;
+    const failing = source.nextInt(5) === 0;
+    return {
+        jobId: (number + 1).toString(16).padStart(16, "0"),
+        queue: source.pick(["urgent", "plan", "batch"]),
+        account: "office",
+        spec: { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 },
+        durationsMs: steps.map(step => step.estimateMs),
+        fails: (task, run) => poison || (failing && run === 1 && task.endsWith(".0")),
+    };
+}
+
+/** The state in which the job ends if nobody cancels it. */
+export function getOutcome(job: jobModel.EmulatedJob): string {
+    return job.fails?.("0.0.0.1", 2) ? "failed" : "completed";
+}
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -7,10 +7,9 @@
 import type * as leader from "../leader/index";
 import type * as observe from "../observe/index";
 import * as schedulers from "../scheduler/index";
-import type * as work from "../work/index";
 import * as freezers from "./freezer";
+import * as jobModel from "./jobModel";
 import * as stores from "./store";
-import type * as workerLife from "./workerLife";
 import * as workersInMemory from "./workers";
 
 export interface SiteOptions {
@@ -33,24 +32,12 @@
     readonly retentionMs?: number;
 }
 
-/** A job and what its tasks really do. */
-export interface EmulatedJob {
-    readonly jobId: string;
-    readonly queue: string;
-    readonly account: string;
-    readonly spec: work.JobSpec;
-    /** Duration of each step's tasks. */
-    readonly durationsMs: readonly number[];
-    /** Whether a run of a task fails at its end; by default none does. */
-    fails?: (task: string, run: number) => boolean;
-}
-
 export interface Site {
     readonly store: stores.EmulatedStore;
     readonly workers: workersInMemory.EmulatedWorkers;
     /** Lets a job be asked for that is not handed in. */
-    know(job: EmulatedJob): void;
-    submit(job: EmulatedJob, instance: number): Promise<intakes.IntakeReply>;
+    know(job: jobModel.EmulatedJob): void;
+    submit(job: jobModel.EmulatedJob, instance: number): Promise<intakes.IntakeReply>;
     cancel(jobId: string, instance: number): Promise<intakes.IntakeReply>;
     getState(jobId: string, instance: number): Promise<intakes.IntakeReply>;
     count(queue: string, instance: number): Promise<intakes.IntakeReply>;
@@ -87,7 +74,7 @@
 
 export function createSite(options: SiteOptions): Site {
     const { clock: time } = options;
-    const jobs = new Map<string, EmulatedJob>();
+    const jobs = new Map<string, jobModel.EmulatedJob>();
     const store = stores.createEmulatedStore({
         clock: time,
         latencyMs: STORE_LATENCY_MS,
@@ -100,7 +87,7 @@
         maxLeaseMs,
         stopMs: STOP_MS,
         faults: options.workerFaults,
-        getModel: task => createModel(jobs, task),
+        getModel: task => jobModel.createModel(jobs, task),
     });
     options.workers.forEach(workers.add);
 
@@ -203,20 +190,3 @@
 export function getInstanceName(number: number): string {
     return `instance-${number}`;
 }
-
-function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workerLife.TaskModel {
-    const [jobId, occurrence, stepNumber] = task.split(".");
-    const job = jobs.get(jobId!)!;
-    const number = Number(stepNumber);
-    const step = job.spec.steps[number]!;
-    return {
-        needs: step.fills ? { ...step.needs, cpuMillis: 0 } : step.needs,
-        durationMs: step.lasting ? Infinity : job.durationsMs[number]!,
-        gangSize: step.gang ? step.count : 1,
-        gang: `${jobId}.${occurrence}.${stepNumber}`,
-        checkpoints: step.checkpoints,
-        sameRack: step.gang && step.sameRack,
-        dataRack: step.dataRack,
-        fails: run => job.fails?.(task, run) ?? false,
-    };
-}
--- a/src/emulator/store.ts
+++ b/src/emulator/store.ts
@@ -129,7 +129,7 @@
             if (after < forgottenUpTo) {
                 return { kind: "gap" };
             }
-            const changes = history.filter(row => row.table === table && row.version > after);
+            const changes = history.slice(findFirstAfter(history, after)).filter(row => row.table === table);
             if (changes.length > 0 || time.now() >= until) {
                 return { kind: "changes", rows: changes, version };
             }
@@ -164,6 +164,22 @@
     };
 }
 
+/** Position of the first change with a higher version. */
+function findFirstAfter(history: readonly rows.RowChange[], version: number): number {
+    let low = 0;
+    let high = history.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (history[middle]!.version <= version) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
 function getId(row: rows.RowKey): string {
     return `${row.table}\n${row.part}\n${row.key}`;
 }
--- a/src/emulator/workerLife.ts
+++ b/src/emulator/workerLife.ts
@@ -23,6 +23,7 @@
     readonly task: string;
     readonly run: number;
     readonly model: TaskModel;
+    readonly startedAt: number;
     /** Work done, in milliseconds of the model's duration. */
     doneMs: number;
     stoppingAt: number | undefined;
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -30,6 +30,8 @@
     readonly latencyMs: number;
     readonly maxLeaseMs: number;
     readonly stopMs: number;
+    /** How long members of a gang wait for the others; without it for ever. */
+    readonly gangTimeoutMs?: number;
     readonly faults?: WorkerFaults;
     getModel(task: string): workerLife.TaskModel;
 }
@@ -55,6 +57,8 @@
     /** Breaches of promises, in words; empty when all were kept. */
     readonly breaches: readonly string[];
     readonly starts: readonly StartRecord[];
+    /** Members of gangs that waited in vain for the others. */
+    readonly aloneEnds: readonly StartRecord[];
     /** Names of tasks that ended well, with how often. */
     readonly doneCounts: ReadonlyMap<string, number>;
 }
@@ -83,6 +87,8 @@
     const starts: StartRecord[] = [];
     const doneCounts = new Map<string, number>();
     const dones: DoneRun[] = [];
+    const aloneEnds: StartRecord[] = [];
+    const gangTimeoutMs = options.gangTimeoutMs ?? Infinity;
 
     const end = (life: workerLife.Life, run: workerLife.Run, how: leader.EndKind) => {
         life.runs.delete(run.task);
@@ -139,6 +145,10 @@
             }
             const gang = run.model.gangSize > 1 ? findGang(run) : [{ life, run }];
             if (gang.length < run.model.gangSize) {
+                if (time.now() - run.startedAt >= gangTimeoutMs) {
+                    aloneEnds.push({ task: run.task, run: run.run, workerId: life.info.id, at: time.now() });
+                    end(life, run, "alone");
+                }
                 continue;
             }
             const stepMs = TICK_MS / slowness / workerLife.getFarFactor(run, life, gang.map(member => member.life));
@@ -213,6 +223,7 @@
             task: order.task,
             run: order.run,
             model,
+            startedAt: time.now(),
             doneMs: resumedMs,
             stoppingAt: undefined,
         };
@@ -320,6 +331,7 @@
     return {
         breaches,
         starts,
+        aloneEnds,
         doneCounts,
         add: info => {
             lives.set(info.id, {
