Liveness test: ports that nobody else can get

Symptom: EADDRINUSE on 36156 once in a run of all tests, beside six busy processes. Ruled out: two tests of the same process number; jest's workers have their own. After: the server takes any free port and says which, like the callers' server; the port that has to be closed lies below the range.

--- a/src/liveness/__tests__/liveness.test.ts
+++ b/src/liveness/__tests__/liveness.test.ts
@@ -1,12 +1,12 @@
 import * as liveness from "../index";
 
-const PORT_BASE = 20_000 + (process.pid % 20_000);
+/** Below 32,768: above it the system may give the port to any outgoing connection. */
+const CLOSED_PORT = 20_000 + (process.pid % 12_000);
 
 describe("liveness of a process", () => {
     test("a process whose connections close and that refuses new ones is gone", async () => {
-        const address = `127.0.0.1:${PORT_BASE}`;
         const server = liveness.createLivenessServer();
-        await server.listen(address);
+        const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
         const gone = new Promise<void>(resolve => {
             liveness.watchProcess({ address, onGone: resolve });
         });
@@ -19,7 +19,7 @@
     test("a refusal alone says nothing: the process may not have started yet", async () => {
         let told = false;
         const end = liveness.watchProcess({
-            address: `127.0.0.1:${PORT_BASE + 1}`,
+            address: `127.0.0.1:${CLOSED_PORT}`,
             onGone: () => {
                 told = true;
             },
--- a/src/liveness/server.ts
+++ b/src/liveness/server.ts
@@ -2,8 +2,8 @@
 import * as net from "node:net";
 
 export interface LivenessServer {
-    /** `IP:PORT`. */
-    listen(address: string): Promise<void>;
+    /** Takes `IP:PORT`, port 0 for any free one; returns the port. */
+    listen(address: string): Promise<number>;
     close(): void;
 }
 
@@ -24,7 +24,11 @@
             const separator = address.lastIndexOf(":");
             return new Promise((resolve, reject) => {
                 server.once("error", reject);
-                server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => resolve());
+                server.listen(
+                    Number(address.slice(separator + 1)),
+                    address.slice(0, separator),
+                    () => resolve((server.address() as net.AddressInfo).port),
+                );
             });
         },
         close: () => {
