Metrics by duty, account and queue, each documented and served

Cause: the metrics page held requests, orders and one histogram; leadership, takeovers, jobs, tasks, workers, preemption and the store could be read from log lines only, and nothing checked that page and code agree. After: 26 metrics in one catalogue (observe/meter.ts) with kind, labels and help. Gauges are counted when somebody asks. The term's execution of a plan moved to a module of its own.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -43,6 +43,10 @@
 const UPKEEP_S = 2;
 const STATUS_S = 120;
 
+/** A soak that is ended early leaves no process behind. */
+const atExit = new Set<() => void>();
+process.once("exit", () => atExit.forEach(kill => kill()));
+
 export function createInstance(options: InstanceOptions): Instance {
     const settings = path.join(options.folder, `${options.name}.toml`);
     const output = path.join(options.folder, `${options.name}.log`);
@@ -78,8 +82,7 @@
     };
     // A paused process dies of this signal too.
     const kill = () => signal("SIGKILL");
-    // A soak that is ended early leaves no process behind.
-    process.once("exit", kill);
+    atExit.add(kill);
     return {
         name: options.name,
         callers,
@@ -115,6 +118,7 @@
             if (isRunning()) {
                 await new Promise<void>(resolve => child!.once("exit", () => resolve()));
             }
+            atExit.delete(kill);
         },
     };
 }
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -3,6 +3,7 @@
  * emulated workers behind links; and a store in memory, all on loopback addresses of one block.
  */
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as standin from "../platform/standin/index";
@@ -139,6 +140,7 @@
 
     const openInstance = async (number: number) => {
         const name = `instance-${number}`;
+        await checkFree(`${getAddress(Block.Instance, number)}:${ENTRY_PORT}`);
         const server = `${getAddress(Block.StoreServer, number)}:${STORE_PORT}`;
         const storeAddress = `${getAddress(Block.StoreLink, number)}:${STORE_PORT}`;
         const entry = `${getAddress(Block.EntryLink, number)}:${ENTRY_PORT}`;
@@ -174,6 +176,19 @@
     };
 }
 
+/** What an earlier soak left behind would be taken for this one's instances. */
+function checkFree(address: string): Promise<void> {
+    const separator = address.lastIndexOf(":");
+    const socket = net.connect(Number(address.slice(separator + 1)), address.slice(0, separator));
+    return new Promise((resolve, reject) => {
+        socket.once("error", () => resolve());
+        socket.once("connect", () => {
+            socket.destroy();
+            reject(new Error(`somebody listens on ${address}: another soak with the same --block?`));
+        });
+    });
+}
+
 /** A worker that falls silent leaves the directory after three of its heartbeats. */
 const DIRECTORY_SILENCE_MS = 4_500;
 
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -15,8 +15,7 @@
 export interface SiteOptions {
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly counters: observe.Counters;
-    readonly histograms: observe.Histograms;
+    readonly meter: observe.Meter;
     readonly instances: number;
     readonly workers: readonly leader.WorkerInfo[];
     readonly catalog: catalogs.Catalog;
@@ -130,8 +129,7 @@
             }),
             clock: freezer.clock,
             log: options.log,
-            counters: options.counters,
-            histograms: options.histograms,
+            meter: options.meter,
             signal: controller.signal,
         });
         scheduler.catalog.accept(options.catalog);
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -35,8 +35,7 @@
     readonly health: Pick<rows.StoreHealth, "getAwayMs" | "getSilenceMs">;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly counters: observe.Counters;
-    readonly histograms: observe.Histograms;
+    readonly meter: observe.Meter;
     /** Counts of waiting jobs as the leader last published them, and their age. */
     getWaiting(): { readonly counts: Readonly<Record<string, number>>; readonly ageMs: number; } | undefined;
 }
@@ -67,7 +66,7 @@
 type ReadRange = rows.RowStore["read"];
 
 export function createIntake(options: IntakeOptions): Intake {
-    const { store, clock: time, log, counters, health } = options;
+    const { store, clock: time, log, meter, health } = options;
 
     const isStoreAway = () => health.getAwayMs() !== undefined;
     const getLeftMs = (caller: Caller) => caller.deadlineAt - time.now() - REPLY_MARGIN_MS;
@@ -179,8 +178,9 @@
 
     const logReply = (call: string, caller: Caller, jobId: string, reply: IntakeReply, startedAt: number) => {
         const tookMs = Math.round(time.now() - startedAt);
-        counters.increment(`requests.${call}.${reply.kind}`);
-        options.histograms.record(caller.account, call, tookMs);
+        const { account } = caller;
+        meter.increment("requests_total", { call, outcome: reply.kind, account, queue: caller.queue.name });
+        meter.record("request_duration_ms", { call, account }, tookMs);
         log.info("request", {
             request: caller.requestId,
             call,
--- a/src/leader/__tests__/progressWriter.test.ts
+++ b/src/leader/__tests__/progressWriter.test.ts
@@ -1,5 +1,6 @@
 import * as clocks from "../../clock/index";
 import type * as rows from "../../rows/index";
+import * as telemetry from "../../telemetry/index";
 import * as work from "../../work/index";
 import * as entries from "../entries";
 import * as progressWriter from "../progressWriter";
@@ -41,6 +42,7 @@
     const deposed: string[] = [];
     const silent = () => undefined;
     const writer = progressWriter.createProgressWriter({
+        meter: telemetry.createMetrics().meter,
         store: held.store,
         clock: time,
         log: { info: silent, warn: silent, error: silent },
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -23,6 +23,7 @@
 export interface BookOptions {
     readonly clock: clock.Clock;
     readonly log: observe.Log;
+    readonly meter: observe.Meter;
     readonly listener: BookListener;
     getQueue(name: string): catalog.Queue | undefined;
 }
@@ -61,7 +62,7 @@
 }
 
 export function createBook(options: BookOptions): Book {
-    const { clock: time, log, listener } = options;
+    const { clock: time, log, meter, listener } = options;
     const jobs = new Map<string, entries.JobEntry>();
     const active = new Set<entries.JobEntry>();
     const tasks = new Map<string, entries.TaskEntry>();
@@ -88,6 +89,7 @@
     const { endJob, markDone, markStepDone, countFailure } = outcomes.createOutcomes({
         clock: time,
         log,
+        meter,
         listener,
         onOver: job => active.delete(job),
         stopAll,
@@ -296,6 +298,7 @@
             if (!isCurrent && !(end.how === "done" && task.phase === "waiting")) {
                 return;
             }
+            meter.increment("runs_ended_total", { queue: task.step.occurrence.job.queue.name, how: end.how });
             keepSaved(task, end.saved);
             if (isCurrent) {
                 entries.unassign(task);
--- /dev/null
+++ b/src/leader/execution.ts
@@ -0,0 +1,61 @@
+/** Carries out what a pass has decided: stops, and starts whose rows are stored before any order goes out. */
+import type * as decisions from "../decisions/index";
+import type * as observe from "../observe/index";
+import type * as bookOfTasks from "./book";
+import type * as entries from "./entries";
+import type * as ordersOfTerm from "./orders";
+import type * as units from "./units";
+
+export interface ExecutionOptions {
+    readonly book: bookOfTasks.Book;
+    readonly orders: ordersOfTerm.Orders;
+    readonly log: observe.Log;
+    readonly meter: observe.Meter;
+    getWorker(id: string): entries.WorkerEntry;
+    /** Resolves when all that has changed so far is stored. */
+    flush(): Promise<void>;
+}
+
+/** The plan, and what its units and groups stand for. */
+export interface PlannedPass {
+    readonly plan: decisions.Plan;
+    readonly waiting: readonly units.UnitOfTasks[];
+    readonly groups: ReadonlyMap<string, units.GroupOfTasks>;
+}
+
+export function carryOut(options: ExecutionOptions, pass: PlannedPass): void {
+    pass.plan.stops.forEach(stop => stopGroup(options, pass, stop));
+    if (pass.plan.starts.length === 0) {
+        return;
+    }
+    const tasksByUnit = new Map(pass.waiting.map(item => [item.unit.key, item.tasks]));
+    const placed = pass.plan.starts.flatMap(start => placeUnit(options, start, tasksByUnit.get(start.unit.key)!));
+    void options.flush().then(() => options.orders.start(placed));
+}
+
+function stopGroup({ book, log, meter }: ExecutionOptions, { groups }: PlannedPass, stop: decisions.PlannedStop): void {
+    const { group, forUnit } = stop;
+    const tasks = groups.get(group.key)?.tasks ?? [];
+    const queue = tasks[0]?.step.occurrence.job.queue.name ?? "";
+    log.info("preempting", { group: group.key, forUnit, lossCoreSeconds: Math.round(group.lossCoreSeconds) });
+    meter.increment("preemptions_total", { queue });
+    meter.increment("preempted_core_seconds_total", { queue }, group.lossCoreSeconds);
+    tasks.forEach(task => book.requestStop(task, `preempted for ${forUnit}`));
+}
+
+function placeUnit(
+    { book, log, meter, getWorker }: ExecutionOptions,
+    { unit, workerIds }: decisions.PlannedStart,
+    tasks: readonly entries.TaskEntry[],
+): ordersOfTerm.PlacedTask[] {
+    book.place(tasks, workerIds.map(getWorker));
+    log.info("placed", {
+        unit: unit.key,
+        run: tasks[0]!.run,
+        workers: [...new Set(workerIds)],
+        waitedMs: Math.round(unit.waitedMs),
+        claim: unit.claim,
+    });
+    meter.record("placement_wait_ms", { queue: tasks[0]!.step.occurrence.job.queue.name }, unit.waitedMs);
+    return tasks.map(task => ({ task, run: task.run }));
+}
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -10,7 +10,7 @@
     readonly book: book.Book;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly counters: observe.Counters;
+    readonly meter: observe.Meter;
     readonly signal: AbortSignal;
     getSession(worker: entries.WorkerEntry): workerSession.WorkerSession | undefined;
     mayOrder(): boolean;
@@ -46,7 +46,7 @@
 const UNANSWERED_PATIENCE_MS = 1_000;
 
 export function createOrders(options: OrdersOptions): Orders {
-    const { book: taskBook, clock: time, log, counters } = options;
+    const { book: taskBook, clock: time, log, meter } = options;
 
     const waiting: PlacedTask[] = [];
     let inFlight = 0;
@@ -86,7 +86,7 @@
             saved: task.saved,
             ticket: task.step.tickets.get(worker.id)?.ticket,
         });
-        counters.increment(`starts.${answer.kind}`);
+        meter.increment("start_orders_total", { answer: answer.kind });
         if (task.worker !== worker || task.run !== run) {
             return;
         }
@@ -165,6 +165,9 @@
             const answer = session && options.mayOrder()
                 ? await session.stop({ task: task.name, run })
                 : undefined;
+            if (answer) {
+                meter.increment("stop_orders_total", { answer: answer.kind });
+            }
             if (!isOpen()) {
                 return;
             }
@@ -186,7 +189,7 @@
         }
         task.pacePercent = percent;
         const answer = await session.pace({ task: task.name, run, percent });
-        counters.increment(`paces.${answer.kind}`);
+        meter.increment("pace_orders_total", { answer: answer.kind });
         log.info("paced", { task: task.name, worker: worker.id, percent, before: pacePercent, answer: answer.kind });
         if (answer.kind !== "accepted" && task.run === run) {
             // Not known to hold: the next look decides from the old pace again.
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -7,6 +7,7 @@
 export interface OutcomesOptions {
     readonly clock: clock.Clock;
     readonly log: observe.Log;
+    readonly meter: observe.Meter;
     readonly listener: {
         occurrenceChanged(occurrence: entries.OccurrenceEntry): void;
         jobChanged(job: entries.JobEntry): void;
@@ -26,20 +27,19 @@
 }
 
 export function createOutcomes(options: OutcomesOptions): Outcomes {
-    const { clock: time, log } = options;
+    const { clock: time, log, meter } = options;
 
     const endJob = (job: entries.JobEntry, state: work.JobState) => {
         job.state = state;
         job.endedAt = time.wallTime();
         options.onOver(job);
         options.listener.jobChanged(job);
-        log.info("jobEnded", {
-            job: job.submission.jobId,
-            account: job.submission.account,
-            queue: job.queue.name,
-            state,
-            ageMs: Math.round(job.endedAt - job.submission.acceptedAt),
-        });
+        const { account } = job.submission;
+        const queue = job.queue.name;
+        const ageMs = Math.round(job.endedAt - job.submission.acceptedAt);
+        log.info("jobEnded", { job: job.submission.jobId, account, queue, state, ageMs });
+        meter.increment("jobs_ended_total", { account, queue, state });
+        meter.record("job_duration_ms", { account, queue }, ageMs);
     };
 
     const endOccurrence = (occurrence: entries.OccurrenceEntry, failed: boolean) => {
--- a/src/leader/progressWriter.ts
+++ b/src/leader/progressWriter.ts
@@ -16,6 +16,7 @@
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
+    readonly meter: observe.Meter;
     /** The row of our fencing token: no write succeeds once another leader has changed it. */
     readonly guard: rows.RowCondition;
     readonly signal: AbortSignal;
@@ -116,6 +117,7 @@
     while (!options.signal.aborted) {
         const conditions = [options.guard, ...batch.map(row => ({ ...toKey(row.key), version: row.getVersion() }))];
         const outcome = await options.store.transact({ conditions, puts, removals: [] }, WRITE_TIMEOUT_MS);
+        options.meter.increment("progress_writes_total", { outcome: outcome.kind });
         switch (outcome.kind) {
             case "committed":
                 for (const row of batch) {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -8,7 +8,9 @@
 import * as bookOfTasks from "./book";
 import type * as directory from "./directory";
 import * as entries from "./entries";
+import * as execution from "./execution";
 import * as followIntake from "./followIntake";
+import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
 import type * as lease from "./lease";
 import type * as machines from "./machines";
@@ -29,8 +31,7 @@
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly counters: observe.Counters;
-    readonly histograms: observe.Histograms;
+    readonly meter: observe.Meter;
     readonly catalog: catalog.CurrentCatalog;
     readonly directory: directory.WorkerDirectory;
     readonly adviser: directory.Adviser;
@@ -71,12 +72,13 @@
 const LOOK_SHARE = 1 / 6;
 
 export function createTerm(options: TermOptions): Term {
-    const { clock: time, log, leadership } = options;
+    const { clock: time, log, meter, leadership } = options;
     const { signal } = leadership;
     const lookWaitMs = Math.round(Math.min(MOST_LOOK_WAIT_MS, LOOK_SHARE * options.maxLeaseMs));
     const workers = new Map<string, entries.WorkerEntry>();
     const sessions = new Map<string, workerSession.WorkerSession>();
     const predictor = decisions.createPredictor();
+    const openedAt = time.now();
     let passPlanned = false;
     let ready = false;
 
@@ -84,6 +86,7 @@
         store: options.store,
         clock: time,
         log,
+        meter,
         guard: leadership.guard,
         signal,
         onDeposed: () => options.onDeposed("another leader's token stands in the store"),
@@ -91,6 +94,7 @@
     const book = bookOfTasks.createBook({
         clock: time,
         log,
+        meter,
         getQueue: name => options.catalog.getQueue(name),
         listener: {
             occurrenceChanged: writer.markOccurrence,
@@ -103,7 +107,7 @@
         book,
         clock: time,
         log,
-        counters: options.counters,
+        meter,
         signal,
         getSession: worker => sessions.get(worker.id),
         mayOrder: leadership.mayOrder,
@@ -269,39 +273,8 @@
                 return [...groups.values()].map(item => item.group);
             },
         });
-        carryOut(plan, waiting, groups);
-    };
-    const carryOut = (
-        plan: decisions.Plan,
-        waiting: readonly units.UnitOfTasks[],
-        groups: ReadonlyMap<string, units.GroupOfTasks>,
-    ) => {
-        for (const stop of plan.stops) {
-            log.info("preempting", {
-                group: stop.group.key,
-                forUnit: stop.forUnit,
-                lossCoreSeconds: Math.round(stop.group.lossCoreSeconds),
-            });
-            groups.get(stop.group.key)?.tasks.forEach(task => book.requestStop(task, `preempted for ${stop.forUnit}`));
-        }
-        if (plan.starts.length === 0) {
-            return;
-        }
-        const tasksByUnit = new Map(waiting.map(item => [item.unit.key, item.tasks]));
-        const placed: ordersOfTerm.PlacedTask[] = [];
-        for (const start of plan.starts) {
-            const tasks = tasksByUnit.get(start.unit.key)!;
-            book.place(tasks, start.workerIds.map(id => workers.get(id)!));
-            placed.push(...tasks.map(task => ({ task, run: task.run })));
-            log.info("placed", {
-                unit: start.unit.key,
-                run: tasks[0]!.run,
-                workers: [...new Set(start.workerIds)],
-                waitedMs: Math.round(start.unit.waitedMs),
-                claim: start.unit.claim,
-            });
-        }
-        void writer.flush().then(() => orders.start(placed));
+        execution.carryOut({ book, orders, log, meter, getWorker, flush: writer.flush }, { plan, waiting, groups });
+        meter.record("pass_duration_ms", {}, time.now() - now);
     };
     let nextPassAt = Infinity;
     const planPass = (delayMs: number) => {
@@ -333,6 +306,7 @@
             return;
         }
         ready = true;
+        meter.record("takeover_duration_ms", {}, time.now() - openedAt);
         void pollDirectory();
         upkeep.runUpkeep({
             board: options.waves,
@@ -368,7 +342,16 @@
             },
         });
     };
+    meter.increment("terms_total");
+    const endGauges = meter.registerGauges(() =>
+        gauges.readGauges({
+            active: book.active,
+            workers: workers.values(),
+            isPlaceable: worker => isPlaceable(worker, time.now()),
+        })
+    );
     signal.addEventListener("abort", () => {
+        endGauges();
         for (const session of sessions.values()) {
             session.close();
         }
--- /dev/null
+++ b/src/observe/meter.ts
@@ -0,0 +1,78 @@
+/** What an instance counts and measures, and the port through which it does. */
+
+export interface MetricSpec {
+    readonly kind: "counter" | "gauge" | "histogram";
+    readonly labels: readonly string[];
+    readonly help: string;
+}
+
+function counter(help: string, ...labels: string[]) {
+    return { kind: "counter", labels, help } as const;
+}
+
+function gauge(help: string, ...labels: string[]) {
+    return { kind: "gauge", labels, help } as const;
+}
+
+function histogram(help: string, ...labels: string[]) {
+    return { kind: "histogram", labels, help } as const;
+}
+
+/**
+ * All metrics, by the name that they are served under after "plantainchute_". Counters end in `total`, times are in
+ * milliseconds. Those marked "leader" are zero or absent on other instances.
+ */
+export const METRICS = {
+    requests_total: counter("callers' requests", "call", "outcome", "account", "queue"),
+    request_duration_ms: histogram("from a request to its answer", "call", "account"),
+    ready: gauge("1 while the instance takes callers' connections"),
+    configuration_version: gauge("version of the configuration in force"),
+    store_reachable: gauge("1 while the store answers"),
+    store_calls_total: counter("calls to the store", "call", "outcome"),
+    leading: gauge("1 while the instance leads"),
+    terms_total: counter("terms as leader begun"),
+    takeover_duration_ms: histogram("leader: from the lease to the first pass"),
+    pass_duration_ms: histogram("leader: one pass of the decisions"),
+    jobs: gauge("leader: jobs that are not over", "account", "queue", "state"),
+    tasks: gauge("leader: tasks of such jobs", "queue", "phase"),
+    workers: gauge("leader: workers", "service", "state"),
+    accelerators: gauge("leader: accelerators of workers that may take tasks", "service", "state"),
+    placement_wait_ms: histogram("leader: from when a unit could start to its place", "queue"),
+    start_orders_total: counter("leader: orders to start", "answer"),
+    stop_orders_total: counter("leader: orders to stop", "answer"),
+    pace_orders_total: counter("leader: orders on the pace of fillers", "answer"),
+    runs_ended_total: counter("leader: runs that ended", "queue", "how"),
+    preemptions_total: counter("leader: units stopped for urgent work", "queue"),
+    preempted_core_seconds_total: counter("leader: work that preemption threw away", "queue"),
+    jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
+    job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
+    progress_writes_total: counter("leader: transactions that store progress", "outcome"),
+    log_lines_total: counter("lines written to standard output", "level"),
+    log_lines_dropped_total: counter("lines beyond the budget, or without a reader", "level"),
+} satisfies Readonly<Record<string, MetricSpec>>;
+
+export type MetricName = keyof typeof METRICS;
+type NameOf<Kind extends MetricSpec["kind"]> = {
+    [Name in MetricName]: (typeof METRICS)[Name] extends { readonly kind: Kind; } ? Name : never;
+}[MetricName];
+
+export type CounterName = NameOf<"counter">;
+export type GaugeName = NameOf<"gauge">;
+export type HistogramName = NameOf<"histogram">;
+
+/** Values by label. */
+export type Labels = Readonly<Record<string, string>>;
+
+export interface GaugeSample {
+    readonly metric: GaugeName;
+    readonly labels?: Labels;
+    readonly value: number;
+}
+
+export interface Meter {
+    increment(metric: CounterName, labels?: Labels, by?: number): void;
+    /** Takes a time into a histogram. */
+    record(metric: HistogramName, labels: Labels, ms: number): void;
+    /** `read` is called whenever the metrics are asked for; returns what ends that. */
+    registerGauges(read: () => readonly GaugeSample[]): () => void;
+}
--- a/src/rows/index.ts
+++ b/src/rows/index.ts
@@ -73,6 +73,7 @@
     feed(table: string, after: number, waitMs: number, timeoutMs: number): Promise<FeedResult>;
 }
 
+export { createCountedStore } from "./countedStore";
 export { followTable, type TableFollower, type TableFollowerOptions } from "./followTable";
 export { readAll } from "./readAll";
 export { createStoreHealth, type StoreHealth, type StoreHealthOptions } from "./storeHealth";
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -72,6 +72,8 @@
 export interface TestSite extends emulator.Site {
     readonly clock: clocks.ManualClock;
     readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
+    /** Of all instances together. */
+    readonly metrics: telemetry.Metrics;
 }
 
 export function openSite(options: {
@@ -96,8 +98,7 @@
     const site = emulator.createSite({
         clock: time,
         log: { info: keep("info"), warn: keep("warn"), error: keep("error") },
-        counters: metrics.counters,
-        histograms: metrics.histograms,
+        meter: metrics.meter,
         instances: options.instances ?? 2,
         workers,
         catalog: options.catalog ?? CATALOG,
@@ -109,7 +110,7 @@
         workerFaults: options.workerFaults?.(time),
     });
     workers.forEach((info, number) => machines?.put(`m${number}`, info, site.workers));
-    return { ...site, clock: time, lines };
+    return { ...site, clock: time, lines, metrics };
 }
 
 /** Opens a site, lets a leader be found, and hands the jobs in. */
--- /dev/null
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -0,0 +1,85 @@
+// Symptom: an operator looks for a figure that the pages name, and the instance does not serve it. Sequence: a metric
+// is renamed, or its last use goes away. Cause: pages, catalogue and code are changed one without the others.
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as observe from "../../observe/index";
+import * as telemetry from "../../telemetry/index";
+import * as fixtures from "./fixtures";
+
+const WHOLE_MEMORY = { cpuMillis: 1_000, memoryMb: 65_536, accelerators: 1 };
+const NAMES = Object.keys(observe.METRICS) as observe.MetricName[];
+
+/** A day on which everything happens that is counted. */
+async function playDay(): Promise<string> {
+    const long = { estimateMs: 20_000, needs: WHOLE_MEMORY };
+    const failing = fixtures.createJob(1, { estimateMs: 500 }, { fails: () => true });
+    const serving = { ...fixtures.createStep({ lasting: true, targetMs: 100 }), image: "serves" };
+    const filling = fixtures.createStep({ fills: true, estimateMs: 60_000 });
+    const site = await fixtures.openWithJobs({ workers: 2 }, [
+        failing,
+        fixtures.createJob(2, {}, {
+            spec: { payload: "", steps: [serving, serving], repeats: 0, firstDueAt: 0, periodMs: 0 },
+            durationsMs: [0, 0],
+        }),
+        fixtures.createJob(3, {}, {
+            spec: { payload: "", steps: [filling, filling], repeats: 0, firstDueAt: 0, periodMs: 0 },
+            durationsMs: [60_000, 60_000],
+        }),
+        fixtures.createJob(4, long, { queue: "batch" }),
+        fixtures.createJob(5, long, { queue: "batch" }),
+    ]);
+    await site.clock.advance(4_000);
+    const urgent = fixtures.createJob(6, { estimateMs: 1_000, needs: WHOLE_MEMORY }, { queue: "urgent" });
+    await fixtures.settle(site.clock, site.submit(urgent, 1));
+    await site.clock.advance(4_000);
+    site.kill(site.getLeader()!);
+    await site.clock.advance(10_000);
+    const log = telemetry.createLineLog({
+        clock: site.clock,
+        instance: "a",
+        meter: site.metrics.meter,
+        output: { write: () => true, writableLength: 0 },
+    });
+    for (let line = 0; line < 2_000; line++) {
+        log.info("line");
+    }
+    const text = site.metrics.render();
+    site.close();
+    return text;
+}
+
+describe("metrics", () => {
+    let served: string;
+
+    beforeAll(async () => {
+        served = await playDay();
+    });
+
+    test.each(NAMES)("%s has a value on a day with trouble, under its labels", name => {
+        const { kind, labels } = observe.METRICS[name];
+        const suffix = kind === "histogram" ? "_count" : "";
+        const pattern = labels.map(label => `${label}="[^"]*"`).join(",");
+        expect(served).toMatch(
+            new RegExp(`^plantainchute_${name}${suffix}${labels.length > 0 ? `\\{${pattern}\\}` : ""} [0-9.]+$`, "m"),
+        );
+    });
+
+    test("the page for operators names all of them, and no other", () => {
+        const page = fs.readFileSync(path.join(__dirname, "../../../docs/OPERATIONS.md"), "utf8");
+        const rows = page.split("\n").filter(line => line.startsWith("| `plantainchute_"));
+        const documented = rows.map(row => {
+            const [name, kind, labels] = row.split("|").slice(1).map(cell => cell.trim().replace(/`/g, ""));
+            return {
+                name: name!.replace("plantainchute_", ""),
+                kind,
+                labels: labels === "" ? [] : labels!.split(", "),
+            };
+        });
+        const specs = NAMES.map(name => ({
+            name,
+            kind: observe.METRICS[name].kind,
+            labels: observe.METRICS[name].labels,
+        }));
+        expect(documented).toEqual(specs);
+    });
+});
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -27,8 +27,7 @@
     readonly policy: decisions.Policy;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly counters: observe.Counters;
-    readonly histograms: observe.Histograms;
+    readonly meter: observe.Meter;
     /** Asked at the beginning of each term. */
     getBounds(): SchedulerBounds;
     readonly signal: AbortSignal;
@@ -56,10 +55,10 @@
 }
 
 export function createScheduler(options: SchedulerOptions): Scheduler {
-    const { clock: time, log } = options;
+    const { clock: time, log, meter } = options;
     const current = catalogs.createCurrentCatalog();
     const health = rows.createStoreHealth({
-        store: options.store,
+        store: rows.createCountedStore(options.store, meter),
         clock: time,
         signal: options.signal,
         probe: { table: work.Table.Lead, part: work.LEADER_PART },
@@ -103,19 +102,25 @@
         health,
         clock: time,
         log,
-        counters: options.counters,
-        histograms: options.histograms,
+        meter,
         getWaiting: () => {
             const observed = lease.getObservation();
             const counts = observed?.record.waiting;
             return observed && counts && { counts, ageMs: time.now() - observed.seenAt };
         },
     });
+    const isReady = () => current.get() !== undefined && health.getAwayMs() === undefined;
+    meter.registerGauges(() => [
+        { metric: "ready", value: Number(isReady()) },
+        { metric: "configuration_version", value: current.get()?.version ?? 0 },
+        { metric: "store_reachable", value: Number(health.getAwayMs() === undefined) },
+        { metric: "leading", value: Number(lease.isLeading()) },
+    ]);
     return {
         catalog: current,
         intake,
         store,
-        isReady: () => current.get() !== undefined && health.getAwayMs() === undefined,
+        isReady,
         isLeading: lease.isLeading,
         release: lease.release,
     };
--- a/src/telemetry/__tests__/telemetry.test.ts
+++ b/src/telemetry/__tests__/telemetry.test.ts
@@ -8,6 +8,7 @@
         const log = telemetry.createLineLog({
             clock: time,
             instance: "a",
+            meter: telemetry.createMetrics().meter,
             output: {
                 write: text => {
                     written.push(text);
@@ -58,16 +59,28 @@
 });
 
 describe("metrics", () => {
-    test("counters and histograms as text", () => {
-        const metrics = telemetry.createMetrics();
-        metrics.counters.increment("requests.submit.accepted", 2);
-        metrics.histograms.record("alpha", "submit", 7);
-        metrics.histograms.record("alpha", "submit", 70_000);
-        const text = metrics.render();
-        expect(text).toContain("plantainchute_requests_submit_accepted_total 2\n");
-        expect(text).toContain("plantainchute_latency_ms_bucket{account=\"alpha\",class=\"submit\",le=\"10\"} 1\n");
-        expect(text).toContain("plantainchute_latency_ms_bucket{account=\"alpha\",class=\"submit\",le=\"+Inf\"} 2\n");
-        expect(text).toContain("plantainchute_latency_ms_sum{account=\"alpha\",class=\"submit\"} 70007\n");
-        expect(metrics.histograms.getSummaries()).toMatchObject([{ count: 2, p50Ms: 10, maxMs: 70_000 }]);
+    test("counters, gauges and histograms as text", () => {
+        const { meter, render } = telemetry.createMetrics();
+        const labels = { call: "submit", outcome: "accepted", account: "al\"pha", queue: "q" };
+        meter.increment("requests_total", labels, 2);
+        meter.increment("terms_total");
+        meter.record("request_duration_ms", { call: "submit", account: "alpha" }, 7);
+        meter.record("request_duration_ms", { call: "submit", account: "alpha" }, 700_000);
+        const end = meter.registerGauges(() => [{ metric: "leading", value: 1 }]);
+        const text = render();
+        const duration = "plantainchute_request_duration_ms";
+        expect(text).toContain("# HELP plantainchute_requests_total callers' requests\n");
+        expect(text).toContain("# TYPE plantainchute_requests_total counter\n");
+        expect(text).toContain(
+            "plantainchute_requests_total{call=\"submit\",outcome=\"accepted\",account=\"al\\\"pha\",queue=\"q\"} 2\n",
+        );
+        expect(text).toContain("plantainchute_terms_total 1\n");
+        expect(text).toContain("plantainchute_leading 1\n");
+        expect(text).toContain(`${duration}_bucket{call="submit",account="alpha",le="5"} 0\n`);
+        expect(text).toContain(`${duration}_bucket{call="submit",account="alpha",le="10"} 1\n`);
+        expect(text).toContain(`${duration}_bucket{call="submit",account="alpha",le="+Inf"} 2\n`);
+        expect(text).toContain(`${duration}_sum{call="submit",account="alpha"} 700007\n`);
+        end();
+        expect(render()).not.toContain("plantainchute_leading 1\n");
     });
 });
--- a/src/telemetry/lineLog.ts
+++ b/src/telemetry/lineLog.ts
@@ -11,6 +11,7 @@
 export interface LineLogOptions {
     readonly clock: clock.Clock;
     readonly instance: string;
+    readonly meter: observe.Meter;
     /** Where lines go; `writableLength` says how much waits there. */
     readonly output: { write(text: string): boolean; readonly writableLength: number; };
 }
@@ -34,6 +35,7 @@
         refilledAt = now;
         if (budget < 1 || options.output.writableLength > MAX_WAITING_BYTES) {
             dropped++;
+            options.meter.increment("log_lines_dropped_total", { level });
             return;
         }
         budget--;
@@ -46,6 +48,7 @@
             droppedBefore: dropped > 0 ? dropped : undefined,
         };
         dropped = 0;
+        options.meter.increment("log_lines_total", { level });
         options.output.write(`${JSON.stringify(line)}\n`);
     };
     return {
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -1,99 +1,120 @@
 /**
- * Counters and latency histograms, served as text on the instance's metrics address.
+ * Counters, gauges and histograms, served as text on the instance's metrics address.
  *
  * The histograms are fixed buckets rather than the library that the benchmarks use: loading that takes 65 ms of
  * processor time and 13 MB (Node.js 20, one run on an idle machine), which a restarted instance of two thirds of a
  * core pays before it is ready.
  */
-import type * as observe from "../observe/index";
+import * as observe from "../observe/index";
 
 export interface Metrics {
-    readonly counters: observe.Counters;
-    readonly histograms: observe.Histograms;
+    readonly meter: observe.Meter;
     /** In the text format that metrics servers scrape. */
     render(): string;
 }
 
-/** Upper bounds in milliseconds: from a call within the zone to a caller's longest deadline and beyond. */
-const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 30_000, Infinity];
+/** Upper bounds in milliseconds: from a call within the zone to a job that waits for minutes. */
+const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 30_000, 120_000, Infinity];
 
 interface Histogram {
-    readonly account: string;
-    readonly jobClass: string;
+    readonly labels: observe.Labels;
     readonly counts: number[];
-    count: number;
     sumMs: number;
-    maxMs: number;
+}
+
+interface Counter {
+    readonly labels: observe.Labels;
+    value: number;
 }
 
 export function createMetrics(): Metrics {
-    const counts = new Map<string, number>();
-    const histograms = new Map<string, Histogram>();
-    return {
-        counters: {
-            increment: (name, by = 1) => void counts.set(name, (counts.get(name) ?? 0) + by),
-            getAll: () => Object.fromEntries([...counts].sort(([a], [b]) => a < b ? -1 : 1)),
-            close: () => undefined,
+    const counters = new Map<observe.MetricName, Map<string, Counter>>();
+    const histograms = new Map<observe.MetricName, Map<string, Histogram>>();
+    const gauges = new Set<() => readonly observe.GaugeSample[]>();
+    const meter: observe.Meter = {
+        increment: (metric, labels = {}, by = 1) => {
+            getOrCreate(counters, metric, labels, () => ({ labels, value: 0 })).value += by;
+        },
+        record: (metric, labels, ms) => {
+            const histogram = getOrCreate(
+                histograms,
+                metric,
+                labels,
+                () => ({ labels, counts: BUCKETS_MS.map(() => 0), sumMs: 0 }),
+            );
+            histogram.counts[BUCKETS_MS.findIndex(bound => ms <= bound)]!++;
+            histogram.sumMs += ms;
         },
-        histograms: {
-            record: (account, jobClass, ms) => {
-                const key = `${account}\n${jobClass}`;
-                let histogram = histograms.get(key);
-                if (!histogram) {
-                    histogram = { account, jobClass, counts: BUCKETS_MS.map(() => 0), count: 0, sumMs: 0, maxMs: 0 };
-                    histograms.set(key, histogram);
-                }
-                histogram.counts[BUCKETS_MS.findIndex(bound => ms <= bound)]!++;
-                histogram.count++;
-                histogram.sumMs += ms;
-                histogram.maxMs = Math.max(histogram.maxMs, ms);
-            },
-            getSummaries: () => [...histograms.values()].map(summarize),
+        registerGauges: read => {
+            gauges.add(read);
+            return () => void gauges.delete(read);
         },
-        render: () => [...renderCounters(counts), ...renderHistograms(histograms.values())].join("\n") + "\n",
     };
+    const render = () => {
+        const samples = [...gauges].flatMap(read => read());
+        const lines: string[] = [];
+        for (const [name, spec] of listSpecs()) {
+            lines.push(`# HELP ${PREFIX}${name} ${spec.help}`, `# TYPE ${PREFIX}${name} ${spec.kind}`);
+            for (const counter of counters.get(name)?.values() ?? []) {
+                lines.push(formatSample(name, counter.labels, counter.value));
+            }
+            for (const sample of samples.filter(item => item.metric === name)) {
+                lines.push(formatSample(name, sample.labels ?? {}, sample.value));
+            }
+            for (const histogram of histograms.get(name)?.values() ?? []) {
+                lines.push(...formatHistogram(name, histogram));
+            }
+        }
+        return `${lines.join("\n")}\n`;
+    };
+    return { meter, render };
 }
 
-function summarize(histogram: Histogram): observe.HistogramSummary {
-    return {
-        account: histogram.account,
-        jobClass: histogram.jobClass,
-        count: histogram.count,
-        p50Ms: getPercentile(histogram, 0.5),
-        p90Ms: getPercentile(histogram, 0.9),
-        p99Ms: getPercentile(histogram, 0.99),
-        maxMs: histogram.maxMs,
-    };
+const PREFIX = "plantainchute_";
+
+function listSpecs(): ReadonlyArray<[observe.MetricName, observe.MetricSpec]> {
+    return Object.entries(observe.METRICS) as Array<[observe.MetricName, observe.MetricSpec]>;
 }
 
-/** Upper bound of the bucket in which the percentile lies. */
-function getPercentile(histogram: Histogram, share: number): number {
-    let seen = 0;
-    for (let bucket = 0; bucket < BUCKETS_MS.length; bucket++) {
-        seen += histogram.counts[bucket]!;
-        if (seen >= share * histogram.count) {
-            return Math.min(BUCKETS_MS[bucket]!, histogram.maxMs);
-        }
+function getOrCreate<T>(
+    all: Map<observe.MetricName, Map<string, T>>,
+    metric: observe.MetricName,
+    labels: observe.Labels,
+    create: () => T,
+): T {
+    let ofMetric = all.get(metric);
+    if (!ofMetric) {
+        ofMetric = new Map();
+        all.set(metric, ofMetric);
+    }
+    const key = Object.values(labels).join("\n");
+    let item = ofMetric.get(key);
+    if (!item) {
+        item = create();
+        ofMetric.set(key, item);
     }
-    return histogram.maxMs;
+    return item;
 }
 
-function renderCounters(counts: ReadonlyMap<string, number>): string[] {
-    return [...counts].map(([name, value]) => `plantainchute_${name.replace(/[^A-Za-z0-9]/g, "_")}_total ${value}`);
+function formatHistogram(name: string, { labels, counts, sumMs }: Histogram): string[] {
+    let cumulative = 0;
+    const buckets = BUCKETS_MS.map((bound, bucket) => {
+        cumulative += counts[bucket]!;
+        const le = bound === Infinity ? "+Inf" : String(bound);
+        return formatSample(`${name}_bucket`, { ...labels, le }, cumulative);
+    });
+    return [
+        ...buckets,
+        formatSample(`${name}_sum`, labels, sumMs),
+        formatSample(`${name}_count`, labels, cumulative),
+    ];
 }
 
-function renderHistograms(histograms: Iterable<Histogram>): string[] {
-    const lines: string[] = [];
-    for (const histogram of histograms) {
-        const labels = `account="${histogram.account}",class="${histogram.jobClass}"`;
-        let cumulative = 0;
-        BUCKETS_MS.forEach((bound, bucket) => {
-            cumulative += histogram.counts[bucket]!;
-            const le = bound === Infinity ? "+Inf" : String(bound);
-            lines.push(`plantainchute_latency_ms_bucket{${labels},le="${le}"} ${cumulative}`);
-        });
-        lines.push(`plantainchute_latency_ms_sum{${labels}} ${histogram.sumMs}`);
-        lines.push(`plantainchute_latency_ms_count{${labels}} ${histogram.count}`);
-    }
-    return lines;
+function formatSample(name: string, labels: observe.Labels, value: number): string {
+    const pairs = Object.entries(labels).map(([label, text]) => `${label}="${escape(text)}"`);
+    return `${PREFIX}${name}${pairs.length > 0 ? `{${pairs.join(",")}}` : ""} ${value}`;
+}
+
+function escape(text: string): string {
+    return text.replace(/["\\\n]/g, character => character === "\n" ? "\\n" : `\\${character}`);
 }
