--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -11,6 +11,8 @@
 export interface CallersOptions {
     readonly clock: clock.Clock;
     readonly source: random.Random;
+    /** For what is handed in and when, so that a seed always brings the same. */
+    readonly jobSource: random.Random;
     readonly balancer: balancers.Balancer;
     readonly workers: emulator.EmulatedWorkers;
     readonly queues: readonly catalogs.Queue[];
@@ -108,7 +110,7 @@
         breaches,
         run: async (perSecond, signal) => {
             while (!signal.aborted) {
-                const job = emulator.createRandomJob(source, nextNumber++);
+                const job = emulator.createRandomJob(options.jobSource, nextNumber++);
                 options.jobs.set(job.jobId, job);
                 const record: verdict.JobRecord = {
                     job,
@@ -120,7 +122,7 @@
                 };
                 records.push(record);
                 void live(record);
-                await time.sleep(source.nextExponential(1_000 / perSecond), signal);
+                await time.sleep(options.jobSource.nextExponential(1_000 / perSecond), signal);
             }
         },
         isDone: () => handingIn === 0 && records.every(record => record.acceptedAt === undefined || hasEnded(record)),
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -59,6 +59,7 @@
     const callers = callersOfSite.createCallers({
         clock: time,
         source: createSource(4),
+        jobSource: createSource(5),
         balancer,
         workers: site.workers,
         queues: operator.queues,
