A test of the present interface waits for what it relies on

Symptom: "a waiting job is cancelled as not run …" failed once in a run of all tests beside four busy processes; its message was not kept. Cause, by reading: six jobs were cancelled right after they were handed in, and expected as failed; one that has not been placed yet is told as not run. After: the test waits until all six run, which makes the expectation hold whatever the machine does.

--- a/standins/site/__tests__/embeddedSite.test.ts
+++ b/standins/site/__tests__/embeddedSite.test.ts
@@ -30,6 +30,12 @@
     };
 }
 
+async function until(holds: () => boolean): Promise<void> {
+    while (!holds()) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
+
 function startsOf(mark: string): worker.JournalEntry[] {
     return embedded.journal.getEntries().filter(entry => worker.readPayload(entry.payload).mark === mark);
 }
@@ -84,13 +90,12 @@
 
     test("a waiting job is cancelled as not run, and cancelling again changes nothing", async () => {
         const body = submission("job-3", 60_000, { accelerators: 8, adjacency: "worker" });
-        for (let index = 0; index < 6; index++) {
-            await clientOf(0).submit(
-                alpha,
-                submission(`filler-${index}`, 60_000, { accelerators: 8, adjacency: "worker" }),
-                0,
-            );
+        const fillers = Array.from({ length: 6 }, (_, index) => `filler-${index}`);
+        for (const id of fillers) {
+            await clientOf(0).submit(alpha, submission(id, 60_000, { accelerators: 8, adjacency: "worker" }), 0);
         }
+        // One that is cancelled before its start would be told as not run.
+        await until(() => fillers.every(id => startsOf(id).length > 0));
         await clientOf(0).submit(alpha, body, 0);
         expect(await clientOf(1).cancel(alpha, "job-3")).toMatchObject({
             state: "notRun",
@@ -98,8 +103,8 @@
         });
         expect(await clientOf(2).cancel(alpha, "job-3")).toMatchObject({ state: "notRun" });
         expect(startsOf("job-3")).toHaveLength(0);
-        for (let index = 0; index < 6; index++) {
-            expect(await clientOf(index).cancel(alpha, `filler-${index}`)).toMatchObject({
+        for (const [index, id] of fillers.entries()) {
+            expect(await clientOf(index).cancel(alpha, id)).toMatchObject({
                 state: "failed",
                 code: result.ResultCode.Cancelled,
             });
