Experiment: what no schedule can exceed, beside what was earned

Cause: a load's worth said nothing of how much a better schedule could get. After: the dual of an easier problem (work divided at will over the site) gives a bound that holds for any schedule with full knowledge; experiment prints it and the share earned.

--- a/src/cli/experimentCommand.ts
+++ b/src/cli/experimentCommand.ts
@@ -66,10 +66,15 @@
 ): Promise<RunResult> {
     const played = await experiment.play({ load, seed, policy: decisions.POLICIES[policy] });
     const summary = experiment.summarise(played);
+    const upperBound = experiment.getUpperBound(load, played.jobs.map(job => job.planned));
     if (!quiet) {
         printSummary(`${name}, policy ${policy}, seed ${seed}`, summary);
+        output.writeLine(
+            `  no schedule earns more than ${upperBound.toFixed(3)}; share earned `
+                + (summary.all.worth / upperBound).toFixed(3),
+        );
     }
-    return { load: name, policy, seed, summary, samples: played.samples };
+    return { load: name, policy, seed, summary, upperBound, samples: played.samples };
 }
 
 const COLUMNS = "                    asked  in time   late  missed  refused  worth  wait p50/p99 ms   done p50/p99 ms";
--- a/src/experiment/report.ts
+++ b/src/experiment/report.ts
@@ -7,6 +7,8 @@
     readonly policy: string;
     readonly seed: number;
     readonly summary: summary.Summary;
+    /** Worth that no schedule exceeds; left out of the charts. */
+    readonly upperBound?: number;
     readonly samples: readonly play.Sample[];
 }
 
--- a/src/experiment/summary.ts
+++ b/src/experiment/summary.ts
@@ -1,6 +1,7 @@
 /** What callers got: by class, account and zone, and in all. */
 import * as hdr from "hdr-histogram-js";
 import type * as play from "./play";
+import * as worth from "./worth";
 
 export interface Group {
     readonly name: string;
@@ -35,11 +36,6 @@
     readonly breaches: readonly string[];
 }
 
-/** A late job earns up to this multiple of its objective. */
-const LATE_MULTIPLE = 3;
-/** A job is worth a part by itself and the rest by its work, as the users count. */
-const BASE_WORTH = 0.3;
-const MOST_WORK = 4;
 const HOUR_MS = 3_600_000;
 
 export function summarise(played: play.Played): Summary {
@@ -79,12 +75,12 @@
     if (end.afterMs <= planned.objectiveMs) {
         return "inTime";
     }
-    return end.afterMs <= LATE_MULTIPLE * planned.objectiveMs ? "late" : "missed";
+    return end.afterMs <= worth.LATE_MULTIPLE * planned.objectiveMs ? "late" : "missed";
 }
 
 function createGroup(name: string, jobs: readonly play.JobOutcome[], all: readonly play.JobOutcome[]): Group {
     const counts: Record<Served, number> = { inTime: 0, late: 0, missed: 0, refused: 0, cancelled: 0 };
-    const meanWork = getMeanWork(all);
+    const getWeight = worth.createWeights(all.map(job => job.planned));
     let earned = 0;
     let owed = 0;
     for (const job of jobs) {
@@ -93,9 +89,8 @@
         if (served === "cancelled") {
             continue;
         }
-        const { class: item, coreSeconds } = job.planned;
-        const size = BASE_WORTH + (1 - BASE_WORTH) * coreSeconds / meanWork.get(item.name)!;
-        const weight = Math.min(MOST_WORK, size);
+        const { class: item } = job.planned;
+        const weight = getWeight(job.planned);
         owed += weight * item.worth.inTime;
         earned += weight * (served === "inTime" ? item.worth.inTime : served === "late" ? item.worth.late : 0);
     }
@@ -109,17 +104,6 @@
     };
 }
 
-function getMeanWork(jobs: readonly play.JobOutcome[]): ReadonlyMap<string, number> {
-    const sums = new Map<string, { sum: number; count: number; }>();
-    for (const { planned } of jobs) {
-        const entry = sums.get(planned.class.name) ?? { sum: 0, count: 0 };
-        entry.sum += planned.coreSeconds;
-        entry.count++;
-        sums.set(planned.class.name, entry);
-    }
-    return new Map([...sums].map(([name, { sum, count }]) => [name, sum / count]));
-}
-
 function getQuantiles(values: readonly number[]): Quantiles {
     const histogram = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: HOUR_MS, useWebAssembly: false });
     values.forEach(value => histogram.recordValue(Math.max(0, Math.round(value))));
