--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -1,6 +1,6 @@
 /** Queues: the scheduler's decisions, and the owner of a zone's queue. */
 export { type AttemptEnd } from "./attempt";
-export { LARGE_PATIENCE_MS } from "./decide";
+export { LARGE_PATIENCE_MS } from "./largeJobs";
 export { createPredictor, type Predictor } from "./predictor";
 export type { QueuedJob } from "./queuedJob";
 export {
--- a/src/queue/scheduler.ts
+++ b/src/queue/scheduler.ts
@@ -6,6 +6,7 @@
 import type * as configuration from "../configuration/index";
 import * as placement from "../placement/index";
 import * as decide from "./decide";
+import * as decisionState from "./decisionState";
 import * as jobQueue from "./jobQueue";
 import * as predictor from "./predictor";
 import type * as queuedJob from "./queuedJob";
@@ -44,7 +45,7 @@
     /** All members have ended: the job leaves the running ones. `ranMs` teaches the predictor when given. */
     end(jobId: string, ranMs: number | undefined): RunningJob | undefined;
     /** Jobs that wait for a place that is kept for them, and why. */
-    getHeld(): ReadonlyArray<{ readonly jobId: string; readonly kind: decide.Hold["kind"]; }>;
+    getHeld(): ReadonlyArray<{ readonly jobId: string; readonly kind: decisionState.Hold["kind"]; }>;
     /** Whether work is being stopped to make a place for the job: it must not be moved to another queue then. */
     isPlaceKept(jobId: string): boolean;
     /** The decisions that are due now; jobs to start are booked and taken from the queue. */
@@ -64,7 +65,7 @@
     const learned = predictor.createPredictor();
     const queue = jobQueue.createJobQueue(job => learned.predict(job.account, job.jobClass, job.declaredMs));
     const running = new Map<string, RunningJob>();
-    const state: decide.DecisionState = {
+    const state: decisionState.DecisionState = {
         books,
         queue,
         running,
@@ -76,7 +77,7 @@
     };
 
     const book = (job: queuedJob.QueuedJob, members: readonly placement.Member[], startedAt: number) => {
-        const predictedEndAt = startedAt + decide.getRemainingMs(state, job);
+        const predictedEndAt = startedAt + decisionState.getRemainingMs(state, job);
         for (const [index, member] of members.entries()) {
             books.addTask(member.workerId, {
                 taskId: getTaskId(job.jobId, job.attempt, index),
@@ -112,7 +113,7 @@
         },
         add: job => queue.add(job),
         remove: jobId => {
-            decide.dropHold(state, jobId);
+            decisionState.dropHold(state, jobId);
             return queue.remove(jobId);
         },
         adopt: (job, members, ranMs) => {
@@ -144,7 +145,7 @@
             const decisions: Decision[] = [];
             const start = (job: queuedJob.QueuedJob, members: readonly placement.Member[]) => {
                 queue.remove(job.jobId);
-                decide.dropHold(state, job.jobId);
+                decisionState.dropHold(state, job.jobId);
                 job.attempt++;
                 book(job, members, time.now());
                 decisions.push({ kind: "start", job, members });
