config check also knows the platform's deploy file, template and settings

Cause: a broken template or role showed only when the platform started an instance. The instances' program does not load any of it.

--- a/bin/plantainchute.ts
+++ b/bin/plantainchute.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
+import * as platformFiles from "../platform/check";
 import * as cli from "../src/cli/index";
 import * as standins from "../standins/cli/index";
 
-const program = cli.createProgram();
+const program = cli.createProgram([platformFiles.checkFile]);
 standins.register(program);
 void cli.runProgram(program, process.argv.slice(2));
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -9,7 +9,8 @@
 import * as scenarioCommand from "./scenarioCommand";
 import * as serveCommand from "./serveCommand";
 
-export function createProgram(): commander.Command {
+/** `checkers` know files beyond those of the present interface. */
+export function createProgram(checkers: readonly configCommands.FileChecker[] = []): commander.Command {
     const program = new commander.Command("plantainchute")
         .description("Schedules multi-accelerator jobs under client account guarantees")
         .showHelpAfterError("(add --help for the options)")
@@ -17,7 +18,7 @@
     serveCommand.register(program);
     jobCommands.register(program);
     operatorCommands.register(program);
-    configCommands.register(program);
+    configCommands.register(program, checkers);
     loadCommand.register(program);
     scenarioCommand.register(program);
     experimentCommand.register(program);
