--- a/src/experiment/bound.ts
+++ b/src/experiment/bound.ts
@@ -2,10 +2,10 @@
  * What no schedule can exceed on a load, whatever it knows of the future.
  *
  * The problem is made easier, so that its best solution is worth at least as much as any schedule's: work is divided
- * at will over the whole site, needs neither racks nor whole workers, a part of a job earns a part of its worth,
- * nothing fails and no worker is lost. What stays: a job works only between its arrival and the time until which it
- * earns something, no faster than all its tasks at once, and the site's processors and accelerators suffice at each
- * moment.
+ * at will over the whole site, a part of a job earns a part of its worth, and no worker is lost. What stays: a job works
+ * only between its arrival and the time until which it earns something, no faster than all its tasks at once, again for
+ * each run that fails, slower where no rack can hold its gang; and the site's processors and accelerators suffice at
+ * each moment.
  *
  * The bound is the dual of that problem: with any price for the site's room at each moment, no schedule earns more
  * than the prices of all room and what the jobs gain beyond them. The prices are improved step by step; every step
@@ -66,20 +66,53 @@
 function createDemand(load: loads.Load, planned: generate.PlannedJob, weight: number): Demand {
     const { job, class: item, arrivesAt, objectiveMs } = planned;
     const step = job.spec.steps[0]!;
-    const chainMs = job.durationsMs.reduce((sum, durationMs) => sum + durationMs, 0);
+    const shortestMs = planned.poisoned ? 0 : getShortestMs(load, planned);
     const toSlot = (ms: number) => Math.ceil(ms / SLOT_MS);
     return {
         fromSlot: Math.floor(arrivesAt / SLOT_MS),
         inTimeUntil: toSlot(arrivesAt + objectiveMs),
         until: toSlot(arrivesAt + worth.LATE_MULTIPLE * objectiveMs),
-        // A poisoned job may fail at once.
-        slots: planned.poisoned ? 0 : chainMs / SLOT_MS,
-        inTime: weight * item.worth.inTime,
+        slots: shortestMs / SLOT_MS,
+        inTime: weight * (shortestMs <= objectiveMs ? item.worth.inTime : item.worth.late),
         late: weight * item.worth.late,
         shares: KINDS.map(kind => step.count * step.needs[kind] / (load.workers * load.capacity[kind])),
     };
 }
 
+/** From its start to its end where everything is free, in milliseconds. */
+function getShortestMs(load: loads.Load, { job }: generate.PlannedJob): number {
+    return job.spec.steps.reduce((sum, step, number) => {
+        const { capacity } = load;
+        const perWorker = Math.min(
+            Math.floor(capacity.cpuMillis / step.needs.cpuMillis),
+            Math.floor(capacity.accelerators / step.needs.accelerators),
+        );
+        const spread = step.gang && step.sameRack && step.count > perWorker * load.workersPerRack;
+        return sum + job.durationsMs[number]! * countRuns(job, number) * (spread ? FAR_FACTOR : 1);
+    }, 0);
+}
+
+/** As the emulated workers slow down a gang that lies on more than one rack. */
+const FAR_FACTOR = 3;
+
+/** Runs one after another until the step is done: those that fail do so on any worker. */
+function countRuns(job: generate.PlannedJob["job"], number: number): number {
+    const step = job.spec.steps[number]!;
+    const names = Array.from({ length: step.count }, (_, index) => `${job.jobId}.0.${number}.${index}`);
+    const failsIn = (tasks: readonly string[], run: number) => tasks.some(task => job.fails?.(task, run) ?? false);
+    const count = (tasks: readonly string[]) => {
+        let run = 1;
+        while (run < MOST_RUNS && failsIn(tasks, run)) {
+            run++;
+        }
+        return run;
+    };
+    return step.gang ? count(names) : Math.max(...names.map(name => count([name])));
+}
+
+/** Beyond any queue's attempts. */
+const MOST_RUNS = 10;
+
 /** What the job gains at these prices, at most; `used` gets what it takes for that. */
 function takeBestSlots(
     demand: Demand,
