Beside idle workers nothing waits over 2 s for a better place; a follower that has ended tells nothing

Found on the way, each with a test that failed first: a task waits for the rack of its data for half its duration (4 to 5 s here), and a gang for a rack for all of it, also while under half of the service is in use; now 2 s. A followed table passed on an answer that came after the end of the term, which opened sessions that nobody closes.

--- a/src/decisions/__tests__/plainPlan.ts
+++ b/src/decisions/__tests__/plainPlan.ts
@@ -136,14 +136,14 @@
     workers: readonly types.PlaceableWorker[],
     roomOf: RoomOf,
 ): string[] | undefined {
+    const ofService = workers.filter(worker => worker.service === unit.service);
     const candidates = workers.filter(worker => mayRun(unit, worker));
     if (unit.count === 1) {
-        return placeOne(unit, candidates, roomOf);
+        return placeOne(unit, candidates, ofService, roomOf);
     }
     if (!unit.sameRack) {
         return pack(unit, candidates, roomOf);
     }
-    const ofService = workers.filter(worker => worker.service === unit.service);
     return placeInOneRack(unit, ofService, roomOf)
         ?? (maySpread(unit, ofService) ? pack(unit, candidates, roomOf) : undefined);
 }
@@ -189,13 +189,14 @@
 function placeOne(
     unit: types.WaitingUnit,
     candidates: readonly types.PlaceableWorker[],
+    allOfService: readonly types.PlaceableWorker[],
     roomOf: RoomOf,
 ): string[] | undefined {
     const fitting = candidates.filter(worker => countMembers(unit, worker, roomOf(worker)) > 0);
     const near = unit.dataRack === undefined ? fitting : fitting.filter(worker => worker.rack === unit.dataRack);
     const mustBeNear = unit.dataRack !== undefined
         && near.length === 0
-        && unit.waitedMs < unit.expectedMs * DATA_PATIENCE
+        && unit.waitedMs < getPatienceMs(unit, DATA_PATIENCE, allOfService)
         && candidates.some(worker => worker.rack === unit.dataRack);
     if (mustBeNear) {
         return undefined;
@@ -252,8 +253,19 @@
     return workerIds.length === unit.count ? workerIds : undefined;
 }
 
+const IDLE_PATIENCE_MS = 2_000;
+
+function getPatienceMs(unit: types.WaitingUnit, share: number, workers: readonly types.PlaceableWorker[]): number {
+    const kinds = ["cpuMillis", "accelerators"] as const;
+    const mostlyFree = kinds.every(kind => {
+        const used = workers.reduce((sum, worker) => sum + worker.used[kind], 0);
+        return 2 * used < workers.reduce((sum, worker) => sum + worker.capacity[kind], 0);
+    });
+    return mostlyFree ? Math.min(IDLE_PATIENCE_MS, unit.expectedMs * share) : unit.expectedMs * share;
+}
+
 function maySpread(unit: types.WaitingUnit, workers: readonly types.PlaceableWorker[]): boolean {
-    if (unit.waitedMs >= unit.expectedMs * SPREAD_PATIENCE) {
+    if (unit.waitedMs >= getPatienceMs(unit, SPREAD_PATIENCE, workers)) {
         return true;
     }
     for (const rackWorkers of groupByRack(workers).values()) {
--- a/src/decisions/__tests__/plan.test.ts
+++ b/src/decisions/__tests__/plan.test.ts
@@ -15,6 +15,60 @@
     readonly stops?: readonly string[];
 }
 
+/**
+ * Symptom: a job waits for seconds beside idle workers, at worst to the end of the day. Sequence: the rack with its
+ * data, or each rack that could hold its gang, is full, and the rest of the site is free. Cause: the wait for a better
+ * place knew only how long the task takes.
+ */
+function createPatienceCases(): Case[] {
+    const patient = { expectedMs: 20_000 };
+    const near = { ...patient, dataRack: "r1" };
+    const gang = { ...patient, gang: true, sameRack: true, count: 2, needs: WHOLE_WORKER };
+    const idle = [
+        fixtures.createWorker("r1w1", { used: FULL }),
+        fixtures.createWorker("r1w2"),
+        fixtures.createWorker("r2w1", { rack: "r2" }),
+    ];
+    const nearFull = [
+        fixtures.createWorker("r1w1", { used: FULL }),
+        fixtures.createWorker("r2w1", { rack: "r2" }),
+        fixtures.createWorker("r2w2", { rack: "r2" }),
+    ];
+    const busy = [...nearFull.slice(0, 2), fixtures.createWorker("r2w2", { rack: "r2", used: FULL })];
+    return [
+        {
+            name: "beside idle workers a task waits a while for the rack of its data",
+            workers: nearFull,
+            units: [fixtures.createUnit("t", { ...near, waitedMs: 1_900 })],
+            starts: {},
+        },
+        {
+            name: "beside idle workers a task does not wait for that rack any longer",
+            workers: nearFull,
+            units: [fixtures.createUnit("t", { ...near, waitedMs: 2_000 })],
+            starts: { t: ["r2w1"] },
+        },
+        {
+            name: "on a busy site it waits longer, since far from its data it takes three times as long",
+            workers: busy,
+            units: [fixtures.createUnit("t", { ...near, waitedMs: 2_000 })],
+            starts: {},
+        },
+        {
+            name: "beside idle workers a gang does not wait any longer for a rack",
+            workers: idle,
+            units: [fixtures.createUnit("g", { ...gang, waitedMs: 2_000 })],
+            starts: { g: ["r1w2", "r2w1"] },
+        },
+        {
+            name: "a gang waits for a rack a while",
+            workers: idle,
+            units: [fixtures.createUnit("g", { ...gang, waitedMs: 1_900 })],
+            starts: {},
+        },
+    ];
+}
+
 const cases: readonly Case[] = [
     {
         name: "a single task goes to the fullest worker that fits",
@@ -98,6 +152,7 @@
         groups: [fixtures.createGroup("g", "w1")],
         starts: {},
     },
+    ...createPatienceCases(),
     {
         name: "work within a guarantee is stopped for nobody, work of lower priority stops nothing",
         workers: [fixtures.createWorker("w1", { used: FULL })],
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -34,6 +34,8 @@
 
 /** The hosts of one service. */
 export interface Pool {
+    /** Whether under half of the processors and of the accelerators were in use when the pass began. */
+    isMostlyFree(): boolean;
     readonly racks: ReadonlyMap<string, Rack>;
     /** Hosts that may hold such a member, the fullest first; a few that cannot may be among them. */
     iterateFullestFirst(needs: work.Room): Iterable<Host>;
@@ -83,6 +85,8 @@
 
 function createPool(): MutablePool {
     const racks = new Map<string, MutableRack>();
+    const hosts: Host[] = [];
+    let mostlyFree: boolean | undefined;
     /** Hosts by free accelerators, each list by free processors and then by order. */
     const lists = new Map<number, Host[]>();
     let sorted = true;
@@ -102,10 +106,12 @@
         });
     return {
         racks,
+        isMostlyFree: () => mostlyFree ??= isHalfFree(hosts),
         add: (worker, order, room) => {
             const rack = getOrCreate(racks, worker.rack, () => createRack(worker.rack));
             const host = { worker, order, room, rack };
             rack.add(host);
+            hosts.push(host);
             getList(room.accelerators).push(host);
             sorted = false;
             return host;
@@ -135,6 +141,13 @@
     };
 }
 
+function isHalfFree(hosts: readonly Host[]): boolean {
+    const kinds = ["cpuMillis", "accelerators"] as const;
+    return kinds.every(kind =>
+        2 * sum(hosts, host => host.worker.used[kind]) < sum(hosts, host => host.worker.capacity[kind])
+    );
+}
+
 function compareHosts(a: Host, b: Host): number {
     return a.room.cpuMillis - b.room.cpuMillis || a.order - b.order;
 }
--- a/src/decisions/place.ts
+++ b/src/decisions/place.ts
@@ -11,6 +11,11 @@
 const SPREAD_PATIENCE = 1;
 /** A task waits for room in the rack of its data for up to this share of its expected duration. */
 const DATA_PATIENCE = 0.5;
+/**
+ * While under half of the service is in use nothing waits longer than this for a better place: whoever sees idle workers
+ * expects its work to run on them, and the users count work as lost that waits beside them for 3 s.
+ */
+const IDLE_PATIENCE_MS = 2_000;
 
 /** One host for each member, or `undefined` where the unit does not fit. */
 export function place(unit: types.WaitingUnit, fleet: fleets.Fleet): fleets.Host[] | undefined {
@@ -73,7 +78,7 @@
     const dataRack = unit.dataRack === undefined ? undefined : pool.racks.get(unit.dataRack);
     if (dataRack) {
         const near = findFullest(unit, sortFullestFirst([...dataRack.hosts]));
-        const mustBeNear = unit.waitedMs < unit.expectedMs * DATA_PATIENCE
+        const mustBeNear = unit.waitedMs < getPatienceMs(unit, DATA_PATIENCE, pool)
             && dataRack.hosts.some(host => mayRun(unit, host.worker));
         if (near || mustBeNear) {
             return near;
@@ -149,12 +154,18 @@
 
 /** Whether the gang has waited long enough for a rack, or no rack of its service could ever hold it. */
 function maySpread(unit: types.WaitingUnit, pool: fleets.Pool): boolean {
-    if (unit.waitedMs >= unit.expectedMs * SPREAD_PATIENCE) {
+    if (unit.waitedMs >= getPatienceMs(unit, SPREAD_PATIENCE, pool)) {
         return true;
     }
     return ![...pool.racks.values()].some(rack => couldHold(unit, rack));
 }
 
+/** How long the unit waits for a better place, where it takes that share of its expected duration. */
+function getPatienceMs(unit: types.WaitingUnit, share: number, pool: fleets.Pool): number {
+    const patienceMs = unit.expectedMs * share;
+    return patienceMs > IDLE_PATIENCE_MS && pool.isMostlyFree() ? IDLE_PATIENCE_MS : patienceMs;
+}
+
 function couldHold(unit: types.WaitingUnit, rack: fleets.Rack): boolean {
     if (rack.countCapacity(unit.needs) < unit.count) {
         return false;
--- a/src/rows/__tests__/followTable.test.ts
+++ b/src/rows/__tests__/followTable.test.ts
@@ -110,6 +110,18 @@
         opened.stop();
     });
 
+    test("tells nothing after its end, also when an answer is on its way", async () => {
+        // Symptom: a leader that has lost its lease opens connections to workers that nobody closes. Sequence: the
+        // term ends while the store answers. Cause: the answer was still passed on.
+        const opened = open(() => "none");
+        opened.store.put({ table: TABLE, part: "", key: "config", value: "1" });
+        await opened.time.advance(1_000);
+        opened.store.put({ table: TABLE, part: "", key: "config", value: "2" });
+        opened.stop();
+        await opened.time.advance(5_000);
+        expect(opened.known.get("config")?.value).toBe("1");
+    });
+
     test.each(cases)("$name", async ({ decide, forgets, changedAt, knownUntil }) => {
         const opened = open(decide ?? (() => "none"));
         opened.store.put({ table: TABLE, part: "", key: "config", value: "1" });
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -48,6 +48,7 @@
     return { done: follow(options) };
 }
 
+/** Ends without a word after the signal, also when an answer is on its way: its taker may be gone. */
 async function follow(options: TableFollowerOptions): Promise<void> {
     const { store, signal, everyMs = 0 } = options;
     const waitMs = everyMs > 0 ? 0 : POLL_WAIT_MS;
@@ -59,6 +60,9 @@
     while (!signal.aborted) {
         if (after === undefined) {
             const all = await readAll.readAll(store, { table: options.table, part: options.part }, READ_TIMEOUT_MS);
+            if (signal.aborted) {
+                return;
+            }
             if (all.kind !== "read") {
                 await lose(all.message);
                 continue;
@@ -72,6 +76,9 @@
             await options.clock.sleep(everyMs, signal);
         }
         const changes = await store.feed(options.table, after, waitMs, waitMs + POLL_SLACK_MS);
+        if (signal.aborted) {
+            return;
+        }
         switch (changes.kind) {
             case "changes":
                 after = Math.max(after, changes.version);
