Soak: a configuration that came meanwhile is no step back

Cause: the operator asked for the mark of 36; before the answer 41 was in force, which has a mark of its own. The instance's lines show 35, 36, 41, 42 and on. Ruled out: a step back; no older version was accepted. After: an answer counts only while the version asked for is the newest.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -72,11 +72,15 @@
             if (known) {
                 newest = Math.max(newest, asked);
             }
+            if (known !== false || asked !== version) {
+                // A newer one, written meanwhile, may be in force by now, and has a mark of its own.
+                continue;
+            }
             const due = acknowledgedAt.get(asked)! + APPLY_MS + SLACK_MS;
-            if (known === false && asked === newest) {
+            if (asked === newest) {
                 breaches.push(`${name} went back from configuration ${asked}`);
             }
-            else if (known === false && asked === version && sentAt > due && calm.isCalm(due - APPLY_MS, time.now())) {
+            else if (sentAt > due && calm.isCalm(due - APPLY_MS, time.now())) {
                 breaches.push(`${name} did not follow configuration ${asked} in time`);
             }
         }
