A takeover knows which earlier leaders may still prolong work

And after a lease that was given back it allowed for nobody, although a holder before the last one may be cut off and prolong still (9.6 s where 15.5 s are needed: TWICE). Change: the lease's row says for how long holders before the present one may go on; a successor takes that over, and adds its predecessor only where that one is not certain to be over. Ruled out: that unlisted workers are waited for longer than heard ones; both waits come from the same bound.

--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -1,7 +1,8 @@
 /** The leader: who it is, what it believes of jobs and workers, and the orders it gives. */
 export type { AdviceResult, Adviser, WorkerDirectory } from "./directory";
 export type { WorkerInfo } from "./entries";
-export { createLease, type Leadership, type Lease, type LeaseObservation, type LeaseRecord } from "./lease";
+export type { Leadership } from "./heldLease";
+export { createLease, type Lease, type LeaseObservation, type LeaseRecord } from "./lease";
 export type { Machine, MachineService, MachinesResult, UpkeepAnswer, UpkeepOrder, Wave, WaveBoard } from "./machines";
 export { createTerm, type Term, type TermOptions } from "./term";
 export type {
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -6,11 +6,11 @@
  * a machine that was suspended wakes up with a monotonic clock that did not count the pause, and would give orders
  * that its successor has already given.
  */
-import * as events from "node:events";
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import * as rows from "../rows/index";
 import * as work from "../work/index";
+import * as heldLease from "./heldLease";
 
 export interface LeaseRecord {
     /** Id of the holder's life; empty: given back. */
@@ -22,6 +22,11 @@
     readonly watchAddress: string;
     /** How strong the holder's machine is: the processor time that it gets, in cores. */
     readonly power: number;
+    /**
+     * For how many milliseconds more, counted from the write, a leader before the holder may prolong work on workers that
+     * have not heard of the holder; absent: none does.
+     */
+    readonly othersProlongMs?: number;
     /** Jobs of each queue of which no task has started; absent while the holder does not know yet. */
     readonly waiting?: Readonly<Record<string, number>>;
 }
@@ -33,19 +38,6 @@
     readonly seenAt: number;
 }
 
-export interface Leadership {
-    readonly token: number;
-    /** Row that guards each write of the term. */
-    readonly guard: rows.RowCondition;
-    readonly signal: AbortSignal;
-    /** Whether orders may be given now. */
-    mayOrder(): boolean;
-    /** Whether leases of running work may be prolonged now: a while longer than orders. */
-    mayProlong(): boolean;
-    /** Monotonic time after which no earlier leader prolongs any work. */
-    readonly othersSilentAt: number;
-}
-
 export interface LeaseOptions {
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
@@ -61,7 +53,7 @@
     readonly power: number;
     readonly signal: AbortSignal;
     getWaiting(): Readonly<Record<string, number>> | undefined;
-    onElected(leadership: Leadership): void;
+    onElected(leadership: heldLease.Leadership): void;
 }
 
 export interface Lease {
@@ -75,20 +67,8 @@
 
 /** A renewal takes 5 ms, at a store that is 60 times slower 0.3 s; three of them fit into a lease. */
 const RENEW_EVERY_MS = 500;
-/**
- * Unchanged for this long, the lease is another's to take: one lost renewal and the time of the next. Work that is
- * handed in meanwhile waits, and an urgent job of 2.5 s can wait for 1.25 s.
- */
-const LEASE_MS = 1_600;
-/** The holder stops this much earlier: clocks that differ by 2%, and the way of a last order. */
-const LEASE_MARGIN_MS = 250;
 /** After a loss of the store a follower leaves the holder this long to renew first: a takeover costs a look at all. */
 const RETURN_MS = 1_200;
-/**
- * How much longer than its lease a leader without the store prolongs what runs. An outage of the store of several
- * seconds then stops no work. A successor waits this much longer before it counts work on a silent worker as gone.
- */
-export const PROLONG_MS = 9_000;
 /** A machine with this many times the holder's processor time takes the lead over. */
 const MUCH_STRONGER = 2;
 /** Only an instance that has seen the store for this long does: not right after a start or an outage. */
@@ -103,13 +83,13 @@
 const LEASE_KEY: rows.RowKey = { table: work.Table.Lead, part: work.LEADER_PART, key: "lease" };
 const TOKEN_KEY: rows.RowKey = { table: work.Table.Lead, part: work.LEADER_PART, key: "token" };
 
-/** The counts as the leader last wrote them, with their age. */
+/** Follows the lease's row, takes the lease when it is free, and renews it while this instance leads. */
 export function createLease(options: LeaseOptions): Lease {
     const { clock: time, log } = options;
     let observed: LeaseObservation | undefined;
     let knowsTable = false;
     let contactSince: number | undefined;
-    let term: Term | undefined;
+    let term: heldLease.HeldLease | undefined;
     let released = false;
     let watchedHolder = "";
     let goneHolder: string | undefined;
@@ -193,33 +173,50 @@
         && observed.record.holder !== ""
         && options.power >= MUCH_STRONGER * observed.record.power
         && time.now() - contactSince >= STEADY_MS
-        && time.now() - observed.seenAt < LEASE_MS;
+        && time.now() - observed.seenAt < heldLease.LEASE_MS;
+    /** Whether the last holder is certain to be over: it gave the lease back, or was an earlier life of this instance. */
+    const isHolderOver = ({ record }: LeaseObservation) => record.holder === "" || record.instance === options.instance;
     const isFree = (): boolean => {
         if (!observed) {
             return true;
         }
-        // Our own earlier life is over for certain; nobody else can speak for it.
-        if (
-            observed.record.holder === "" || observed.record.holder === goneHolder
-            || observed.record.instance === options.instance
-        ) {
+        if (isHolderOver(observed) || observed.record.holder === goneHolder) {
             return true;
         }
         const now = time.now();
-        return now - observed.seenAt >= LEASE_MS && contactSince !== undefined && now - contactSince >= RETURN_MS;
+        return now - observed.seenAt >= heldLease.LEASE_MS && contactSince !== undefined
+            && now - contactSince >= RETURN_MS;
     };
-    const createRecord = (token: number, waiting?: Readonly<Record<string, number>>): LeaseRecord => ({
+    const createRecord = (
+        token: number,
+        othersSilentAt: number,
+        waiting?: Readonly<Record<string, number>>,
+    ): LeaseRecord => ({
         holder: options.life,
         instance: options.instance,
         token,
         watchAddress: options.watchAddress,
         power: options.power,
+        othersProlongMs: Math.ceil(Math.max(0, othersSilentAt - time.now())) || undefined,
         waiting,
     });
+    /**
+     * Monotonic time from which on no earlier leader prolongs any work. Holders before the last one count as well: one
+     * that was cut off goes on while a successor comes, ends in good order and is succeeded in turn.
+     */
+    const getOthersSilentAt = (now: number): number => {
+        if (!observed) {
+            return now;
+        }
+        const inheritedUntil = observed.seenAt + (observed.record.othersProlongMs ?? 0);
+        // A holder that is still there may have renewed a moment before its lease was taken.
+        return isHolderOver(observed) ? Math.max(now, inheritedUntil) : now + heldLease.LEASE_MS + heldLease.PROLONG_MS;
+    };
     const takeOver = async () => {
-        const sentAt = readTimes(time);
+        const sentAt = heldLease.readTimes(time);
         const token = (observed?.record.token ?? 0) + 1;
-        const record = createRecord(token);
+        const othersSilentAt = getOthersSilentAt(sentAt.monotonic);
+        const record = createRecord(token, othersSilentAt);
         const wasReleased = observed?.record.holder === "";
         const outcome = await options.store.transact({
             conditions: [{ ...LEASE_KEY, version: observed?.version ?? 0 }],
@@ -233,13 +230,20 @@
             return;
         }
         observed = { record, version: outcome.version, seenAt: time.now() };
-        term = createTerm(options, token, outcome.version, sentAt, wasReleased);
+        term = heldLease.createHeldLease(time, {
+            token,
+            tokenKey: TOKEN_KEY,
+            version: outcome.version,
+            sentAt,
+            othersSilentAt,
+        });
         log.info("leadershipTaken", { token, released: wasReleased });
         options.onElected(term.leadership);
     };
-    const renew = async (current: Term) => {
-        const sentAt = readTimes(time);
-        const record = createRecord(current.leadership.token, options.getWaiting());
+    const renew = async (current: heldLease.HeldLease) => {
+        const sentAt = heldLease.readTimes(time);
+        const { token, othersSilentAt } = current.leadership;
+        const record = createRecord(token, othersSilentAt, options.getWaiting());
         const outcome = await options.store.transact({
             conditions: [{ ...LEASE_KEY, version: current.version }],
             puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
@@ -319,7 +323,8 @@
             }
             const waiting = options.getWaiting();
             endTerm("this instance stops");
-            const record = { ...createRecord(current.leadership.token, waiting), holder: "", watchAddress: "" };
+            const { token, othersSilentAt } = current.leadership;
+            const record = { ...createRecord(token, othersSilentAt, waiting), holder: "", watchAddress: "" };
             const outcome = await options.store.transact({
                 conditions: [{ ...LEASE_KEY, version: current.version }],
                 puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
@@ -333,53 +338,3 @@
 function getYieldMs(power: number): number {
     return Math.max(0, 1 - power / STRONG_CORES) * MOST_YIELD_MS;
 }
-
-/** One moment on both clocks. */
-interface Times {
-    readonly monotonic: number;
-    readonly wall: number;
-}
-
-interface Term {
-    readonly leadership: Leadership;
-    readonly controller: AbortController;
-    version: number;
-    renewedAt: Times;
-    getLeftMs(): number;
-}
-
-function createTerm(
-    options: LeaseOptions,
-    token: number,
-    version: number,
-    sentAt: Times,
-    wasReleased: boolean,
-): Term {
-    const controller = new AbortController();
-    // Each task that is being stopped waits on the signal.
-    events.setMaxListeners(0, controller.signal);
-    const getElapsedMs = () => {
-        const now = readTimes(options.clock);
-        return Math.max(now.monotonic - term.renewedAt.monotonic, now.wall - term.renewedAt.wall);
-    };
-    const term: Term = {
-        controller,
-        version,
-        renewedAt: sentAt,
-        getLeftMs: () => LEASE_MS - LEASE_MARGIN_MS - getElapsedMs(),
-        leadership: {
-            token,
-            guard: { ...TOKEN_KEY, version },
-            signal: controller.signal,
-            mayOrder: () => !controller.signal.aborted && term.getLeftMs() > 0,
-            mayProlong: () => !controller.signal.aborted && term.getLeftMs() + PROLONG_MS > 0,
-            // A predecessor that is still there may have renewed a moment before its lease was taken.
-            othersSilentAt: sentAt.monotonic + (wasReleased ? 0 : LEASE_MS + PROLONG_MS),
-        },
-    };
-    return term;
-}
-
-function readTimes(time: clock.Clock): Times {
-    return { monotonic: time.now(), wall: time.wallTime() };
-}
--- a/src/leader/retention.ts
+++ b/src/leader/retention.ts
@@ -10,13 +10,13 @@
 import * as work from "../work/index";
 import type * as book from "./book";
 import type * as entries from "./entries";
-import type * as lease from "./lease";
+import type * as heldLease from "./heldLease";
 
 export interface RetentionOptions {
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: lease.Leadership;
+    readonly leadership: heldLease.Leadership;
     readonly book: book.Book;
     /** How long the state of an ended job can be asked for. */
     readonly retentionMs: number;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -13,7 +13,7 @@
 import * as followIntake from "./followIntake";
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
-import type * as lease from "./lease";
+import type * as heldLease from "./heldLease";
 import type * as machines from "./machines";
 import * as ordersOfTerm from "./orders";
 import * as progressWriter from "./progressWriter";
@@ -37,7 +37,7 @@
     readonly directory: directory.WorkerDirectory;
     readonly adviser: directory.Adviser;
     readonly workers: port.WorkerPort;
-    readonly leadership: lease.Leadership;
+    readonly leadership: heldLease.Leadership;
     readonly machines: machines.MachineService;
     readonly waves: machines.WaveBoard;
     readonly policy: decisions.Policy;
--- a/src/leader/upkeep.ts
+++ b/src/leader/upkeep.ts
@@ -9,7 +9,7 @@
 import type * as rows from "../rows/index";
 import type * as book from "./book";
 import * as entries from "./entries";
-import type * as lease from "./lease";
+import type * as heldLease from "./heldLease";
 import type * as machines from "./machines";
 import * as upkeepRows from "./upkeepRows";
 import * as stagesOfWave from "./upkeepStages";
@@ -20,7 +20,7 @@
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: lease.Leadership;
+    readonly leadership: heldLease.Leadership;
     /** Unique to this term's instance. */
     readonly holder: string;
     /** How long a machine is down for its upkeep. */
--- a/src/leader/upkeepRows.ts
+++ b/src/leader/upkeepRows.ts
@@ -7,12 +7,12 @@
  */
 import type * as rows from "../rows/index";
 import * as work from "../work/index";
-import type * as lease from "./lease";
+import type * as heldLease from "./heldLease";
 import type * as stagesOfWave from "./upkeepStages";
 
 export interface UpkeepRows {
     readonly store: rows.RowStore;
-    readonly leadership: lease.Leadership;
+    readonly leadership: heldLease.Leadership;
     readonly timeoutMs: number;
 }
 
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -3,8 +3,8 @@
 import type * as observe from "../observe/index";
 import type * as book from "./book";
 import type * as entries from "./entries";
+import type * as heldLease from "./heldLease";
 import * as lapse from "./lapse";
-import type * as lease from "./lease";
 import type * as units from "./units";
 
 /** What a stop and the noting of its end take at most, before the worker leaves. */
@@ -45,7 +45,7 @@
     worker: entries.WorkerEntry,
     options: {
         readonly clock: clock.Clock;
-        readonly leadership: lease.Leadership;
+        readonly leadership: heldLease.Leadership;
         readonly maxLeaseMs: number;
         readonly book: book.Book;
     },
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -7,8 +7,8 @@
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import * as firstLooks from "./firstLooks";
+import type * as heldLease from "./heldLease";
 import * as lapse from "./lapse";
-import type * as lease from "./lease";
 import * as port from "./workerPort";
 
 export interface WorkerLists {
@@ -26,7 +26,7 @@
     readonly port: port.WorkerPort;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: lease.Leadership;
+    readonly leadership: heldLease.Leadership;
     readonly firstLooks: firstLooks.FirstLooks;
     /** Longest lease that the worker grants. */
     readonly maxLeaseMs: number;
