Requests that an instance cannot serve are passed on to one that can

An instance that the store turns away, or that is cut off from it, refused its callers until the balancer had noticed, and each came back a second later. Now it hands the request, as it came, to the leader or to an instance that watches it; that one checks key and route under its own configuration and answers. Nothing is passed on twice; silence after a submission leaves the outcome open (504); after a newer configuration was seen through a peer nothing is handled under an older one. Each case has a test in src/relay.

--- a/soak/balancer.ts
+++ b/soak/balancer.ts
@@ -1,7 +1,7 @@
 /** Which instances take new connections, as the platform's balancer decides it from their readiness checks. */
 import * as events from "node:events";
-import * as httpClient from "../platform/httpClient";
 import * as standin from "../platform/standin/index";
+import * as calls from "../src/calls/index";
 import type * as clock from "../src/clock/index";
 import type * as random from "../src/random/index";
 import type * as sites from "./site";
@@ -18,7 +18,7 @@
 }
 
 export function createBalancer(site: sites.Site, time: clock.Clock, source: random.Random): Balancer {
-    const client = httpClient.createHttpClient(1);
+    const client = calls.createHttpClient(1);
     const stopped = new AbortController();
     events.setMaxListeners(0, stopped.signal);
     const misses = site.instances.map(() => MOST_MISSES);
--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -39,6 +39,7 @@
 const CALLERS_PORT = 8_521;
 const READINESS_PORT = 8_523;
 const WATCH_PORT = 7_000;
+const PEERS_PORT = 7_001;
 const GRACE_S = 6;
 const UPKEEP_S = 2;
 const STATUS_S = 120;
@@ -61,6 +62,7 @@
             callers,
             readiness,
             watch: `${options.address}:${WATCH_PORT}`,
+            peers: `${options.address}:${PEERS_PORT}`,
             store: options.store,
             bounds: {
                 maxLeaseMs: options.maxLeaseMs,
--- a/platform/httpClient.ts
+++ b/src/calls/httpClient.ts
@@ -1,5 +1,5 @@
 /**
- * HTTP calls to the platform and to workers: keep-alive connections, one timeout for a whole call, and a typed
+ * HTTP calls to the platform, to workers and to other instances: keep-alive connections, one timeout for a whole call, and a typed
  * outcome that says whether the call may have been carried out.
  */
 import * as http from "node:http";
--- /dev/null
+++ b/src/calls/index.ts
@@ -0,0 +1,2 @@
+/** HTTP calls of the processes on the users' platform, with one timeout each and outcomes that say what is certain. */
+export { createHttpClient, type HttpCall, type HttpClient, type HttpOutcome } from "./httpClient";
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -105,6 +105,7 @@
             life: `life-${++lives}`,
             power: 1,
             watchAddress: getInstanceName(number),
+            peerAddress: getInstanceName(number),
             watchProcess: (address, onGone) => {
                 const controller = instances.find((_, other) => getInstanceName(other) === address)?.controller;
                 const tell = () => {
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -20,6 +20,8 @@
     readonly token: number;
     /** Where other instances watch the holder's process; empty where it offers no watch. */
     readonly watchAddress: string;
+    /** Where the holder takes requests that other instances pass on; empty where it takes none. */
+    readonly peerAddress: string;
     /** How strong the holder's machine is: the processor time that it gets, in cores. */
     readonly power: number;
     /**
@@ -47,6 +49,8 @@
     readonly life: string;
     /** Where other instances watch this process; empty: nowhere. */
     readonly watchAddress: string;
+    /** Where this instance takes requests that others pass on; empty: nowhere. */
+    readonly peerAddress: string;
     /** Watches the holder's process; returns what ends the watch. */
     watchHolder(address: string, onGone: () => void): () => void;
     /** Processor time that this instance gets, in cores. */
@@ -196,6 +200,7 @@
         instance: options.instance,
         token,
         watchAddress: options.watchAddress,
+        peerAddress: options.peerAddress,
         power: options.power,
         othersProlongMs: Math.ceil(Math.max(0, othersSilentAt - time.now())) || undefined,
         waiting,
@@ -324,7 +329,12 @@
             const waiting = options.getWaiting();
             endTerm("this instance stops");
             const { token, othersSilentAt } = current.leadership;
-            const record = { ...createRecord(token, othersSilentAt, waiting), holder: "", watchAddress: "" };
+            const record = {
+                ...createRecord(token, othersSilentAt, waiting),
+                holder: "",
+                watchAddress: "",
+                peerAddress: "",
+            };
             const outcome = await options.store.transact({
                 conditions: [{ ...LEASE_KEY, version: current.version }],
                 puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
--- a/src/liveness/__tests__/liveness.test.ts
+++ b/src/liveness/__tests__/liveness.test.ts
@@ -8,7 +8,7 @@
         const server = liveness.createLivenessServer();
         const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
         const gone = new Promise<void>(resolve => {
-            liveness.watchProcess({ address, onGone: resolve });
+            liveness.watchProcess({ address, ownAddress: "", onGone: resolve });
         });
         // The watch needs a moment to connect; closing before that would prove nothing.
         await new Promise(resolve => setTimeout(resolve, 100));
@@ -20,6 +20,7 @@
         let told = false;
         const end = liveness.watchProcess({
             address: `127.0.0.1:${CLOSED_PORT}`,
+            ownAddress: "",
             onGone: () => {
                 told = true;
             },
@@ -28,4 +29,18 @@
         end();
         expect(told).toBe(false);
     });
+
+    test("a process learns where its watchers can be reached", async () => {
+        const server = liveness.createLivenessServer();
+        const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
+        const ends = ["10.0.0.1:7001", "no address", "10.0.0.2:7001"].map(ownAddress =>
+            liveness.watchProcess({ address, ownAddress, onGone: () => undefined })
+        );
+        while (server.getWatchers().length < 2) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        ends.forEach(end => end());
+        server.close();
+        expect([...server.getWatchers()].sort()).toEqual(["10.0.0.1:7001", "10.0.0.2:7001"]);
+    });
 });
--- a/src/liveness/server.ts
+++ b/src/liveness/server.ts
@@ -1,20 +1,29 @@
-/** Holds the connections of instances that watch this process; nothing is ever sent on them. */
+/** Holds the connections of instances that watch this process; each says once where it can be reached itself. */
 import * as net from "node:net";
 
 export interface LivenessServer {
     /** Takes `IP:PORT`, port 0 for any free one; returns the port. */
     listen(address: string): Promise<number>;
+    /** Addresses that watchers have named, the latest first; those of watchers that have gone since may be among them. */
+    getWatchers(): readonly string[];
     close(): void;
 }
 
 /** Ends connections of watchers that are gone without a word. */
 const KEEP_ALIVE_MS = 5_000;
+/** Watchers move on to the next leader just when their addresses are needed; so many are remembered. */
+const MOST_WATCHERS = 8;
+/** `IP:PORT` and a line end. */
+const MOST_GREETING_BYTES = 64;
 
 export function createLivenessServer(): LivenessServer {
     const open = new Set<net.Socket>();
+    let watchers: readonly string[] = [];
     const server = net.createServer({ keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_MS }, socket => {
         open.add(socket);
-        socket.resume();
+        readGreeting(socket, address => {
+            watchers = [address, ...watchers.filter(other => other !== address)].slice(0, MOST_WATCHERS);
+        });
         // A watcher that is gone needs nothing from us; the next one opens its own connection.
         socket.on("error", () => socket.destroy());
         socket.on("close", () => open.delete(socket));
@@ -31,9 +40,27 @@
                 );
             });
         },
+        getWatchers: () => watchers,
         close: () => {
             server.close();
             open.forEach(socket => socket.destroy());
         },
     };
 }
+
+/** Reads the one line that a watcher sends; whatever else comes is dropped. */
+function readGreeting(socket: net.Socket, onAddress: (address: string) => void): void {
+    let text = "";
+    let complete = false;
+    socket.on("data", (chunk: Buffer) => {
+        if (complete) {
+            return;
+        }
+        text += chunk.toString("latin1", 0, MOST_GREETING_BYTES);
+        const match = /^([^\s:]+:\d{1,5})\n/.exec(text);
+        complete = Boolean(match) || text.length >= MOST_GREETING_BYTES;
+        if (match) {
+            onAddress(match[1]!);
+        }
+    });
+}
--- a/src/liveness/watch.ts
+++ b/src/liveness/watch.ts
@@ -1,5 +1,5 @@
 /**
- * Watches another instance's process over a connection on which nothing is sent.
+ * Watches another instance's process over a connection on which nothing is sent but the watcher's own address.
  *
  * When a process dies, its system closes its connections and refuses new ones. So a connection that had come about
  * and was closed, followed by a refusal, means that the process is gone, long before its lease lapses. Silence means
@@ -10,6 +10,8 @@
 export interface WatchOptions {
     /** `IP:PORT` of the process's liveness server. */
     readonly address: string;
+    /** Where this process takes requests that others pass on: the watched one may need it. Empty: nowhere. */
+    readonly ownAddress: string;
     /** Called once, when the process is gone. */
     onGone(): void;
 }
@@ -34,6 +36,7 @@
         socket.once("connect", () => {
             wasConnected = true;
             socket?.setTimeout(0);
+            socket?.write(`${options.ownAddress}\n`);
         });
         socket.once("timeout", () => socket?.destroy());
         socket.on("error", (err: NodeJS.ErrnoException) => {
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -25,6 +25,7 @@
 export const METRICS = {
     requests_total: counter("callers' requests", "call", "outcome", "account", "queue"),
     request_duration_ms: histogram("from a request to its answer", "call", "account"),
+    requests_passed_total: counter("requests passed on to another instance, by its status", "outcome"),
     ready: gauge("1 while the instance takes callers' connections"),
     configuration_version: gauge("version of the configuration in force"),
     store_reachable: gauge("1 while the store answers"),
--- /dev/null
+++ b/src/relay/__tests__/peers.test.ts
@@ -0,0 +1,108 @@
+import * as calls from "../../calls/index";
+import * as relay from "../index";
+
+const REQUEST: relay.CallersRequest = {
+    method: "POST",
+    path: "/q/0123456789abcdef",
+    host: "h.example",
+    authorization: "Token key",
+    requestId: "r1",
+    deadlineMs: 2_900,
+    body: "{\"spec\":\"\u00e9\"}",
+};
+/** No test waits for it but the one of a peer that is silent. */
+const TIMEOUT_MS = 5_000;
+
+async function open(handle: (request: relay.CallersRequest) => Promise<relay.CallersReply>) {
+    const server = relay.createPeerServer({ getConfigurationVersion: () => 7, handle });
+    const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
+    const client = calls.createHttpClient(2);
+    const send = relay.createPeerClient(client);
+    return {
+        address,
+        server,
+        send: (request: relay.CallersRequest, timeoutMs = TIMEOUT_MS) => send(address, request, timeoutMs),
+        close: async () => {
+            client.close();
+            await server.close();
+        },
+    };
+}
+
+describe("a request that is passed on", () => {
+    const replies: ReadonlyArray<{ readonly name: string; readonly reply: relay.CallersReply; }> = [
+        { name: "accepted", reply: { status: 200, body: { state: "running" } } },
+        { name: "refused", reply: { status: 503, retryAfterMs: 900, body: { error: "r" } } },
+        { name: "without a body", reply: { status: 410 } },
+    ];
+    test.each(replies)("arrives as it was, and its reply comes back: $name", async ({ reply }) => {
+        const seen: relay.CallersRequest[] = [];
+        const peer = await open(async request => {
+            seen.push(request);
+            return reply;
+        });
+        const answer = await peer.send(REQUEST);
+        await peer.close();
+        expect(seen).toEqual([REQUEST]);
+        expect(answer).toEqual({ kind: "replied", passed: { reply, configurationVersion: 7 } });
+    });
+
+    test("to a process that is gone was never sent", async () => {
+        const peer = await open(async () => ({ status: 200 }));
+        await peer.close();
+        const client = calls.createHttpClient(1);
+        const answer = await relay.createPeerClient(client)(peer.address, REQUEST, TIMEOUT_MS);
+        client.close();
+        expect(answer).toMatchObject({ kind: "unreachable" });
+    });
+
+    test("to a peer that does not answer in time may have been carried out", async () => {
+        const held: Array<(reply: relay.CallersReply) => void> = [];
+        const peer = await open(() => new Promise(resolve => held.push(resolve)));
+        const answer = await peer.send(REQUEST, 30);
+        expect(answer).toMatchObject({ kind: "silent" });
+        held.forEach(finish => finish({ status: 200 }));
+        await peer.close();
+    });
+
+    const malformed = ["", "null", "{}", "{\"method\":1,\"path\":\"/\"}", "x".repeat(2_000_000)];
+    test.each(malformed.map(text => ({ text, name: text.slice(0, 30) })))(
+        "that is malformed reaches nobody: $name",
+        async ({ text }) => {
+            const seen: relay.CallersRequest[] = [];
+            const peer = await open(async request => {
+                seen.push(request);
+                return { status: 200 };
+            });
+            const client = calls.createHttpClient(1);
+            const outcome = await client.call({
+                address: peer.address,
+                method: "POST",
+                path: "/request",
+                body: text,
+                timeoutMs: TIMEOUT_MS,
+            });
+            client.close();
+            await peer.close();
+            expect(seen).toEqual([]);
+            expect(outcome).toMatchObject({ kind: "answered", status: 400 });
+        },
+    );
+
+    test("to a stopping instance is answered, and then no more are taken", async () => {
+        // Symptom: a request is left open at each replacement of a peer. Sequence: it is being handled when the peer
+        // stops. Cause: the peer closes its connections instead of finishing.
+        const held: Array<(reply: relay.CallersReply) => void> = [];
+        const peer = await open(() => new Promise(resolve => held.push(resolve)));
+        const pending = peer.send(REQUEST);
+        while (held.length === 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        const closed = peer.server.close();
+        held[0]!({ status: 200 });
+        expect(await pending).toMatchObject({ kind: "replied" });
+        await closed;
+        expect(await peer.send(REQUEST)).toMatchObject({ kind: "unreachable" });
+        await peer.close();
+    });
+});
--- /dev/null
+++ b/src/relay/__tests__/relay.test.ts
@@ -0,0 +1,195 @@
+import * as clocks from "../../clock/index";
+import * as relay from "../index";
+
+const POST: relay.CallersRequest = {
+    method: "POST",
+    path: "/q/1",
+    host: "h",
+    authorization: "Token key",
+    requestId: "r",
+    deadlineMs: 3_000,
+    body: "{}",
+};
+const GET: relay.CallersRequest = { ...POST, method: "GET", body: "" };
+
+const accepted: relay.CallersReply = { status: 200, body: {} };
+const refused: relay.CallersReply = { status: 503, retryAfterMs: 900, body: { error: "here" } };
+const undecided: relay.CallersReply = { status: 504, retryAfterMs: 900, body: { error: "here" } };
+const silent: relay.PeerAnswer = { kind: "silent", message: "" };
+const unreachable: relay.PeerAnswer = { kind: "unreachable", message: "" };
+
+function replied(reply: relay.CallersReply, configurationVersion = 1): relay.PeerAnswer {
+    return { kind: "replied", passed: { reply, configurationVersion } };
+}
+
+interface OpenOptions {
+    readonly storeAway?: boolean;
+    readonly answers?: Readonly<Record<string, relay.PeerAnswer>>;
+    readonly version?: () => number;
+}
+
+function open(options: OpenOptions) {
+    const time = clocks.createManualClock(0);
+    const asked: string[] = [];
+    const answers = options.answers ?? {};
+    const created = relay.createRelay({
+        clock: time,
+        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        meter: { increment: () => undefined, record: () => undefined, registerGauges: () => () => undefined },
+        getConfigurationVersion: options.version ?? (() => 1),
+        isStoreAway: () => options.storeAway ?? false,
+        getPeers: () => Object.keys(answers),
+        send: async peer => {
+            asked.push(peer);
+            return answers[peer]!;
+        },
+    });
+    return { time, asked, relay: created };
+}
+
+describe("a request that this instance may not be able to serve", () => {
+    const cases: ReadonlyArray<
+        OpenOptions & {
+            readonly name: string;
+            readonly request?: relay.CallersRequest;
+            /** What comes of it here. */
+            readonly here?: relay.CallersReply;
+            readonly reply: relay.CallersReply;
+            readonly asked: readonly string[];
+            /** Whether it is handled here as well. */
+            readonly handled: boolean;
+        }
+    > = [
+        {
+            name: "is handled here while the store is there",
+            answers: { leader: replied(accepted) },
+            reply: accepted,
+            asked: [],
+            handled: true,
+        },
+        {
+            name: "goes to the leader while the store is away from here",
+            storeAway: true,
+            answers: { leader: replied(accepted), other: silent },
+            reply: accepted,
+            asked: ["leader"],
+            handled: false,
+        },
+        {
+            name: "goes to the leader when it is refused here first",
+            here: refused,
+            answers: { leader: replied(accepted) },
+            reply: accepted,
+            asked: ["leader"],
+            handled: true,
+        },
+        {
+            name: "goes to the next peer when the first cannot be reached",
+            storeAway: true,
+            answers: { leader: unreachable, other: replied({ status: 410 }) },
+            reply: { status: 410 },
+            asked: ["leader", "other"],
+            handled: false,
+        },
+        {
+            name: "goes to two peers at most",
+            storeAway: true,
+            here: refused,
+            answers: { a: unreachable, b: unreachable, c: replied(accepted) },
+            reply: refused,
+            asked: ["a", "b"],
+            handled: true,
+        },
+        {
+            name: "is refused as it would be here when peers lack the store as well",
+            storeAway: true,
+            here: refused,
+            answers: { leader: replied({ status: 503, retryAfterMs: 1 }) },
+            reply: refused,
+            asked: ["leader"],
+            handled: true,
+        },
+        {
+            // Symptom: a job runs that its caller was told is not accepted. Sequence: it is passed on, the peer
+            // stores it and its answer is lost; it is refused here. Cause: silence was taken for a refusal.
+            name: "is left open when a peer that may have carried it out is silent",
+            storeAway: true,
+            here: refused,
+            answers: { leader: silent, other: replied({ status: 503 }) },
+            reply: { status: 504 },
+            asked: ["leader"],
+            handled: false,
+        },
+        {
+            name: "may be asked of the next peer after silence when it changes nothing",
+            request: GET,
+            storeAway: true,
+            answers: { leader: silent, other: replied({ status: 200, body: { state: "running" } }) },
+            reply: { status: 200, body: { state: "running" } },
+            asked: ["leader", "other"],
+            handled: false,
+        },
+        {
+            name: "is settled by a peer when it was left open here",
+            here: undecided,
+            answers: { leader: replied(accepted) },
+            reply: accepted,
+            asked: ["leader"],
+            handled: true,
+        },
+        {
+            // Symptom: as above. Cause: the peer's refusal says nothing of the write that went out from here.
+            name: "stays open when it was left open here and a peer refuses it",
+            here: undecided,
+            answers: { leader: replied({ status: 503 }) },
+            reply: undecided,
+            asked: ["leader"],
+            handled: true,
+        },
+        {
+            name: "is refused at once where no peer is known",
+            storeAway: true,
+            here: refused,
+            reply: refused,
+            asked: [],
+            handled: true,
+        },
+    ];
+    test.each(cases)("$name", async testCase => {
+        const opened = open(testCase);
+        let handled = false;
+        const reply = await opened.relay.answer(testCase.request ?? POST, async () => {
+            handled = true;
+            return testCase.here ?? accepted;
+        });
+        expect(reply).toMatchObject(testCase.reply);
+        expect(opened.asked).toEqual(testCase.asked);
+        expect(handled).toBe(testCase.handled);
+    });
+
+    test("leaves a silent peer alone for two seconds", async () => {
+        // Symptom: refusals take most of a second, one after the other. Sequence: peers are cut off as well. Cause:
+        // each request waits for them anew.
+        const opened = open({ storeAway: true, answers: { leader: silent } });
+        const ask = () => opened.relay.answer(GET, async () => refused);
+        await ask();
+        await ask();
+        expect(opened.asked).toHaveLength(1);
+        await opened.time.advance(2_000);
+        await ask();
+        expect(opened.asked).toHaveLength(2);
+    });
+
+    test("is not handled here under an older configuration than the one that was seen through a peer", async () => {
+        // Symptom: a key that was taken away works again. Sequence: an instance that is cut off passes requests on,
+        // whose callers see the new configuration; then the peer is lost. Cause: the old one is still in force here.
+        let version = 3;
+        const answers: Record<string, relay.PeerAnswer> = { leader: replied(accepted, 4) };
+        const opened = open({ storeAway: true, answers, version: () => version });
+        expect(await opened.relay.answer(POST, async () => accepted)).toMatchObject(accepted);
+        answers["leader"] = unreachable;
+        expect(await opened.relay.answer(POST, async () => accepted)).toMatchObject({ status: 503 });
+        version = 4;
+        expect(await opened.relay.answer(POST, async () => accepted)).toMatchObject(accepted);
+    });
+});
--- /dev/null
+++ b/src/relay/messages.ts
@@ -0,0 +1,88 @@
+/** What one instance passes on to another, and gets back: a caller's request as it came, and the reply to it. */
+
+export interface CallersRequest {
+    readonly method: string;
+    /** Without the query. */
+    readonly path: string;
+    readonly host: string;
+    /** The header as it came; empty: none. */
+    readonly authorization: string;
+    /** Whatever names the request on its way, for the logs; empty: nothing. */
+    readonly requestId: string;
+    /** How much longer the caller waits, counted from when this was sent. */
+    readonly deadlineMs: number;
+    readonly body: string;
+}
+
+export interface CallersReply {
+    /** Of HTTP, as the caller gets it. */
+    readonly status: number;
+    readonly body?: unknown;
+    /** When the caller should come back. */
+    readonly retryAfterMs?: number;
+}
+
+/** A reply, and the version of the configuration that it was given under; 0: none. */
+export interface PassedReply {
+    readonly reply: CallersReply;
+    readonly configurationVersion: number;
+}
+
+export function encode(message: CallersRequest | PassedReply): string {
+    return JSON.stringify(message);
+}
+
+export function decodeRequest(text: string): CallersRequest | undefined {
+    const fields = parse(text);
+    if (!fields || typeof fields["method"] !== "string" || typeof fields["path"] !== "string") {
+        return undefined;
+    }
+    return {
+        method: fields["method"],
+        path: fields["path"],
+        host: toText(fields["host"]),
+        authorization: toText(fields["authorization"]),
+        requestId: toText(fields["requestId"]),
+        deadlineMs: toNumber(fields["deadlineMs"]),
+        body: toText(fields["body"]),
+    };
+}
+
+export function decodeReply(text: string): PassedReply | undefined {
+    const fields = parse(text);
+    const reply = fields?.["reply"];
+    if (!fields || typeof reply !== "object" || !reply) {
+        return undefined;
+    }
+    const { status, body, retryAfterMs } = reply as Record<string, unknown>;
+    if (!Number.isInteger(status)) {
+        return undefined;
+    }
+    return {
+        reply: {
+            status: status as number,
+            body,
+            retryAfterMs: retryAfterMs === undefined ? undefined : toNumber(retryAfterMs),
+        },
+        configurationVersion: toNumber(fields["configurationVersion"]),
+    };
+}
+
+function parse(text: string): Record<string, unknown> | undefined {
+    try {
+        const value: unknown = JSON.parse(text);
+        return typeof value === "object" && value ? value as Record<string, unknown> : undefined;
+    }
+    catch {
+        // Whoever asked is told that there is no answer.
+        return undefined;
+    }
+}
+
+function toText(value: unknown): string {
+    return typeof value === "string" ? value : "";
+}
+
+function toNumber(value: unknown): number {
+    return typeof value === "number" && Number.isFinite(value) ? value : 0;
+}
--- /dev/null
+++ b/src/relay/peerClient.ts
@@ -0,0 +1,26 @@
+/** Sends a caller's request to another instance. */
+import type * as calls from "../calls/index";
+import * as messages from "./messages";
+import type * as relay from "./relay";
+
+export const REQUEST_PATH = "/request";
+const OK = 200;
+
+export function createPeerClient(client: calls.HttpClient): relay.RelayOptions["send"] {
+    return async (peer, request, timeoutMs) => {
+        const outcome = await client.call({
+            address: peer,
+            method: "POST",
+            path: REQUEST_PATH,
+            body: messages.encode(request),
+            timeoutMs,
+        });
+        if (outcome.kind === "noAnswer") {
+            return { kind: outcome.sent ? "silent" : "unreachable", message: outcome.message };
+        }
+        const passed = outcome.status === OK ? messages.decodeReply(outcome.body) : undefined;
+        return passed
+            ? { kind: "replied", passed }
+            : { kind: "silent", message: `status ${outcome.status}, no reply in it` };
+    };
+}
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -3,6 +3,7 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as observe from "../../observe/index";
+import * as relay from "../../relay/index";
 import * as telemetry from "../../telemetry/index";
 import * as fixtures from "./fixtures";
 
@@ -43,6 +44,25 @@
     for (let line = 0; line < 2_000; line++) {
         log.info("line");
     }
+    const passing = relay.createRelay({
+        clock: site.clock,
+        log,
+        meter: site.metrics.meter,
+        getConfigurationVersion: () => 1,
+        isStoreAway: () => true,
+        getPeers: () => ["peer"],
+        send: async () => ({ kind: "unreachable", message: "" }),
+    });
+    const request = {
+        method: "GET",
+        path: "",
+        host: "",
+        authorization: "",
+        requestId: "",
+        deadlineMs: 1_000,
+        body: "",
+    };
+    await passing.answer(request, async () => ({ status: 503 }));
     const text = site.metrics.render();
     site.close();
     return text;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -16,6 +16,8 @@
     readonly power: number;
     /** Where other instances watch this process; empty: nowhere. */
     readonly watchAddress: string;
+    /** Where this instance takes requests that others pass on; empty: nowhere. */
+    readonly peerAddress: string;
     /** Watches another instance's process; returns what ends the watch. */
     watchProcess(address: string, onGone: () => void): () => void;
     readonly store: rows.RowStore;
@@ -50,6 +52,9 @@
     /** Whether this instance can serve callers now. */
     isReady(): boolean;
     isLeading(): boolean;
+    isStoreAway(): boolean;
+    /** Where the leader takes requests that are passed on; `undefined` where it is this instance or not known. */
+    getLeaderAddress(): string | undefined;
     /** Hands the lead over. */
     release(): Promise<void>;
 }
@@ -91,6 +96,7 @@
         instance: options.instance,
         life: options.life,
         watchAddress: options.watchAddress,
+        peerAddress: options.peerAddress,
         watchHolder: options.watchProcess,
         signal: options.signal,
         power: options.power,
@@ -109,11 +115,12 @@
             return observed && counts && { counts, ageMs: time.now() - observed.seenAt };
         },
     });
-    const isReady = () => current.get() !== undefined && health.getAwayMs() === undefined;
+    const isStoreAway = () => health.getAwayMs() !== undefined;
+    const isReady = () => current.get() !== undefined && !isStoreAway();
     meter.registerGauges(() => [
         { metric: "ready", value: Number(isReady()) },
         { metric: "configuration_version", value: current.get()?.version ?? 0 },
-        { metric: "store_reachable", value: Number(health.getAwayMs() === undefined) },
+        { metric: "store_reachable", value: Number(!isStoreAway()) },
         { metric: "leading", value: Number(lease.isLeading()) },
     ]);
     return {
@@ -122,6 +129,11 @@
         store,
         isReady,
         isLeading: lease.isLeading,
+        isStoreAway,
+        getLeaderAddress: () => {
+            const address = lease.getObservation()?.record.peerAddress;
+            return address === options.peerAddress ? undefined : address || undefined;
+        },
         release: lease.release,
     };
 }
