--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -14,7 +14,7 @@
 const TIMEOUT_MS = 5_000;
 
 async function open(handle: (request: relay.CallersRequest) => Promise<relay.CallersReply>) {
-    const server = relay.createPeerServer({ getConfigurationVersion: () => 7, handle });
+    const server = relay.createPeerServer({ getConfigurationVersion: () => 7, getPeers: () => ["10.0.0.1:1"], handle });
     const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
     const client = calls.createHttpClient(2);
     const send = relay.createPeerClient(client);
@@ -44,7 +44,7 @@
         const answer = await peer.send(REQUEST);
         await peer.close();
         expect(seen).toEqual([REQUEST]);
-        expect(answer).toEqual({ kind: "replied", passed: { reply, configurationVersion: 7 } });
+        expect(answer).toEqual({ kind: "replied", passed: { reply, configurationVersion: 7, peers: ["10.0.0.1:1"] } });
     });
 
     test("to a process that is gone was never sent", async () => {
--- a/src/relay/__tests__/relay.test.ts
+++ b/src/relay/__tests__/relay.test.ts
@@ -18,13 +18,19 @@
 const silent: relay.PeerAnswer = { kind: "silent", message: "" };
 const unreachable: relay.PeerAnswer = { kind: "unreachable", message: "" };
 
-function replied(reply: relay.CallersReply, configurationVersion = 1): relay.PeerAnswer {
-    return { kind: "replied", passed: { reply, configurationVersion } };
+function replied(
+    reply: relay.CallersReply,
+    configurationVersion = 1,
+    peers: readonly string[] = [],
+): relay.PeerAnswer {
+    return { kind: "replied", passed: { reply, configurationVersion, peers } };
 }
 
 interface OpenOptions {
     readonly storeAway?: boolean;
     readonly answers?: Readonly<Record<string, relay.PeerAnswer>>;
+    /** Known without being named by another; the ones that answer otherwise. */
+    readonly known?: readonly string[];
     readonly version?: () => number;
 }
 
@@ -38,7 +44,8 @@
         meter: { increment: () => undefined, record: () => undefined, registerGauges: () => () => undefined },
         getConfigurationVersion: options.version ?? (() => 1),
         isStoreAway: () => options.storeAway ?? false,
-        getPeers: () => Object.keys(answers),
+        ownAddress: "self",
+        getPeers: () => options.known ?? Object.keys(answers),
         send: async peer => {
             asked.push(peer);
             return answers[peer]!;
@@ -109,6 +116,17 @@
             asked: ["leader"],
             handled: true,
         },
+        {
+            // Symptom: refusals beside instances that could serve. Sequence: the store turns the leader away, and one
+            // that has never led. Cause: the latter knows no other instance than the leader.
+            name: "goes to a peer that the leader names, and not to itself",
+            storeAway: true,
+            answers: { leader: replied(refused, 1, ["self", "other"]), other: replied(accepted) },
+            known: ["leader"],
+            reply: accepted,
+            asked: ["leader", "other"],
+            handled: false,
+        },
         {
             // Symptom: a job runs that its caller was told is not accepted. Sequence: it is passed on, the peer
             // stores it and its answer is lost; it is refused here. Cause: silence was taken for a refusal.
--- a/src/relay/messages.ts
+++ b/src/relay/messages.ts
@@ -22,10 +22,12 @@
     readonly retryAfterMs?: number;
 }
 
-/** A reply, and the version of the configuration that it was given under; 0: none. */
 export interface PassedReply {
     readonly reply: CallersReply;
+    /** Version of the configuration that it was given under; 0: none. */
     readonly configurationVersion: number;
+    /** Other instances that the one that replied knows: they may serve what it cannot. */
+    readonly peers: readonly string[];
 }
 
 export function encode(message: CallersRequest | PassedReply): string {
@@ -65,6 +67,7 @@
             retryAfterMs: retryAfterMs === undefined ? undefined : toNumber(retryAfterMs),
         },
         configurationVersion: toNumber(fields["configurationVersion"]),
+        peers: Array.isArray(fields["peers"]) ? fields["peers"].filter(peer => typeof peer === "string") : [],
     };
 }
 
--- a/src/relay/peerServer.ts
+++ b/src/relay/peerServer.ts
@@ -7,6 +7,8 @@
 export interface PeerServerOptions {
     /** Version of the configuration in force here; 0: none. */
     getConfigurationVersion(): number;
+    /** Addresses of other instances. */
+    getPeers(): readonly string[];
     handle(request: messages.CallersRequest): Promise<messages.CallersReply>;
 }
 
@@ -40,7 +42,7 @@
             if (closing) {
                 res.setHeader("Connection", "close");
             }
-            res.end(messages.encode({ reply, configurationVersion }));
+            res.end(messages.encode({ reply, configurationVersion, peers: options.getPeers() }));
         });
     });
     return {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -26,6 +26,8 @@
     /** Version of the configuration in force here; 0: none. */
     getConfigurationVersion(): number;
     isStoreAway(): boolean;
+    /** Where other instances pass requests on to this one. */
+    readonly ownAddress: string;
     /** Addresses of other instances, the likeliest to serve first. */
     getPeers(): readonly string[];
     send(peer: string, request: messages.CallersRequest, timeoutMs: number): Promise<PeerAnswer>;
@@ -39,7 +41,7 @@
     ): Promise<messages.CallersReply>;
 }
 
-/** Peers asked for one request: the leader, and one more where the leader is cut off itself. */
+/** Peers asked for one request: the leader, and one that the leader names where it is cut off itself. */
 const MOST_PEERS = 2;
 /** A reply takes some 15 ms, at a store that is 60 times slower 0.6 s. */
 const PEER_TIMEOUT_MS = 700;
@@ -61,28 +63,35 @@
     const pausedUntil = new Map<string, number>();
     /** The newest configuration that a passed request was handled under. */
     let versionSeen = 0;
+    /**
+     * Peers that another instance has named. Without them an instance that has never led knows the leader alone, and
+     * can pass nothing on when the store turns the leader away as well.
+     */
+    let named: readonly string[] = [];
 
     const pause = (peer: string, ms: number) => {
         pausedUntil.set(peer, time.now() + ms);
     };
-    const listPeers = (): readonly string[] => {
+    /** The likeliest peer to serve that is not paused. */
+    const choosePeer = (): string | undefined => {
         const now = time.now();
         for (const [peer, until] of pausedUntil) {
             if (until <= now) {
                 pausedUntil.delete(peer);
             }
         }
-        return options.getPeers().filter(peer => !pausedUntil.has(peer)).slice(0, MOST_PEERS);
+        return [...options.getPeers(), ...named].find(peer => peer !== options.ownAddress && !pausedUntil.has(peer));
     };
     /** `undefined`: nobody could serve it, and nobody has carried it out. */
     const pass = async (
         request: messages.CallersRequest,
         deadlineAt: number,
     ): Promise<messages.CallersReply | undefined> => {
-        for (const peer of listPeers()) {
+        for (let tries = 0; tries < MOST_PEERS; tries++) {
+            const peer = choosePeer();
             const sentAt = time.now();
             const leftMs = deadlineAt - sentAt;
-            if (leftMs < LEAST_TIMEOUT_MS) {
+            if (peer === undefined || leftMs < LEAST_TIMEOUT_MS) {
                 break;
             }
             const answer = await options.send(
@@ -102,8 +111,9 @@
             });
             switch (answer.kind) {
                 case "replied": {
-                    const { reply, configurationVersion } = answer.passed;
+                    const { reply, configurationVersion, peers } = answer.passed;
                     versionSeen = Math.max(versionSeen, configurationVersion);
+                    named = peers.length > 0 ? peers : named;
                     if (reply.status !== Status.Unavailable) {
                         return reply;
                     }
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -50,6 +50,7 @@
         meter: site.metrics.meter,
         getConfigurationVersion: () => 1,
         isStoreAway: () => true,
+        ownAddress: "",
         getPeers: () => ["peer"],
         send: async () => ({ kind: "unreachable", message: "" }),
     });
