--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -61,6 +61,7 @@
 const STOP_MS = 200;
 const CALLER_PATIENCE_MS = 3_000;
 const UPKEEP_MS = 2_000;
+const ROW_BYTES = 65_536;
 const DEFAULT_RETENTION_MS = 600_000;
 const NO_ADVISER: leader.Adviser = {
     advise: async () => ({ kind: "unavailable", message: "emulated: none" }),
@@ -127,6 +128,7 @@
                 maxLeaseMs,
                 upkeepMs: UPKEEP_MS,
                 retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
+                rowBytes: ROW_BYTES,
             }),
             clock: freezer.clock,
             log: options.log,
--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -2,7 +2,7 @@
 import * as clocks from "../../clock/index";
 import * as emulator from "../../emulator/index";
 import * as telemetry from "../../telemetry/index";
-import type * as work from "../../work/index";
+import * as work from "../../work/index";
 import * as intakes from "../index";
 
 const QUEUE: catalogs.Queue = {
@@ -52,6 +52,7 @@
         clock: time,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         ...telemetry.createMetrics(),
+        getRowBytes: () => 65_536,
         getWaiting: () => ({ counts: { q: 4 }, ageMs: options.countsAgeMs ?? 0 }),
     });
     const submit = async () => {
@@ -146,6 +147,23 @@
     });
 });
 
+describe("a submission that can never be carried out", () => {
+    // Symptom: every leader ends as it reads the jobs. Sequence: a caller hands in a job of a billion tasks, and it is
+    // accepted. Cause: only the length of a body was bounded.
+    const needs = { cpuMillis: 1, memoryMb: 1, accelerators: 0 };
+    const step: work.StepSpec = { ...work.PLAIN_STEP, count: 1, needs, estimateMs: 1 };
+    const cases: ReadonlyArray<readonly [name: string, spec: work.JobSpec]> = [
+        ["with more tasks than can be stored", { ...SPEC, steps: [{ ...step, count: 1e9 }] }],
+        ["with a spec longer than a row", { ...SPEC, steps: Array.from({ length: 600 }, () => step) }],
+    ];
+    test.each(cases)("%s is refused at once, with the reason, and leaves nothing behind", async (_name, spec) => {
+        const { time, store, intake } = open({});
+        const reply = await intake.submit(createCaller(time), JOB, spec);
+        expect(reply).toMatchObject({ kind: "impossible", reason: expect.stringContaining("more than") });
+        expect(store.getRows("jobs")).toEqual([]);
+    });
+});
+
 describe("a count", () => {
     async function count(opened: Opened): Promise<intakes.IntakeReply> {
         const pending = opened.intake.count(createCaller(opened.time));
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -16,6 +16,8 @@
     | { readonly kind: "waiting"; readonly count: number; }
     | { readonly kind: "unknownJob"; }
     | { readonly kind: "notAccepted"; readonly retryAfterMs: number; readonly reason: string; }
+    /** The job can never be carried out; it is of no use to hand it in again. */
+    | { readonly kind: "impossible"; readonly reason: string; }
     /** A question or a cancellation that could not be taken; nothing was changed. */
     | { readonly kind: "unavailable"; readonly retryAfterMs: number; readonly reason: string; }
     /** The store gave no answer that decides; asking again with the same id is safe. */
@@ -36,6 +38,8 @@
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly meter: observe.Meter;
+    /** The longest value of a row. */
+    getRowBytes(): number;
     /** Counts of waiting jobs as the leader last published them, and their age. */
     getWaiting(): { readonly counts: Readonly<Record<string, number>>; readonly ageMs: number; } | undefined;
 }
@@ -170,6 +174,14 @@
         return present.some(row => row.key === jobId) ? { kind: "accepted" } : undefined;
     };
 
+    const findObstacle = (spec: work.JobSpec, value: string): IntakeReply | undefined => {
+        const rowBytes = options.getRowBytes();
+        const bytes = Buffer.byteLength(value);
+        const reason = work.findExcess(spec, rowBytes)
+            ?? (bytes > rowBytes ? `${bytes} bytes, more than the ${rowBytes} of a row` : undefined);
+        return reason === undefined ? undefined : { kind: "impossible", reason };
+    };
+
     const createUnavailable = (reason: string): IntakeReply => ({
         kind: "unavailable",
         retryAfterMs: RETRY_AFTER_MS,
@@ -258,8 +270,10 @@
                 acceptedAt: time.wallTime(),
                 spec,
             };
-            const reply = await readBeforeWrite(caller, jobId)
-                ?? await createRow(caller, jobId, JSON.stringify(submission));
+            const value = JSON.stringify(submission);
+            const reply = findObstacle(spec, value)
+                ?? await readBeforeWrite(caller, jobId)
+                ?? await createRow(caller, jobId, value);
             return logReply("submit", caller, jobId, reply, startedAt);
         },
         getState: async (caller, jobId) => {
--- a/src/leader/__tests__/progressWriter.test.ts
+++ b/src/leader/__tests__/progressWriter.test.ts
@@ -16,7 +16,8 @@
     return { calls, store };
 }
 
-function createOccurrence(): entries.OccurrenceEntry {
+/** Of one step whose tasks have each saved `savedBytes`. */
+function createOccurrence(tasks = 0, savedBytes = 0, jobId = "j"): entries.OccurrenceEntry {
     const queue = {
         name: "q",
         host: "",
@@ -28,9 +29,17 @@
         objectiveMs: 0,
         needsKey: true,
     };
-    const spec: work.JobSpec = { payload: "", steps: [], repeats: 0, firstDueAt: 0, periodMs: 0 };
-    const job = entries.createJobEntry({ jobId: "j", queue, account: "a", acceptedAt: 0, spec }, queue, 0);
-    return entries.createOccurrenceEntry(job, 0, 0);
+    const needs = { cpuMillis: 1, memoryMb: 1, accelerators: 0 };
+    const steps = tasks > 0 ? [{ ...work.PLAIN_STEP, count: tasks, needs, estimateMs: 1 }] : [];
+    const spec: work.JobSpec = { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 };
+    const job = entries.createJobEntry({ jobId, queue, account: "a", acceptedAt: 0, spec }, queue, 0);
+    const occurrence = entries.createOccurrenceEntry(job, 0, 0);
+    for (const step of occurrence.steps) {
+        for (const task of step.tasks) {
+            task.saved = "s".repeat(savedBytes);
+        }
+    }
+    return occurrence;
 }
 
 const GUARD = { table: work.Table.Lead, part: work.LEADER_PART, key: "token", version: 7 };
@@ -114,4 +123,27 @@
         expect(stored).toBe(false);
         expect(calls).toHaveLength(1);
     });
+
+    test("rows that are too long for one call are written in several, and a flush waits for all", async () => {
+        // Symptom: nothing is stored any more. Sequence: a pass starts tasks of many wide steps at once. Cause: their rows
+        // together are longer than a call may be, and the same call is turned away again and again.
+        const { time, calls, writer } = open();
+        const rowBytes = 45_000;
+        for (let number = 0; number < 30; number++) {
+            writer.markOccurrence(createOccurrence(100, rowBytes / 100, `job-${number}`));
+        }
+        let stored = false;
+        void writer.flush().then(() => {
+            stored = true;
+        });
+        await time.advance(0);
+        for (let version = 8; !stored; version++) {
+            const call = calls.at(-1)!;
+            const bytes = call.tx.puts.reduce((sum, put) => sum + put.value.length, 0);
+            expect(bytes).toBeLessThan(1_000_000 * 3 / 4);
+            call.answer({ kind: "committed", version });
+            await time.advance(0);
+        }
+        expect(calls.flatMap(call => call.tx.puts)).toHaveLength(30);
+    });
 });
--- a/src/leader/progressWriter.ts
+++ b/src/leader/progressWriter.ts
@@ -33,10 +33,17 @@
 
 /** Of the 100 entries of a transaction one is the guard; each row takes one as condition and one as write. */
 const MAX_ROWS = 45;
+/** A call holds 1 MB, in which values take a third more than their bytes. */
+const MAX_BYTES = 500_000;
 /** A transaction takes about 10 ms; a slow store (60 times) 300 ms. */
 const WRITE_TIMEOUT_MS = 900;
 const RETRY_PAUSE_MS = 60;
 
+interface EncodedRow {
+    readonly row: PendingRow;
+    readonly value: string;
+}
+
 interface PendingRow {
     readonly key: string;
     getVersion(): number;
@@ -49,6 +56,23 @@
     let waiters: Array<() => void> = [];
     let writing = false;
 
+    /** Rows that fit into one transaction, in the order in which they were marked. */
+    const takeBatch = (): EncodedRow[] => {
+        const batch: EncodedRow[] = [];
+        let bytes = 0;
+        for (const row of dirty.values()) {
+            // Encoded once: a repeated attempt must write the same, or a reader could see two different first writes.
+            const value = row.encode();
+            bytes += value.length;
+            if (batch.length === MAX_ROWS || (batch.length > 0 && bytes > MAX_BYTES)) {
+                break;
+            }
+            batch.push({ row, value });
+        }
+        batch.forEach(({ row }) => dirty.delete(row.key));
+        return batch;
+    };
+
     const write = async () => {
         if (writing) {
             return;
@@ -57,16 +81,13 @@
         // Lets everything that this turn of the event loop decides go into one transaction.
         await Promise.resolve();
         while ((dirty.size > 0 || waiters.length > 0) && !options.signal.aborted) {
-            const batch = [...dirty.values()].slice(0, MAX_ROWS);
-            const coversAll = batch.length === dirty.size;
+            const batch = takeBatch();
+            const coversAll = dirty.size === 0;
             const covered = coversAll ? waiters : [];
             if (coversAll) {
                 // Whoever comes while this batch is under way waits for the next one.
                 waiters = [];
             }
-            for (const row of batch) {
-                dirty.delete(row.key);
-            }
             if (batch.length > 0 && !await writeBatch(options, batch)) {
                 break;
             }
@@ -110,17 +131,19 @@
 }
 
 /** Returns false when the term is over. */
-async function writeBatch(options: ProgressWriterOptions, batch: readonly PendingRow[]): Promise<boolean> {
+async function writeBatch(options: ProgressWriterOptions, batch: readonly EncodedRow[]): Promise<boolean> {
     const toKey = (key: string): rows.RowKey => ({ table: work.Table.Progress, part: work.LEADER_PART, key });
-    // Encoded once: a repeated attempt must write the same, or a reader could see two different first writes.
-    const puts = batch.map(row => ({ ...toKey(row.key), value: row.encode() }));
+    const puts = batch.map(({ row, value }) => ({ ...toKey(row.key), value }));
     while (!options.signal.aborted) {
-        const conditions = [options.guard, ...batch.map(row => ({ ...toKey(row.key), version: row.getVersion() }))];
+        const conditions = [
+            options.guard,
+            ...batch.map(({ row }) => ({ ...toKey(row.key), version: row.getVersion() })),
+        ];
         const outcome = await options.store.transact({ conditions, puts, removals: [] }, WRITE_TIMEOUT_MS);
         options.meter.increment("progress_writes_total", { outcome: outcome.kind });
         switch (outcome.kind) {
             case "committed":
-                for (const row of batch) {
+                for (const { row } of batch) {
                     row.setVersion(outcome.version);
                 }
                 return true;
@@ -143,7 +166,7 @@
 /** A conflict under our own token means that an earlier try was carried out after all: go on from its versions. */
 function adoptVersions(
     options: ProgressWriterOptions,
-    batch: readonly PendingRow[],
+    batch: readonly EncodedRow[],
     present: readonly rows.Row[],
 ): boolean {
     const guard = present.find(row => row.table === options.guard.table && row.key === options.guard.key);
@@ -153,7 +176,7 @@
     const versions = new Map(
         present.filter(row => row.table === work.Table.Progress).map(row => [row.key, row.version]),
     );
-    for (const row of batch) {
+    for (const { row } of batch) {
         row.setVersion(versions.get(row.key) ?? 0);
     }
     return true;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -45,6 +45,13 @@
 const MOST_PEERS = 2;
 /** A reply takes some 15 ms, at a store that is 60 times slower 0.6 s. */
 const PEER_TIMEOUT_MS = 700;
+/** A peer that has lost the store a moment before refuses within this time, which leaves no outcome open. */
+const PEER_DEADLINE_MS = 600;
+/**
+ * A request that is not settled here by then is passed on as well: it takes 15 ms as a rule, and a store that has just
+ * fallen silent is noticed after 0.5 to 1.2 s only.
+ */
+const HEDGE_MS = 200;
 /** Asking for less is in vain: the reply has to get back to the caller as well. */
 const LEAST_TIMEOUT_MS = 50;
 /** A peer that was silent is left alone for this long, so that at most one request in it waits for nothing. */
@@ -96,7 +103,7 @@
             }
             const answer = await options.send(
                 peer,
-                { ...request, deadlineMs: leftMs },
+                { ...request, deadlineMs: Math.min(PEER_DEADLINE_MS, leftMs) },
                 Math.min(PEER_TIMEOUT_MS, leftMs),
             );
             const outcome = answer.kind === "replied" ? String(answer.passed.reply.status) : answer.kind;
@@ -142,18 +149,26 @@
             ? { status: Status.Unavailable, retryAfterMs: RETRY_AFTER_MS, body: { error: "configuration out of date" } }
             : handle();
 
+    const waitFor = (reply: Promise<messages.CallersReply>, ms: number) =>
+        new Promise<messages.CallersReply | undefined>((resolve, reject) => {
+            const cancel = time.setTimer(ms, () => resolve(undefined));
+            reply.then(resolve, reject).finally(cancel);
+        });
+
     return {
         answer: async (request, handle) => {
             const deadlineAt = time.now() + request.deadlineMs;
             if (options.isStoreAway()) {
                 return await pass(request, deadlineAt) ?? handleHere(handle);
             }
-            const reply = await handleHere(handle);
-            if (reply.status !== Status.Unavailable && reply.status !== Status.Undecided) {
-                return reply;
+            const here = handleHere(handle);
+            const early = await waitFor(here, HEDGE_MS);
+            if (early && isDecided(early)) {
+                return early;
             }
             // Jobs are named by their callers, so a submission or a cancellation may be handed in a second time.
-            return await pass(request, deadlineAt) ?? reply;
+            const passed = pass(request, deadlineAt);
+            return early ? await passed ?? early : takeFirstDecided(here, passed);
         },
     };
 }
@@ -161,3 +176,24 @@
 function mayChange(request: messages.CallersRequest): boolean {
     return request.method !== "GET";
 }
+
+function isDecided({ status }: messages.CallersReply): boolean {
+    return status !== Status.Unavailable && status !== Status.Undecided;
+}
+
+/** Where neither is decided, what was passed on may have been carried out: its reply, if there is one, says so. */
+function takeFirstDecided(
+    here: Promise<messages.CallersReply>,
+    passed: Promise<messages.CallersReply | undefined>,
+): Promise<messages.CallersReply> {
+    return new Promise((resolve, reject) => {
+        const takeDecided = (reply: messages.CallersReply | undefined) => {
+            if (reply && isDecided(reply)) {
+                resolve(reply);
+            }
+        };
+        void here.then(takeDecided, reject);
+        void passed.then(takeDecided, reject);
+        void Promise.all([here, passed]).then(([own, other]) => resolve(other ?? own), reject);
+    });
+}
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -30,7 +30,7 @@
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly meter: observe.Meter;
-    /** Asked at the beginning of each term. */
+    /** Asked at the beginning of each term, and for each submission. */
     getBounds(): SchedulerBounds;
     readonly signal: AbortSignal;
 }
@@ -42,6 +42,8 @@
     readonly upkeepMs: number;
     /** How long the state of an ended job can be asked for. */
     readonly retentionMs: number;
+    /** The longest value of a row in the store. */
+    readonly rowBytes: number;
 }
 
 export interface Scheduler {
@@ -109,6 +111,7 @@
         clock: time,
         log,
         meter,
+        getRowBytes: () => options.getBounds().rowBytes,
         getWaiting: () => {
             const observed = lease.getObservation();
             const counts = observed?.record.waiting;
--- /dev/null
+++ b/src/work/__tests__/limits.test.ts
@@ -0,0 +1,36 @@
+import * as work from "../index";
+
+const ROW_BYTES = 65_536;
+
+function createSpec(counts: readonly number[], repeats = 0): work.JobSpec {
+    const needs = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 1 };
+    const steps = counts.map(count => ({ ...work.PLAIN_STEP, count, needs, estimateMs: 1_000 }));
+    return { payload: "", steps, repeats, firstDueAt: 0, periodMs: 0 };
+}
+
+describe("a job that the scheduler", () => {
+    const cases: ReadonlyArray<readonly [name: string, spec: work.JobSpec, excess: RegExp | undefined]> = [
+        ["can hold", createSpec([128, 128, 128]), undefined],
+        ["can hold many times", createSpec([5], 10_000), undefined],
+        ["cannot keep in memory", createSpec([1e9]), /1000000000 tasks/],
+        ["cannot keep the progress of", createSpec([700, 700]), /1400 tasks.*1260/],
+        ["cannot list the ends of", createSpec([1], 10_001), /10001 occurrences/],
+        ["cannot keep in memory when all is due at once", createSpec([100], 1_000), /100000 tasks over all/],
+    ];
+    test.each(cases)("%s", (_name, spec, excess) => {
+        const found = work.findExcess(spec, ROW_BYTES);
+        expect(found === undefined).toBe(excess === undefined);
+        expect(found ?? "").toMatch(excess ?? /^$/);
+    });
+
+    test("holds fits into a row, whatever becomes of its tasks", () => {
+        const tasks = Array.from({ length: 1_260 }, (_, index): work.TaskProgress => ({
+            kind: "placed",
+            run: 99_999,
+            failures: 99,
+            saved: "00000bb87a21d94b",
+            workerId: `i-${(0xffffffffff - index).toString(16)}`,
+        }));
+        expect(work.encodeOccurrence([tasks]).length).toBeLessThan(ROW_BYTES);
+    });
+});
--- a/src/work/index.ts
+++ b/src/work/index.ts
@@ -1,4 +1,5 @@
 /** Jobs, steps, occurrences and tasks: what is handed in, and how far it has come, as both are stored. */
+export { findExcess } from "./limits";
 export {
     decodeOccurrence,
     encodeOccurrence,
