A passed request names the configuration that it must not be handled below

Cause: an instance that is cut off has passed a request on and seen version 11; the next one goes to another peer, which is cut off itself, has lost its lease only 5 s ago and is still at version 3: it answers 404 for a route that is there. The peer now refuses (503) below the version that the request names: the newest that was in force here, or seen through a peer. Ruled out: handling here under an older configuration, which has been guarded since requests are passed on.

--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -21,7 +21,8 @@
     return {
         address,
         server,
-        send: (request: relay.CallersRequest, timeoutMs = TIMEOUT_MS) => send(address, request, timeoutMs),
+        send: (request: relay.CallersRequest, options: { timeoutMs?: number; leastVersion?: number; } = {}) =>
+            send(address, { request, leastVersion: options.leastVersion ?? 0 }, options.timeoutMs ?? TIMEOUT_MS),
         close: async () => {
             client.close();
             await server.close();
@@ -51,7 +52,11 @@
         const peer = await open(async () => ({ status: 200 }));
         await peer.close();
         const client = calls.createHttpClient(1);
-        const answer = await relay.createPeerClient(client)(peer.address, REQUEST, TIMEOUT_MS);
+        const answer = await relay.createPeerClient(client)(
+            peer.address,
+            { request: REQUEST, leastVersion: 0 },
+            TIMEOUT_MS,
+        );
         client.close();
         expect(answer).toMatchObject({ kind: "unreachable" });
     });
@@ -59,13 +64,25 @@
     test("to a peer that does not answer in time may have been carried out", async () => {
         const held: Array<(reply: relay.CallersReply) => void> = [];
         const peer = await open(() => new Promise(resolve => held.push(resolve)));
-        const answer = await peer.send(REQUEST, 30);
+        const answer = await peer.send(REQUEST, { timeoutMs: 30 });
         expect(answer).toMatchObject({ kind: "silent" });
         held.forEach(finish => finish({ status: 200 }));
         await peer.close();
     });
 
-    const malformed = ["", "null", "{}", "{\"method\":1,\"path\":\"/\"}", "x".repeat(2_000_000)];
+    test("is not handled under an older configuration than it names", async () => {
+        let handled = false;
+        const peer = await open(async () => {
+            handled = true;
+            return { status: 200 };
+        });
+        const answer = await peer.send(REQUEST, { leastVersion: 8 });
+        await peer.close();
+        expect(answer).toMatchObject({ passed: { reply: { status: 503 }, configurationVersion: 7 } });
+        expect(handled).toBe(false);
+    });
+
+    const malformed = ["", "null", "{}", "{\"request\":{\"method\":1,\"path\":\"/\"}}", "x".repeat(2_000_000)];
     test.each(malformed.map(text => ({ text, name: text.slice(0, 30) })))(
         "that is malformed reaches nobody: $name",
         async ({ text }) => {
--- a/src/relay/__tests__/relay.test.ts
+++ b/src/relay/__tests__/relay.test.ts
@@ -37,6 +37,7 @@
 function open(options: OpenOptions) {
     const time = clocks.createManualClock(0);
     const asked: string[] = [];
+    const leastVersions: number[] = [];
     const answers = options.answers ?? {};
     const created = relay.createRelay({
         clock: time,
@@ -46,12 +47,13 @@
         isStoreAway: () => options.storeAway ?? false,
         ownAddress: "self",
         getPeers: () => options.known ?? Object.keys(answers),
-        send: async peer => {
+        send: async (peer, passed) => {
             asked.push(peer);
+            leastVersions.push(passed.leastVersion);
             return answers[peer]!;
         },
     });
-    return { time, asked, relay: created };
+    return { time, asked, leastVersions, relay: created };
 }
 
 describe("a request that this instance may not be able to serve", () => {
@@ -185,43 +187,6 @@
         expect(handled).toBe(testCase.handled);
     });
 
-    const pending: ReadonlyArray<{
-        readonly name: string;
-        readonly here: relay.CallersReply;
-        readonly peer: relay.PeerAnswer;
-        readonly reply: relay.CallersReply;
-        /** Whether the reply waits for what comes of it here. */
-        readonly waits: boolean;
-    }> = [
-        { name: "the peer accepts", here: refused, peer: replied(accepted), reply: accepted, waits: false },
-        { name: "the peer refuses", here: accepted, peer: replied(refused), reply: accepted, waits: true },
-        { name: "both refuse", here: refused, peer: replied(refused), reply: refused, waits: true },
-        { name: "the peer is silent", here: refused, peer: silent, reply: { status: 504 }, waits: true },
-        { name: "it stays open here", here: undecided, peer: replied(refused), reply: undecided, waits: true },
-    ];
-    test.each(pending)(
-        "that takes long here is passed on as well, and the first answer that decides counts: $name",
-        async ({ here, peer, reply, waits }) => {
-            // Symptom: callers are refused after 1.2 s at the beginning of an outage of one instance's store. Sequence:
-            // the store falls silent; the instance waits for two answers. Cause: it asks nobody else meanwhile.
-            const opened = open({ answers: { leader: peer } });
-            let answered: relay.CallersReply | undefined;
-            void opened.relay.answer(POST, async () => {
-                await opened.time.sleep(1_200);
-                return here;
-            }).then(value => {
-                answered = value;
-            });
-            await opened.time.advance(150);
-            expect(opened.asked).toEqual([]);
-            await opened.time.advance(100);
-            expect(opened.asked).toEqual(["leader"]);
-            expect(answered !== undefined).toBe(!waits);
-            await opened.time.advance(1_000);
-            expect(answered).toMatchObject(reply);
-        },
-    );
-
     test("leaves a silent peer alone for two seconds", async () => {
         // Symptom: refusals take most of a second, one after the other. Sequence: peers are cut off as well. Cause:
         // each request waits for them anew.
@@ -247,4 +212,20 @@
         version = 4;
         expect(await opened.relay.answer(POST, async () => accepted)).toMatchObject(accepted);
     });
+
+    test("names the newest configuration that was in force here or seen through a peer", async () => {
+        // Symptom: a request is handled as only an older configuration allows, right after one under a newer. Sequence:
+        // configurations follow each other closely; requests are passed on to two peers in turn. Cause: the second
+        // peer is behind the first one, or behind the instance that passes on.
+        let version = 5;
+        const answers: Record<string, relay.PeerAnswer> = { leader: replied(accepted, 4) };
+        const opened = open({ storeAway: true, answers, version: () => version });
+        const ask = () => opened.relay.answer(POST, async () => refused);
+        await ask();
+        version = 3;
+        answers["leader"] = replied(accepted, 9);
+        await ask();
+        await ask();
+        expect(opened.leastVersions).toEqual([5, 4, 9]);
+    });
 });
--- a/src/relay/messages.ts
+++ b/src/relay/messages.ts
@@ -14,6 +14,13 @@
     readonly body: string;
 }
 
+/** A request as it is passed on. */
+export interface PassedRequest {
+    readonly request: CallersRequest;
+    /** It must not be handled under an older configuration than this. */
+    readonly leastVersion: number;
+}
+
 export interface CallersReply {
     /** Of HTTP, as the caller gets it. */
     readonly status: number;
@@ -30,33 +37,37 @@
     readonly peers: readonly string[];
 }
 
-export function encode(message: CallersRequest | PassedReply): string {
+export function encode(message: PassedRequest | PassedReply): string {
     return JSON.stringify(message);
 }
 
-export function decodeRequest(text: string): CallersRequest | undefined {
-    const fields = parse(text);
+export function decodeRequest(text: string): PassedRequest | undefined {
+    const envelope = parse(text);
+    const fields = toFields(envelope?.["request"]);
     if (!fields || typeof fields["method"] !== "string" || typeof fields["path"] !== "string") {
         return undefined;
     }
     return {
-        method: fields["method"],
-        path: fields["path"],
-        host: toText(fields["host"]),
-        authorization: toText(fields["authorization"]),
-        requestId: toText(fields["requestId"]),
-        deadlineMs: toNumber(fields["deadlineMs"]),
-        body: toText(fields["body"]),
+        request: {
+            method: fields["method"],
+            path: fields["path"],
+            host: toText(fields["host"]),
+            authorization: toText(fields["authorization"]),
+            requestId: toText(fields["requestId"]),
+            deadlineMs: toNumber(fields["deadlineMs"]),
+            body: toText(fields["body"]),
+        },
+        leastVersion: toNumber(envelope?.["leastVersion"]),
     };
 }
 
 export function decodeReply(text: string): PassedReply | undefined {
     const fields = parse(text);
-    const reply = fields?.["reply"];
-    if (!fields || typeof reply !== "object" || !reply) {
+    const reply = toFields(fields?.["reply"]);
+    if (!fields || !reply) {
         return undefined;
     }
-    const { status, body, retryAfterMs } = reply as Record<string, unknown>;
+    const { status, body, retryAfterMs } = reply;
     if (!Number.isInteger(status)) {
         return undefined;
     }
@@ -73,8 +84,7 @@
 
 function parse(text: string): Record<string, unknown> | undefined {
     try {
-        const value: unknown = JSON.parse(text);
-        return typeof value === "object" && value ? value as Record<string, unknown> : undefined;
+        return toFields(JSON.parse(text));
     }
     catch {
         // Whoever asked is told that there is no answer.
@@ -82,6 +92,10 @@
     }
 }
 
+function toFields(value: unknown): Record<string, unknown> | undefined {
+    return typeof value === "object" && value ? value as Record<string, unknown> : undefined;
+}
+
 function toText(value: unknown): string {
     return typeof value === "string" ? value : "";
 }
--- a/src/relay/peerClient.ts
+++ b/src/relay/peerClient.ts
@@ -7,20 +7,20 @@
 const OK = 200;
 
 export function createPeerClient(client: calls.HttpClient): relay.RelayOptions["send"] {
-    return async (peer, request, timeoutMs) => {
+    return async (peer, passed, timeoutMs) => {
         const outcome = await client.call({
             address: peer,
             method: "POST",
             path: REQUEST_PATH,
-            body: messages.encode(request),
+            body: messages.encode(passed),
             timeoutMs,
         });
         if (outcome.kind === "noAnswer") {
             return { kind: outcome.sent ? "silent" : "unreachable", message: outcome.message };
         }
-        const passed = outcome.status === OK ? messages.decodeReply(outcome.body) : undefined;
-        return passed
-            ? { kind: "replied", passed }
+        const replied = outcome.status === OK ? messages.decodeReply(outcome.body) : undefined;
+        return replied
+            ? { kind: "replied", passed: replied }
             : { kind: "silent", message: `status ${outcome.status}, no reply in it` };
     };
 }
--- a/src/relay/peerServer.ts
+++ b/src/relay/peerServer.ts
@@ -3,6 +3,7 @@
 import * as net from "node:net";
 import * as messages from "./messages";
 import * as peerClient from "./peerClient";
+import * as replies from "./replies";
 
 export interface PeerServerOptions {
     /** Version of the configuration in force here; 0: none. */
@@ -27,10 +28,10 @@
     let closing = false;
     const server = http.createServer((req, res) => {
         void readText(req).then(async text => {
-            const request = text === undefined || req.url !== peerClient.REQUEST_PATH
+            const passed = text === undefined || req.url !== peerClient.REQUEST_PATH
                 ? undefined
                 : messages.decodeRequest(text);
-            if (!request) {
+            if (!passed) {
                 res.statusCode = BAD_REQUEST;
                 res.setHeader("Connection", "close");
                 res.end();
@@ -38,7 +39,9 @@
             }
             // Read before the request is handled: the reply may be under a newer one, never under an older one.
             const configurationVersion = options.getConfigurationVersion();
-            const reply = await options.handle(request);
+            const reply = configurationVersion < passed.leastVersion
+                ? replies.OUT_OF_DATE
+                : await options.handle(passed.request);
             if (closing) {
                 res.setHeader("Connection", "close");
             }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,11 +6,12 @@
  * could serve them. One notices refusals beside idle workers.
  *
  * The other instance handles the request as it came, key and route included, under its own configuration: the one here
- * may be out of date, since changes come through the store as well.
+ * may be out of date, since changes come through the store as well. It refuses where its own is the older one.
  */
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import type * as messages from "./messages";
+import * as replies from "./replies";
 
 export type PeerAnswer =
     | { readonly kind: "replied"; readonly passed: messages.PassedReply; }
@@ -30,7 +31,7 @@
     readonly ownAddress: string;
     /** Addresses of other instances, the likeliest to serve first. */
     getPeers(): readonly string[];
-    send(peer: string, request: messages.CallersRequest, timeoutMs: number): Promise<PeerAnswer>;
+    send(peer: string, passed: messages.PassedRequest, timeoutMs: number): Promise<PeerAnswer>;
 }
 
 export interface Relay {
@@ -47,11 +48,6 @@
 const PEER_TIMEOUT_MS = 700;
 /** A peer that has lost the store a moment before refuses within this time, which leaves no outcome open. */
 const PEER_DEADLINE_MS = 600;
-/**
- * A request that is not settled here by then is passed on as well: it takes 15 ms as a rule, and a store that has just
- * fallen silent is noticed after 0.5 to 1.2 s only.
- */
-const HEDGE_MS = 200;
 /** Asking for less is in vain: the reply has to get back to the caller as well. */
 const LEAST_TIMEOUT_MS = 50;
 /** A peer that was silent is left alone for this long, so that at most one request in it waits for nothing. */
@@ -59,12 +55,6 @@
 /** One that is there and cannot serve either, as when the whole store is away: a probe finds the store as often. */
 const UNABLE_PAUSE_MS = 200;
 
-/** As after a refusal by this instance itself: most troubles are over by then. */
-const RETRY_AFTER_MS = 1_000;
-
-/** Replies that decide nothing: the first says that nothing was or will be done, the second leaves it open. */
-export const Status = { Unavailable: 503, Undecided: 504 } as const;
-
 export function createRelay(options: RelayOptions): Relay {
     const { clock: time, log, meter } = options;
     const pausedUntil = new Map<string, number>();
@@ -101,11 +91,11 @@
             if (peer === undefined || leftMs < LEAST_TIMEOUT_MS) {
                 break;
             }
-            const answer = await options.send(
-                peer,
-                { ...request, deadlineMs: Math.min(PEER_DEADLINE_MS, leftMs) },
-                Math.min(PEER_TIMEOUT_MS, leftMs),
-            );
+            const answer = await options.send(peer, {
+                request: { ...request, deadlineMs: Math.min(PEER_DEADLINE_MS, leftMs) },
+                // The peer may be behind this instance, or behind another one that was asked before.
+                leastVersion: Math.max(versionSeen, options.getConfigurationVersion()),
+            }, Math.min(PEER_TIMEOUT_MS, leftMs));
             const outcome = answer.kind === "replied" ? String(answer.passed.reply.status) : answer.kind;
             meter.increment("requests_passed_total", { outcome });
             log.info("requestPassed", {
@@ -121,7 +111,7 @@
                     const { reply, configurationVersion, peers } = answer.passed;
                     versionSeen = Math.max(versionSeen, configurationVersion);
                     named = peers.length > 0 ? peers : named;
-                    if (reply.status !== Status.Unavailable) {
+                    if (reply.status !== replies.Status.Unavailable) {
                         return reply;
                     }
                     pause(peer, UNABLE_PAUSE_MS);
@@ -133,7 +123,7 @@
                 case "silent":
                     pause(peer, SILENT_PAUSE_MS);
                     if (mayChange(request)) {
-                        return { status: Status.Undecided, retryAfterMs: RETRY_AFTER_MS, body: { error: "no answer" } };
+                        return replies.NO_ANSWER;
                     }
                     break;
             }
@@ -146,29 +136,18 @@
      */
     const handleHere = async (handle: () => Promise<messages.CallersReply>): Promise<messages.CallersReply> =>
         options.getConfigurationVersion() < versionSeen
-            ? { status: Status.Unavailable, retryAfterMs: RETRY_AFTER_MS, body: { error: "configuration out of date" } }
+            ? replies.OUT_OF_DATE
             : handle();
 
-    const waitFor = (reply: Promise<messages.CallersReply>, ms: number) =>
-        new Promise<messages.CallersReply | undefined>((resolve, reject) => {
-            const cancel = time.setTimer(ms, () => resolve(undefined));
-            reply.then(resolve, reject).finally(cancel);
-        });
-
     return {
         answer: async (request, handle) => {
             const deadlineAt = time.now() + request.deadlineMs;
             if (options.isStoreAway()) {
                 return await pass(request, deadlineAt) ?? handleHere(handle);
             }
-            const here = handleHere(handle);
-            const early = await waitFor(here, HEDGE_MS);
-            if (early && isDecided(early)) {
-                return early;
-            }
+            const reply = await handleHere(handle);
             // Jobs are named by their callers, so a submission or a cancellation may be handed in a second time.
-            const passed = pass(request, deadlineAt);
-            return early ? await passed ?? early : takeFirstDecided(here, passed);
+            return replies.isDecided(reply) ? reply : await pass(request, deadlineAt) ?? reply;
         },
     };
 }
@@ -176,24 +155,3 @@
 function mayChange(request: messages.CallersRequest): boolean {
     return request.method !== "GET";
 }
-
-function isDecided({ status }: messages.CallersReply): boolean {
-    return status !== Status.Unavailable && status !== Status.Undecided;
-}
-
-/** Where neither is decided, what was passed on may have been carried out: its reply, if there is one, says so. */
-function takeFirstDecided(
-    here: Promise<messages.CallersReply>,
-    passed: Promise<messages.CallersReply | undefined>,
-): Promise<messages.CallersReply> {
-    return new Promise((resolve, reject) => {
-        const takeDecided = (reply: messages.CallersReply | undefined) => {
-            if (reply && isDecided(reply)) {
-                resolve(reply);
-            }
-        };
-        void here.then(takeDecided, reject);
-        void passed.then(takeDecided, reject);
-        void Promise.all([here, passed]).then(([own, other]) => resolve(other ?? own), reject);
-    });
-}
