A leader that alone loses the store hands its term over

Cause: a leader that the store turns away cannot renew its lease, and the others wait 1.6 s until they may take it. It now asks the instances that watch it which of them reaches the store, ends its term and tells the strongest of those. Where nobody reaches the store it stays, and prolongs what runs. Ruled out: giving up the term without asking, which in an outage of the store leaves nobody who prolongs what runs (a test holds it). Servers of instances listen through one function instead of three.

--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -5,6 +5,10 @@
     [20_130, "ends were acknowledged when an earlier write of progress succeeded"],
     [20_429, "ends were acknowledged when an earlier write of progress succeeded"],
     [51_063, "what was left of a gang that a lost leader had been stopping was taken to wait for its other members"],
+    [
+        301_033,
+        "two instances took the lead from each other without an end: a term that was given up was told by its holder",
+    ],
 ];
 const FRESH_SEEDS = 25;
 const FIRST_FRESH_SEED = 1_000;
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -101,6 +101,7 @@
         const controller = new AbortController();
         events.setMaxListeners(0, controller.signal);
         const freezer = freezers.createFreezer(time);
+        const isOther = (name: string) => name !== getInstanceName(number);
         const scheduler = schedulers.createScheduler({
             instance: getInstanceName(number),
             life: `life-${++lives}`,
@@ -117,6 +118,17 @@
                 controller?.signal.addEventListener("abort", tell);
                 return () => controller?.signal.removeEventListener("abort", tell);
             },
+            handover: {
+                getCandidates: () => instances.map((_, other) => getInstanceName(other)).filter(isOther),
+                ask: async (candidate, offer) => {
+                    await time.sleep(WORKER_LATENCY_MS);
+                    return findAlive(candidate)?.scheduler.handover.answer(offer);
+                },
+                tell: async (candidate, offer) => {
+                    await time.sleep(WORKER_LATENCY_MS);
+                    findAlive(candidate)?.scheduler.handover.take(offer);
+                },
+            },
             store: freezer.wrapStore(store.open(getInstanceName(number))),
             directory: workers.directory,
             workers: freezer.wrapWorkers(workers.port),
@@ -138,6 +150,8 @@
         scheduler.catalog.accept(options.catalog);
         return { scheduler, controller, freezer };
     };
+    const findAlive = (name: string) =>
+        instances.find((instance, other) => getInstanceName(other) === name && !instance.controller.signal.aborted);
     const silenced = new Set<string>();
     const instances: Instance[] = [];
     for (let number = 0; number < options.instances; number++) {
--- /dev/null
+++ b/src/leader/handover.ts
@@ -0,0 +1,108 @@
+/**
+ * Hands the lead to another instance without the store.
+ *
+ * What goes wrong without it: the store turns the leader away, or is cut off from it alone. The leader cannot renew its
+ * lease, and the others wait until it has lapsed; work that is handed in meanwhile is accepted and does not start. One
+ * notices urgent jobs that begin 1.7 s late. With it the lead changes as soon as the leader knows of its loss.
+ *
+ * A leader ends its term only for an instance that has just reached the store: while the store is away from all of
+ * them, the leader is the one that prolongs what runs.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+import type * as rows from "../rows/index";
+import * as work from "../work/index";
+import type * as lease from "./lease";
+
+/** A term that is given up. */
+export interface Offer {
+    /** Life of the instance that holds the lease. */
+    readonly holder: string;
+    readonly token: number;
+}
+
+/** An instance that could lead at once. */
+export interface Candidacy {
+    /** Processor time that it gets, in cores. */
+    readonly power: number;
+}
+
+export interface HandoverPort {
+    /** Addresses of other instances, as far as they are known. */
+    getCandidates(): readonly string[];
+    /** `undefined`: it gave no answer, or cannot lead. */
+    ask(candidate: string, offer: Offer, timeoutMs: number): Promise<Candidacy | undefined>;
+    /** Tells that the term has ended. */
+    tell(candidate: string, offer: Offer, timeoutMs: number): Promise<void>;
+}
+
+export interface HandoverOptions {
+    readonly port: HandoverPort;
+    readonly lease: Pick<lease.Lease, "getOffer" | "cede" | "takeFrom" | "getObservation">;
+    readonly store: rows.RowStore;
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly power: number;
+    readonly signal: AbortSignal;
+    isStoreAway(): boolean;
+}
+
+export interface Handover {
+    /** Called when the store is lost: looks for a successor, if this instance leads, until the store is back. */
+    offer(): Promise<void>;
+    /** Whether this instance could lead in place of the one that asks. */
+    answer(offer: Offer): Promise<Candidacy | undefined>;
+    /** The other's term has ended. */
+    take(offer: Offer): void;
+}
+
+/** Answers come within some 10 ms: a read of the store and the way. */
+const ASK_TIMEOUT_MS = 250;
+/** Of the read with which a candidate makes sure of the store; it has to answer within the time of the question. */
+const READ_TIMEOUT_MS = 150;
+const ASK_EVERY_MS = 200;
+
+export function createHandover(options: HandoverOptions): Handover {
+    const { port, lease: held, clock: time, log } = options;
+
+    const findSuccessor = async (offer: Offer): Promise<string | undefined> => {
+        const answers = await Promise.all(
+            port.getCandidates().map(async candidate => ({
+                candidate,
+                candidacy: await port.ask(candidate, offer, ASK_TIMEOUT_MS),
+            })),
+        );
+        const strongestFirst = answers
+            .filter(answer => answer.candidacy !== undefined)
+            .sort((a, b) => b.candidacy!.power - a.candidacy!.power);
+        return strongestFirst[0]?.candidate;
+    };
+    return {
+        offer: async () => {
+            while (options.isStoreAway() && !options.signal.aborted) {
+                const offer = held.getOffer();
+                if (!offer) {
+                    return;
+                }
+                const successor = await findSuccessor(offer);
+                if (successor !== undefined && options.isStoreAway() && held.getOffer()?.token === offer.token) {
+                    log.info("leadHandedOver", { token: offer.token, to: successor });
+                    held.cede();
+                    await port.tell(successor, offer, ASK_TIMEOUT_MS);
+                    return;
+                }
+                await time.sleep(ASK_EVERY_MS, options.signal);
+            }
+        },
+        answer: async offer => {
+            const lead = { table: work.Table.Lead, part: work.LEADER_PART, limit: 1 };
+            const isCurrent = () => held.getObservation()?.record.holder === offer.holder;
+            if (!isCurrent() || options.isStoreAway()) {
+                return undefined;
+            }
+            const read = await options.store.read(lead, READ_TIMEOUT_MS);
+            return read.kind === "read" && isCurrent() ? { power: options.power } : undefined;
+        },
+        take: offer => held.takeFrom(offer.token),
+    };
+}
--- /dev/null
+++ b/src/leader/handoverCalls.ts
@@ -0,0 +1,65 @@
+/** The handover of the lead between processes. */
+import type * as calls from "../calls/index";
+import type * as handover from "./handover";
+
+const ASK_PATH = "/lead/ask";
+const TAKE_PATH = "/lead/take";
+const OK = 200;
+/** Stands for "cannot lead"; a candidate's power is above it. */
+const NO_POWER = 0;
+
+export function createHandoverPort(
+    client: calls.HttpClient,
+    getCandidates: () => readonly string[],
+): handover.HandoverPort {
+    const post = (address: string, path: string, offer: handover.Offer, timeoutMs: number) =>
+        client.call({ address, method: "POST", path, body: JSON.stringify(offer), timeoutMs });
+    return {
+        getCandidates,
+        ask: async (candidate, offer, timeoutMs) => {
+            const outcome = await post(candidate, ASK_PATH, offer, timeoutMs);
+            const power = outcome.kind === "answered" && outcome.status === OK ? Number(outcome.body) : NO_POWER;
+            return power > NO_POWER ? { power } : undefined;
+        },
+        tell: async (candidate, offer, timeoutMs) => {
+            // Without an answer the lease lapses as it would have without a handover.
+            await post(candidate, TAKE_PATH, offer, timeoutMs);
+        },
+    };
+}
+
+export function createHandoverRoutes(answerer: Pick<handover.Handover, "answer" | "take">): calls.CallRoute[] {
+    return [
+        {
+            path: ASK_PATH,
+            handle: async text => {
+                const offer = decodeOffer(text);
+                return offer && String((await answerer.answer(offer))?.power ?? NO_POWER);
+            },
+        },
+        {
+            path: TAKE_PATH,
+            handle: async text => {
+                const offer = decodeOffer(text);
+                if (!offer) {
+                    return undefined;
+                }
+                answerer.take(offer);
+                return "";
+            },
+        },
+    ];
+}
+
+function decodeOffer(text: string): handover.Offer | undefined {
+    try {
+        const { holder, token } = JSON.parse(text) as Partial<handover.Offer>;
+        return typeof holder === "string" && holder !== "" && Number.isSafeInteger(token)
+            ? { holder, token: token! }
+            : undefined;
+    }
+    catch {
+        // Whoever asked is told that it cannot be read.
+        return undefined;
+    }
+}
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -1,6 +1,8 @@
 /** The leader: who it is, what it believes of jobs and workers, and the orders it gives. */
 export type { AdviceResult, Adviser, WorkerDirectory } from "./directory";
 export type { WorkerInfo } from "./entries";
+export { type Candidacy, createHandover, type Handover, type HandoverPort, type Offer } from "./handover";
+export { createHandoverPort, createHandoverRoutes } from "./handoverCalls";
 export type { Leadership } from "./heldLease";
 export { createLease, type Lease, type LeaseObservation, type LeaseRecord } from "./lease";
 export type { Machine, MachineService, MachinesResult, UpkeepAnswer, UpkeepOrder, Wave, WaveBoard } from "./machines";
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -65,6 +65,12 @@
     isLeading(): boolean;
     /** Ends the term when another leader's token was met. */
     depose(reason: string): void;
+    /** The term that this instance could give up; `undefined`: it does not lead. */
+    getOffer(): { readonly holder: string; readonly token: number; } | undefined;
+    /** Ends the term for a successor that is told so without the store. */
+    cede(): void;
+    /** Takes the lease over from a term whose holder has said that it is over. */
+    takeFrom(token: number): void;
     /** Gives the lease back, so that a successor need not wait for it to lapse. */
     release(): Promise<void>;
 }
@@ -97,6 +103,8 @@
     let released = false;
     let watchedHolder = "";
     let goneHolder: string | undefined;
+    /** Token of a term whose holder has said that it is over; the same process may lead again under another. */
+    let cededToken: number | undefined;
     let endWatch: (() => void) | undefined;
     let wake: (() => void) | undefined;
 
@@ -160,7 +168,7 @@
     /** Since when the lease could be had; a weak instance leaves it to stronger ones for a moment. */
     let freeSince: number | undefined;
     const mayTake = (): boolean => {
-        if (!isFree() && !isMuchStronger()) {
+        if (contactSince === undefined || (!isFree() && !isMuchStronger())) {
             freeSince = undefined;
             return false;
         }
@@ -178,8 +186,9 @@
         && options.power >= MUCH_STRONGER * observed.record.power
         && time.now() - contactSince >= STEADY_MS
         && time.now() - observed.seenAt < heldLease.LEASE_MS;
-    /** Whether the last holder is certain to be over: it gave the lease back, or was an earlier life of this instance. */
-    const isHolderOver = ({ record }: LeaseObservation) => record.holder === "" || record.instance === options.instance;
+    /** Whether the last holder is certain to be over: it gave the lease back or up, or was an earlier life of this one. */
+    const isHolderOver = ({ record }: LeaseObservation) =>
+        record.holder === "" || record.instance === options.instance || record.token === cededToken;
     const isFree = (): boolean => {
         if (!observed) {
             return true;
@@ -320,6 +329,12 @@
         getObservation: () => observed,
         isLeading: () => term !== undefined,
         depose: endTerm,
+        getOffer: () => term && { holder: options.life, token: term.leadership.token },
+        cede: () => endTerm("another instance reaches the store"),
+        takeFrom: token => {
+            cededToken = token;
+            wake?.();
+        },
         release: async () => {
             released = true;
             const current = term;
--- a/src/liveness/server.ts
+++ b/src/liveness/server.ts
@@ -1,5 +1,6 @@
 /** Holds the connections of instances that watch this process; each says once where it can be reached itself. */
 import * as net from "node:net";
+import * as calls from "../calls/index";
 
 export interface LivenessServer {
     /** Takes `IP:PORT`, port 0 for any free one; returns the port. */
@@ -29,17 +30,7 @@
         socket.on("close", () => open.delete(socket));
     });
     return {
-        listen: address => {
-            const separator = address.lastIndexOf(":");
-            return new Promise((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(
-                    Number(address.slice(separator + 1)),
-                    address.slice(0, separator),
-                    () => resolve((server.address() as net.AddressInfo).port),
-                );
-            });
-        },
+        listen: address => calls.listen(server, address),
         getWatchers: () => watchers,
         close: () => {
             server.close();
--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -14,7 +14,12 @@
 const TIMEOUT_MS = 5_000;
 
 async function open(handle: (request: relay.CallersRequest) => Promise<relay.CallersReply>) {
-    const server = relay.createPeerServer({ getConfigurationVersion: () => 7, getPeers: () => ["10.0.0.1:1"], handle });
+    const route = relay.createRequestRoute({
+        getConfigurationVersion: () => 7,
+        getPeers: () => ["10.0.0.1:1"],
+        handle,
+    });
+    const server = calls.createCallServer([route]);
     const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
     const client = calls.createHttpClient(2);
     const send = relay.createPeerClient(client);
--- a/src/scheduler/__tests__/failover.test.ts
+++ b/src/scheduler/__tests__/failover.test.ts
@@ -1,3 +1,4 @@
+import * as emulator from "../../emulator/index";
 import * as fixtures from "./fixtures";
 
 /** Time from the loss of the leader to the first start of a job handed in right after it. */
@@ -29,6 +30,63 @@
     });
 });
 
+describe("a leader that alone loses the store", () => {
+    // Symptom: urgent work begins 1.7 s late. Sequence: the store turns the leader away, all others reach it. Cause: the
+    // lease has to lapse, though the leader knows that it cannot renew it.
+    const LOST_AT_MS = 1_000;
+    const cases: ReadonlyArray<{
+        readonly name: string;
+        readonly fault: emulator.StoreFault;
+        /** Instances that lose the store. */
+        readonly lost: readonly number[];
+        readonly mostMs: number;
+    }> = [
+        { name: "turned away", fault: "refuse", lost: [0], mostMs: 900 },
+        { name: "in silence", fault: "silent", lost: [0], mostMs: 1_500 },
+        { name: "turned away like another", fault: "refuse", lost: [0, 1], mostMs: 900 },
+    ];
+    test.each(cases)("is succeeded as soon as it knows: $name", async ({ fault, lost, mostMs }) => {
+        const site = fixtures.openSite({
+            instances: 3,
+            storeFaults: time => ({
+                decide: caller =>
+                    time.now() >= LOST_AT_MS && lost.some(number => caller === emulator.getInstanceName(number))
+                        ? fault
+                        : "none",
+                lateMs: 0,
+            }),
+        });
+        await site.clock.advance(LOST_AT_MS);
+        expect(site.getLeader()).toBe(0);
+        const job = fixtures.createJob(1);
+        await fixtures.settle(site.clock, site.submit(job, 2));
+        await site.clock.advance(5_000);
+        site.close();
+        expect(fixtures.getStarts(site, job)[0]!.at - LOST_AT_MS).toBeLessThan(mostMs);
+        expect(site.workers.breaches).toEqual([]);
+    });
+
+    test("stays where no other reaches the store, and prolongs what runs", async () => {
+        // Symptom: all running work is lost in an outage of the store. Sequence: the leader gives up its term, and
+        // nobody can take it. Cause: it asked nobody whether they could.
+        const AWAY_MS = 7_000;
+        const site = fixtures.openSite({
+            instances: 3,
+            storeFaults: time => ({
+                decide: () => time.now() >= 3_000 && time.now() < 3_000 + AWAY_MS ? "refuse" : "none",
+                lateMs: 0,
+            }),
+        });
+        await site.clock.advance(1_000);
+        const job = fixtures.createJob(1, { estimateMs: 12_000 });
+        await fixtures.settle(site.clock, site.submit(job, 2));
+        await site.clock.advance(20_000);
+        site.close();
+        expect(fixtures.getStarts(site, job)).toHaveLength(1);
+        expect(site.workers.doneCounts.size).toBe(1);
+    });
+});
+
 describe("work on a worker that is lost while leaders change", () => {
     // Symptom: a job stands still for 17 s although most workers are idle. Sequence: its worker goes for good, and at the
     // same time all instances are killed; one comes back and leads. Cause: the new leader allows for a predecessor that
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -20,6 +20,7 @@
     readonly peerAddress: string;
     /** Watches another instance's process; returns what ends the watch. */
     watchProcess(address: string, onGone: () => void): () => void;
+    readonly handover: leader.HandoverPort;
     readonly store: rows.RowStore;
     readonly directory: leader.WorkerDirectory;
     readonly workers: leader.WorkerPort;
@@ -57,6 +58,8 @@
     isStoreAway(): boolean;
     /** Where the leader takes requests that are passed on; `undefined` where it is this instance or not known. */
     getLeaderAddress(): string | undefined;
+    /** What other instances ask when they cannot lead any more. */
+    readonly handover: Pick<leader.Handover, "answer" | "take">;
     /** Hands the lead over. */
     release(): Promise<void>;
 }
@@ -69,7 +72,10 @@
         clock: time,
         signal: options.signal,
         probe: { table: work.Table.Lead, part: work.LEADER_PART },
-        onAway: why => log.warn("storeLost", { why }),
+        onAway: why => {
+            log.warn("storeLost", { why });
+            void handover.offer();
+        },
         onBack: awayMs => log.info("storeRegained", { awayMs: Math.round(awayMs) }),
     });
     const { store } = health;
@@ -105,6 +111,8 @@
         getWaiting: () => term?.getWaiting(),
         onElected: openTerm,
     });
+    const isStoreAway = () => health.getAwayMs() !== undefined;
+    const handover = leader.createHandover({ ...options, port: options.handover, lease, store, isStoreAway });
     const intake = intakes.createIntake({
         store,
         health,
@@ -118,7 +126,6 @@
             return observed && counts && { counts, ageMs: time.now() - observed.seenAt };
         },
     });
-    const isStoreAway = () => health.getAwayMs() !== undefined;
     const isReady = () => current.get() !== undefined && !isStoreAway();
     meter.registerGauges(() => [
         { metric: "ready", value: Number(isReady()) },
@@ -130,6 +137,7 @@
         catalog: current,
         intake,
         store,
+        handover,
         isReady,
         isLeading: lease.isLeading,
         isStoreAway,
