A late renewal is enough for a leader to look for a successor

Cause: a store that falls silent is certain to be lost only after 0.5 to 0.9 s, when most of the lease of 1.6 s is over. A renewal without an answer after 0.15 s, ten times what it takes, now makes the leader read on another connection, and ask for a successor where that is in vain as well.

--- a/src/leader/handover.ts
+++ b/src/leader/handover.ts
@@ -5,6 +5,9 @@
  * lease, and the others wait until it has lapsed; work that is handed in meanwhile is accepted and does not start. One
  * notices urgent jobs that begin 1.7 s late. With it the lead changes as soon as the leader knows of its loss.
  *
+ * The store is lost when it says so or is silent, and also when a renewal of the lease is late and a read on another
+ * connection gets no answer: waiting for both to be certain takes most of the lease.
+ *
  * A leader ends its term only for an instance that has just reached the store: while the store is away from all of
  * them, the leader is the one that prolongs what runs.
  */
@@ -38,7 +41,7 @@
 
 export interface HandoverOptions {
     readonly port: HandoverPort;
-    readonly lease: Pick<lease.Lease, "getOffer" | "cede" | "takeFrom" | "getObservation">;
+    readonly lease: Pick<lease.Lease, "getOffer" | "isRenewalLate" | "cede" | "takeFrom" | "getObservation">;
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
@@ -48,7 +51,10 @@
 }
 
 export interface Handover {
-    /** Called when the store is lost: looks for a successor, if this instance leads, until the store is back. */
+    /**
+     * Called when the store may be lost: makes sure of that and looks for a successor, if this instance leads, until
+     * the store is back.
+     */
     offer(): Promise<void>;
     /** Whether this instance could lead in place of the one that asks. */
     answer(offer: Offer): Promise<Candidacy | undefined>;
@@ -58,7 +64,10 @@
 
 /** Answers come within some 10 ms: a read of the store and the way. */
 const ASK_TIMEOUT_MS = 250;
-/** Of the read with which a candidate makes sure of the store; it has to answer within the time of the question. */
+/**
+ * Of the read with which leader and candidates make sure of the store. At a store that is slow for all of them no
+ * candidate gets its answer in time, and the lead stays where it is.
+ */
 const READ_TIMEOUT_MS = 150;
 const ASK_EVERY_MS = 200;
 
@@ -77,31 +86,42 @@
             .sort((a, b) => b.candidacy!.power - a.candidacy!.power);
         return strongestFirst[0]?.candidate;
     };
+    const canRead = async () => {
+        const lead = { table: work.Table.Lead, part: work.LEADER_PART, limit: 1 };
+        return (await options.store.read(lead, READ_TIMEOUT_MS)).kind === "read";
+    };
+    const isDoubtful = () => options.isStoreAway() || held.isRenewalLate();
+    let offering = false;
+    const offerUntilBack = async () => {
+        while (isDoubtful() && !options.signal.aborted) {
+            const offer = held.getOffer();
+            if (!offer || (!options.isStoreAway() && await canRead())) {
+                return;
+            }
+            const successor = await findSuccessor(offer);
+            if (successor !== undefined && isDoubtful() && held.getOffer()?.token === offer.token) {
+                log.info("leadHandedOver", { token: offer.token, to: successor });
+                held.cede();
+                await port.tell(successor, offer, ASK_TIMEOUT_MS);
+                return;
+            }
+            await time.sleep(ASK_EVERY_MS, options.signal);
+        }
+    };
     return {
         offer: async () => {
-            while (options.isStoreAway() && !options.signal.aborted) {
-                const offer = held.getOffer();
-                if (!offer) {
-                    return;
-                }
-                const successor = await findSuccessor(offer);
-                if (successor !== undefined && options.isStoreAway() && held.getOffer()?.token === offer.token) {
-                    log.info("leadHandedOver", { token: offer.token, to: successor });
-                    held.cede();
-                    await port.tell(successor, offer, ASK_TIMEOUT_MS);
-                    return;
-                }
-                await time.sleep(ASK_EVERY_MS, options.signal);
+            if (!offering) {
+                offering = true;
+                await offerUntilBack();
+                offering = false;
             }
         },
         answer: async offer => {
-            const lead = { table: work.Table.Lead, part: work.LEADER_PART, limit: 1 };
             const isCurrent = () => held.getObservation()?.record.holder === offer.holder;
             if (!isCurrent() || options.isStoreAway()) {
                 return undefined;
             }
-            const read = await options.store.read(lead, READ_TIMEOUT_MS);
-            return read.kind === "read" && isCurrent() ? { power: options.power } : undefined;
+            return await canRead() && isCurrent() ? { power: options.power } : undefined;
         },
         take: offer => held.takeFrom(offer.token),
     };
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -57,6 +57,8 @@
     readonly power: number;
     readonly signal: AbortSignal;
     getWaiting(): Readonly<Record<string, number>> | undefined;
+    /** A renewal has had no answer for a while: the store may be out of reach. */
+    onRenewalLate(): void;
     onElected(leadership: heldLease.Leadership): void;
 }
 
@@ -67,6 +69,8 @@
     depose(reason: string): void;
     /** The term that this instance could give up; `undefined`: it does not lead. */
     getOffer(): { readonly holder: string; readonly token: number; } | undefined;
+    /** Whether this instance leads and could not renew its lease when it was due. */
+    isRenewalLate(): boolean;
     /** Ends the term for a successor that is told so without the store. */
     cede(): void;
     /** Takes the lease over from a term whose holder has said that it is over. */
@@ -77,6 +81,8 @@
 
 /** A renewal takes 5 ms, at a store that is 60 times slower 0.3 s; three of them fit into a lease. */
 const RENEW_EVERY_MS = 500;
+/** Without an answer for this long a renewal is late: ten times what it takes as a rule. */
+const LATE_MS = 150;
 /** After a loss of the store a follower leaves the holder this long to renew first: a takeover costs a look at all. */
 const RETURN_MS = 1_200;
 /** A machine with this many times the holder's processor time takes the lead over. */
@@ -258,11 +264,13 @@
         const sentAt = heldLease.readTimes(time);
         const { token, othersSilentAt } = current.leadership;
         const record = createRecord(token, othersSilentAt, options.getWaiting());
+        const cancelLate = time.setTimer(LATE_MS, options.onRenewalLate);
         const outcome = await options.store.transact({
             conditions: [{ ...LEASE_KEY, version: current.version }],
             puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }],
             removals: [],
         }, CALL_TIMEOUT_MS);
+        cancelLate();
         if (term !== current) {
             return;
         }
@@ -330,6 +338,7 @@
         isLeading: () => term !== undefined,
         depose: endTerm,
         getOffer: () => term && { holder: options.life, token: term.leadership.token },
+        isRenewalLate: () => term !== undefined && time.now() - term.renewedAt.monotonic >= RENEW_EVERY_MS + LATE_MS,
         cede: () => endTerm("another instance reaches the store"),
         takeFrom: token => {
             cededToken = token;
--- a/src/scheduler/__tests__/failover.test.ts
+++ b/src/scheduler/__tests__/failover.test.ts
@@ -42,7 +42,7 @@
         readonly mostMs: number;
     }> = [
         { name: "turned away", fault: "refuse", lost: [0], mostMs: 900 },
-        { name: "in silence", fault: "silent", lost: [0], mostMs: 1_500 },
+        { name: "in silence", fault: "silent", lost: [0], mostMs: 1_100 },
         { name: "turned away like another", fault: "refuse", lost: [0, 1], mostMs: 900 },
     ];
     test.each(cases)("is succeeded as soon as it knows: $name", async ({ fault, lost, mostMs }) => {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -109,6 +109,7 @@
         signal: options.signal,
         power: options.power,
         getWaiting: () => term?.getWaiting(),
+        onRenewalLate: () => void handover.offer(),
         onElected: openTerm,
     });
     const isStoreAway = () => health.getAwayMs() !== undefined;
