--- a/src/queue/index.ts
+++ b/src/queue/index.ts
@@ -11,4 +11,5 @@
     type Scheduler,
     type SchedulerTerms,
 } from "./scheduler";
-export { createZoneQueue, getShapes, type ZoneQueue, type ZoneQueueOptions, type ZoneStatus } from "./zoneQueue";
+export { createZoneQueue, type ZoneQueue, type ZoneQueueOptions } from "./zoneQueue";
+export { getShapes, type ZoneStatus } from "./zoneViews";
--- /dev/null
+++ b/src/queue/jobMoves.ts
@@ -0,0 +1,72 @@
+/** Jobs that go on waiting in the queue of another zone, which has room for them. */
+import * as platform from "../backing/index";
+import type * as clock from "../clock/index";
+import type * as jobs from "../jobs/index";
+import type * as observe from "../observe/index";
+import type * as queueEntry from "./entry";
+import type * as schedulerModule from "./scheduler";
+
+export interface JobMovesOptions {
+    readonly clock: clock.Clock;
+    readonly counters: observe.Counters;
+    readonly store: jobs.JobStore;
+    readonly scheduler: schedulerModule.Scheduler;
+    readonly entries: Map<string, queueEntry.QueueEntry>;
+    /** A zone that could take the job now, by what its queue owner last said; undefined for none. */
+    readonly findOtherZone: (job: { readonly account: string; readonly accelerators: number; }) => string | undefined;
+    /** Tells the owner of a queue that a job was moved to it. */
+    readonly notifyMoved: (zone: string, jobId: string) => void;
+    requeue(entry: queueEntry.QueueEntry): void;
+    replace(entry: queueEntry.QueueEntry, found: jobs.VersionedRow | undefined): void;
+    run(work: Promise<void>): void;
+}
+
+export interface JobMoves {
+    moveWaiting(): void;
+}
+
+/** A job that waited in this queue for this long may be moved to another zone. */
+const MOVE_AFTER_MS = 2000;
+const MAX_MOVES_A_ROUND = 20;
+
+export function createJobMoves(options: JobMovesOptions): JobMoves {
+    const { clock: time, counters, store, scheduler, entries, requeue, replace, run } = options;
+
+    /** Moves jobs that wait here to zones that have room for them, a few at a time since the view of the other is old. */
+    const moveWaiting = () => {
+        const now = time.now();
+        let moves = 0;
+        for (const job of scheduler.queue.getJobs()) {
+            if (moves >= MAX_MOVES_A_ROUND) {
+                return;
+            }
+            const entry = entries.get(job.jobId);
+            const isDue = entry && now - entry.admittedAt > MOVE_AFTER_MS && !scheduler.isPlaceKept(job.jobId);
+            const target = isDue ? options.findOtherZone(job) : undefined;
+            if (target !== undefined && entry && !entry.active && scheduler.remove(job.jobId)) {
+                moves++;
+                run(move(entry, target));
+            }
+        }
+    };
+
+    const move = async (entry: queueEntry.QueueEntry, target: string): Promise<void> => {
+        entry.active = true;
+        const row: jobs.JobRow = { ...entry.stored.row, zone: target, state: "queued", members: [] };
+        const written = await store.update(entry.stored, row, platform.Priority.Progress);
+        if (written.kind === "written") {
+            entries.delete(entry.job.jobId);
+            counters.increment("jobs.moved");
+            options.notifyMoved(target, entry.job.jobId);
+            return;
+        }
+        const found = await store.read(entry.job.jobId);
+        if (found.kind === "read" && found.value?.version !== entry.stored.version) {
+            replace(entry, found.value);
+            return;
+        }
+        requeue(entry);
+    };
+
+    return { moveWaiting };
+}
