--- a/src/workers/index.ts
+++ b/src/workers/index.ts
@@ -2,7 +2,8 @@
 export { type AnswerCheck, checkAnswer, getBodyDigest } from "./answerCheck";
 export { createWorkerHealth, type WorkerHealth } from "./health";
 export { createHttpWorker, type HttpWorkerOptions } from "./httpWorker";
-export { createInteractiveRunner, getOnceTaskId, type InteractiveRunner } from "./interactiveRunner";
+export { createInteractiveRunner, type InteractiveRunner } from "./interactiveRunner";
+export { getOnceTaskId } from "./onceRunner";
 export { createRackOwner, getResultKey, type RackOwner, type RackOwnerOptions, splitTaskId } from "./rackOwner";
 export { readNote, type TaskNote, writeNote } from "./taskNote";
 export * from "./workerPort";
