--- /dev/null
+++ b/src/leader/__tests__/handoverCalls.test.ts
@@ -0,0 +1,78 @@
+import * as calls from "../../calls/index";
+import * as leader from "../index";
+
+const OFFER: leader.Offer = { holder: "a-1", token: 7 };
+const TIMEOUT_MS = 5_000;
+
+async function open(candidacy: leader.Candidacy | undefined) {
+    const asked: leader.Offer[] = [];
+    const taken: leader.Offer[] = [];
+    const server = calls.createCallServer(leader.createHandoverRoutes({
+        answer: async offer => {
+            asked.push(offer);
+            return candidacy;
+        },
+        take: offer => {
+            taken.push(offer);
+        },
+    }));
+    const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
+    const client = calls.createHttpClient(1);
+    return {
+        address,
+        asked,
+        taken,
+        client,
+        port: leader.createHandoverPort(client, () => [address]),
+        close: async () => {
+            client.close();
+            await server.close();
+        },
+    };
+}
+
+describe("a term that is given up, between two processes", () => {
+    const answers: ReadonlyArray<readonly [name: string, candidacy: leader.Candidacy | undefined]> = [
+        ["that could lead", { power: 0.675 }],
+        ["that could not", undefined],
+    ];
+    test.each(answers)("an instance %s says so", async (_name, candidacy) => {
+        const other = await open(candidacy);
+        expect(await other.port.ask(other.address, OFFER, TIMEOUT_MS)).toEqual(candidacy);
+        await other.close();
+        expect(other.asked).toEqual([OFFER]);
+    });
+
+    test("the successor is told which term has ended", async () => {
+        const other = await open({ power: 1 });
+        await other.port.tell(other.address, OFFER, TIMEOUT_MS);
+        await other.close();
+        expect(other.taken).toEqual([OFFER]);
+    });
+
+    test("an instance that is gone cannot lead", async () => {
+        const other = await open({ power: 1 });
+        await other.close();
+        const client = calls.createHttpClient(1);
+        const port = leader.createHandoverPort(client, () => []);
+        expect(await port.ask(other.address, OFFER, TIMEOUT_MS)).toBeUndefined();
+        client.close();
+    });
+
+    const malformed = ["", "null", "{}", "{\"holder\":\"\",\"token\":1}", "{\"holder\":\"a\",\"token\":\"1\"}"];
+    test.each(malformed.map(text => ({ text })))("what cannot be read changes nothing: $text", async ({ text }) => {
+        const other = await open({ power: 1 });
+        for (const path of ["/lead/ask", "/lead/take", "/nowhere"]) {
+            const outcome = await other.client.call({
+                address: other.address,
+                method: "POST",
+                path,
+                body: text,
+                timeoutMs: TIMEOUT_MS,
+            });
+            expect(outcome).toMatchObject({ kind: "answered", status: 400 });
+        }
+        await other.close();
+        expect([other.asked, other.taken]).toEqual([[], []]);
+    });
+});
