--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -59,7 +59,7 @@
 const WORKER_LATENCY_MS = 1;
 const DEFAULT_MAX_LEASE_MS = 6_000;
 const STOP_MS = 200;
-const BEAT_MS = 200;
+const HEARTBEAT_MS = 200;
 const CALLER_PATIENCE_MS = 3_000;
 const UPKEEP_MS = 2_000;
 const ROW_BYTES = 65_536;
@@ -118,7 +118,7 @@
                 };
                 controller?.signal.addEventListener("abort", tell);
                 return {
-                    ...watchBeats(address),
+                    ...watchHeartbeats(address),
                     end: () => controller?.signal.removeEventListener("abort", tell),
                 };
             },
@@ -154,18 +154,18 @@
         scheduler.catalog.accept(options.catalog);
         return { scheduler, controller, freezer };
     };
-    /** Signs of life of an instance, as long as its present life goes on. */
-    const watchBeats = (address: string) => {
+    /** Heartbeats of an instance, as long as its present life goes on. */
+    const watchHeartbeats = (address: string) => {
         const watched = findAlive(address);
-        let beatAt = time.now();
-        const beat = () => {
+        let heartbeatAt = time.now();
+        const takeHeartbeat = () => {
             if (watched && !watched.controller.signal.aborted) {
-                beatAt = watched.freezer.isFrozen() ? beatAt : time.now();
-                time.setTimer(BEAT_MS, beat);
+                heartbeatAt = watched.freezer.isFrozen() ? heartbeatAt : time.now();
+                time.setTimer(HEARTBEAT_MS, takeHeartbeat);
             }
         };
-        beat();
-        return { getSilentMs: () => time.now() - beatAt };
+        takeHeartbeat();
+        return { getSilentMs: () => time.now() - heartbeatAt };
     };
     const findAlive = (name: string) =>
         instances.find((instance, other) => getInstanceName(other) === name && !instance.controller.signal.aborted);
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -42,7 +42,7 @@
 
 /** What is known of the holder's process without the store. */
 export interface HolderWatch {
-    /** Milliseconds since it last gave a sign of life; `undefined`: it gives none, or has not yet. */
+    /** Milliseconds since its latest heartbeat; `undefined`: it sends none, or has not yet. */
     getSilentMs(): number | undefined;
     end(): void;
 }
@@ -88,9 +88,9 @@
 
 /** A renewal takes 5 ms, at a store that is 60 times slower 0.3 s; three of them fit into a lease. */
 const RENEW_EVERY_MS = 500;
-/** Of a holder that gives no sign of life beside: one renewal is missing. */
+/** Of a holder whose heartbeats have ended as well: one renewal is missing. */
 const SILENT_LEASE_MS = 900;
-/** Three signs of life are missing, and a packet that is lost is sent again sooner. */
+/** Three heartbeats are missing, and a packet that is lost is sent again sooner. */
 const SILENCE_MS = 600;
 /** Without an answer for this long a renewal is late: ten times what it takes as a rule. */
 const LATE_MS = 150;
@@ -207,8 +207,8 @@
     const isHolderOver = ({ record }: LeaseObservation) =>
         record.holder === "" || record.instance === options.instance || record.token === cededToken;
     /**
-     * A machine that goes dark, or a cut, ends both the renewals and the signs of life; a slow store the renewals only.
-     * The fencing token makes a takeover safe at any time, so that two signs are enough to be sooner.
+     * A machine that loses power, or a cut, ends both the renewals and the heartbeats; a slow store delays the renewals
+     * only. The fencing token makes a takeover safe at any time, so that both together are enough to be sooner.
      */
     const isHolderSilent = () => (watch?.getSilentMs() ?? 0) >= SILENCE_MS;
     const isFree = (): boolean => {
--- a/src/liveness/__tests__/liveness.test.ts
+++ b/src/liveness/__tests__/liveness.test.ts
@@ -49,7 +49,7 @@
         expect([...server.getWatchers()].sort()).toEqual(["10.0.0.1:7001", "10.0.0.2:7001"]);
     });
 
-    test("a leader gives signs of life, and no other does", async () => {
+    test("a leader sends heartbeats, and no other does", async () => {
         leading = false;
         const server = liveness.createLivenessServer({ clock, isLeading: () => leading });
         const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
--- a/src/liveness/server.ts
+++ b/src/liveness/server.ts
@@ -5,7 +5,7 @@
 
 export interface LivenessServerOptions {
     readonly clock: clock.Clock;
-    /** While it holds, watchers are told at each beat that this process lives. */
+    /** While it holds, watchers get heartbeats. */
     isLeading(): boolean;
 }
 
@@ -25,18 +25,18 @@
 const MOST_GREETING_BYTES = 64;
 
 /** Three of them fit into the silence that makes a follower doubt (`src/leader/lease.ts`). */
-const BEAT_MS = 200;
-/** A beat costs the leader some 10 us a watcher; those beyond wait for the lease, as they would without beats. */
-const MOST_BEATEN = 40;
-const BEAT = "\n";
+const HEARTBEAT_MS = 200;
+/** Bounds what heartbeats cost the leader of a large site; watchers beyond wait for the lease, as without them. */
+const MAX_HEARTBEAT_WATCHERS = 40;
+const HEARTBEAT = "\n";
 
 export function createLivenessServer(options: LivenessServerOptions): LivenessServer {
-    let cancelBeat = () => {};
-    const beat = () => {
+    let cancelHeartbeat = () => {};
+    const sendHeartbeats = () => {
         if (options.isLeading()) {
-            [...open].slice(0, MOST_BEATEN).forEach(socket => socket.write(BEAT));
+            [...open].slice(0, MAX_HEARTBEAT_WATCHERS).forEach(socket => socket.write(HEARTBEAT));
         }
-        cancelBeat = options.clock.setTimer(BEAT_MS, beat);
+        cancelHeartbeat = options.clock.setTimer(HEARTBEAT_MS, sendHeartbeats);
     };
     const open = new Set<net.Socket>();
     let watchers: readonly string[] = [];
@@ -51,13 +51,13 @@
     });
     return {
         listen: address => {
-            cancelBeat();
-            beat();
+            cancelHeartbeat();
+            sendHeartbeats();
             return calls.listen(server, address);
         },
         getWatchers: () => watchers,
         close: () => {
-            cancelBeat();
+            cancelHeartbeat();
             server.close();
             open.forEach(socket => socket.destroy());
         },
--- a/src/liveness/watch.ts
+++ b/src/liveness/watch.ts
@@ -1,9 +1,9 @@
 /**
- * Watches another instance's process over a connection on which the watcher says its own address, and a leader beats.
+ * Watches another instance's process over a connection on which the watcher says its own address, and a leader sends heartbeats.
  *
  * When a process dies, its system closes its connections and refuses new ones. So a connection that had come about
  * and was closed, followed by a refusal, means that the process is gone, long before its lease lapses. A machine
- * without power or behind a cut refuses nothing; of such a one only the beats that a leader sends stay away.
+ * without power or behind a cut refuses nothing; only the heartbeats of such a one stay away.
  */
 import * as net from "node:net";
 import type * as clock from "../clock/index";
@@ -23,7 +23,7 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 
 export interface Watch {
-    /** Milliseconds since the latest beat; `undefined` where none has come yet. */
+    /** Milliseconds since the latest heartbeat; `undefined` where none has come yet. */
     getSilentMs(): number | undefined;
     end(): void;
 }
@@ -36,7 +36,7 @@
     let wasConnected = false;
     let socket: net.Socket | undefined;
     let retry: NodeJS.Timeout | undefined;
-    let beatAt: number | undefined;
+    let heartbeatAt: number | undefined;
 
     const connect = () => {
         let refused = false;
@@ -51,7 +51,7 @@
             refused = err.code === "ECONNREFUSED";
         });
         socket.on("data", () => {
-            beatAt = options.clock.now();
+            heartbeatAt = options.clock.now();
         });
         socket.once("close", () => {
             if (ended) {
@@ -67,7 +67,7 @@
     };
     connect();
     return {
-        getSilentMs: () => beatAt === undefined ? undefined : options.clock.now() - beatAt,
+        getSilentMs: () => heartbeatAt === undefined ? undefined : options.clock.now() - heartbeatAt,
         end: () => {
             ended = true;
             clearTimeout(retry);
