A wait in the embedded site's test ends before the test does

Its loop went on after the test had timed out, and kept the runner from ending: two runs of trials with the test as it was before were still there an hour later. It now fails with a message.

--- a/standins/site/__tests__/embeddedSite.test.ts
+++ b/standins/site/__tests__/embeddedSite.test.ts
@@ -30,9 +30,16 @@
     };
 }
 
+/** Below the time that a test has: a loop that outlives its test keeps the runner from ending. */
+const UNTIL_MS = 25_000;
+
 async function until(holds: () => boolean): Promise<void> {
-    while (!holds()) {
-        await new Promise(resolve => setTimeout(resolve, 10));
+    const pauseMs = 10;
+    for (let waitedMs = 0; !holds(); waitedMs += pauseMs) {
+        if (waitedMs >= UNTIL_MS) {
+            throw new Error("the condition did not come true");
+        }
+        await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
 }
 
