A worker's clock is read anew before a start that follows a long idle time

Cause: a start's deadline was made from the worker's clock as it was read at the last answer. A worker may be idle for an hour, and a clock that is 2% slow shows 72 s less by then, so the deadline lay as much later than the leader counts on. A start that got no answer and is carried out late could then begin after the leader counts all work there as lapsed: a task runs twice, or one of a cancelled job runs though nobody looks at its worker. Ruled out: the grants of looks, which are made from the answer before them, a second old at most. Before: workerSession.test.ts, a worker idle for 20 s and for an hour: the deadline lies 0.06 s and 72 s beyond the moment that counts as lapsed. After: the clock is taken to have run 2% slow since it was read, and one read more than 10 s ago is read anew by a look (one call a start to a worker that was idle for so long); both cases hold.

--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -59,11 +59,14 @@
 /** An idle worker's last ends are acknowledged this much later, unless a new task brings a look before. */
 const LAST_LOOK_DELAY_MS = 400;
 
+/** A worker that was idle for longer is looked at before a start: its clock may have fallen behind by 0.2 s since. */
+const LONGEST_CLOCK_AGE_MS = 10_000;
+
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
     const { worker, clock: time, leadership } = options;
     const controller = new AbortController();
     const { signal } = controller;
-    let clockOffset: number | undefined;
+    let workerClock: lapse.ClockReading | undefined;
     /** Our time by which everything there has lapsed unless it is prolonged. */
     let lapsedAt = lapse.getLapsedAt(Math.max(leadership.othersSilentAt, time.now()), options.maxLeaseMs);
     let lastEnd = 0;
@@ -79,20 +82,20 @@
     let gone = false;
     let wake: (() => void) | undefined;
 
-    const learnClock = (workerClock: number | undefined) => {
-        if (workerClock !== undefined && workerClock > 0) {
+    const learnClock = (shown: number | undefined) => {
+        if (shown !== undefined && shown > 0) {
             // The answer left the worker before it came here, so this is never too high, and a deadline made from it
             // never later than we count on: a look may have waited there for seconds.
-            clockOffset = workerClock - time.now();
+            workerClock = { shown, readAt: time.now() };
         }
     };
     const getDeadline = () => {
-        if (clockOffset === undefined) {
+        if (!workerClock) {
             return undefined;
         }
         const now = time.now();
         lapsedAt = Math.max(lapsedAt, lapse.getLapsedAt(now, options.maxLeaseMs));
-        return Math.round(now + clockOffset + options.maxLeaseMs);
+        return Math.floor(lapse.getLeastClock(workerClock, now) + options.maxLeaseMs);
     };
     const setHeard = (next: boolean) => {
         if (heard !== next) {
@@ -217,7 +220,7 @@
                 await pause(RETRY_PAUSE_MS);
                 continue;
             }
-            const waitMs = busy && !mustLook && clockOffset !== undefined ? options.getWaitMs() : 0;
+            const waitMs = busy && !mustLook && workerClock ? options.getWaitMs() : 0;
             if (!await (fenced ? look(waitMs) : takeFirstLook())) {
                 if (signal.aborted || gone) {
                     return;
@@ -256,6 +259,9 @@
 
     return {
         start: async request => {
+            if (workerClock && time.now() - workerClock.readAt > LONGEST_CLOCK_AGE_MS && !await look(0)) {
+                return { kind: "unreachable", message: "the worker's clock was read too long ago" };
+            }
             const deadline = getDeadline();
             if (deadline === undefined) {
                 return { kind: "unreachable", message: "the worker's clock is not known yet" };
