Late starts of cancelled jobs are played, with and without their starter

The users count a task of a cancelled job that a worker starts late, also where its starter has been removed.

--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -29,6 +29,11 @@
 const TROUBLE_MS = 25_000;
 const RECOVERY_MS = 70_000;
 const STEP_MS = 50;
+/**
+ * After the faults: an order that is carried out 6.3 s late may be the last of them, a leader is found anew within 2 s,
+ * and a worker that was out of reach is heard again and told to stop within another.
+ */
+const STOP_WITHIN_MS = 10_000;
 
 interface Window<T> {
     readonly from: number;
@@ -75,15 +80,23 @@
     const jobs = range(JOBS).map(number => randomJob.createRandomJob(source, number));
     const cancelled = new Set<string>();
     const accepted = new Set<string>();
-    const events = createEvents(source, site, jobs, accepted, cancelled);
+    const acknowledged = new Set<string>();
+    const runOn = new Set<string>();
+    const events = createEvents(source, site, jobs, { accepted, cancelled, acknowledged });
     while (time.now() < TROUBLE_MS + RECOVERY_MS) {
         for (const event of events.filter(candidate => candidate.at <= time.now() && !candidate.done)) {
             event.done = true;
             event.act();
         }
+        if (time.now() >= TROUBLE_MS + STOP_WITHIN_MS) {
+            site.workers.getRunningTasks()
+                .filter(task => acknowledged.has(task.split(".", 1)[0]!))
+                .forEach(task => runOn.add(task));
+        }
         await time.advance(STEP_MS);
     }
     const breaches = [...site.workers.breaches];
+    runOn.forEach(task => breaches.push(`${task} runs on though its job was cancelled`));
     for (const job of jobs) {
         const state = await ask(time, site, job);
         const expected = cancelled.has(job.jobId) ? ["cancelled", "completed", "failed"] : [randomJob.getOutcome(job)];
@@ -101,12 +114,18 @@
     done: boolean;
 }
 
+/** Ids of the jobs that were accepted, of those whose cancellation was sent, and of those for which it was acknowledged. */
+interface JobSets {
+    readonly accepted: Set<string>;
+    readonly cancelled: Set<string>;
+    readonly acknowledged: Set<string>;
+}
+
 function createEvents(
     source: random.Random,
     site: sites.Site,
     jobs: readonly jobModel.EmulatedJob[],
-    accepted: Set<string>,
-    cancelled: Set<string>,
+    { accepted, cancelled, acknowledged }: JobSets,
 ): ChaosEvent[] {
     const events: ChaosEvent[] = [];
     const add = (at: number, act: () => void) => events.push({ at, act, done: false });
@@ -128,7 +147,11 @@
             add(4_000 + source.nextInt(TROUBLE_MS), () => {
                 if (accepted.has(job.jobId)) {
                     cancelled.add(job.jobId);
-                    void site.cancel(job.jobId, source.nextInt(INSTANCES));
+                    void site.cancel(job.jobId, source.nextInt(INSTANCES)).then(reply => {
+                        if (reply.kind === "cancelled") {
+                            acknowledged.add(job.jobId);
+                        }
+                    });
                 }
             });
         }
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -52,6 +52,8 @@
     drain(id: string, remainingMs: number): void;
     /** How many tasks run there. */
     getRunning(id: string): number;
+    /** Names of all tasks that run, or are being stopped, anywhere. */
+    getRunningTasks(): readonly string[];
     /** What the tasks there take of the worker's capacity; `undefined` once its life is over. */
     getUsed(id: string): work.Room | undefined;
     /** Breaches of promises, in words; empty when all were kept. */
@@ -356,6 +358,7 @@
             life.listed = listed;
             life.runs.clear();
         },
+        getRunningTasks: () => [...lives.values()].flatMap(life => [...life.runs.keys()]),
         getRunning: id => lives.get(id)!.runs.size,
         getUsed: id => {
             const life = lives.get(id)!;
