What others write to the tables is used only where it says all that is needed

Cause: fields that are missing or of another type read as zero, empty or false. Ruled out: refusing the whole table, since the other entries must hold. A worker of a service that no configuration names gets no look until one does, or as long as something runs there.

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -40,6 +40,8 @@
     cancel(jobId: string, instance: number): Promise<intakes.IntakeReply>;
     getState(jobId: string, instance: number): Promise<intakes.IntakeReply>;
     count(queue: string, instance: number): Promise<intakes.IntakeReply>;
+    /** Puts a configuration in force at all instances. */
+    configure(catalog: catalogs.Catalog): void;
     /** The instance that leads, if one does. */
     getLeader(): number | undefined;
     /** Ends an instance without a word. */
@@ -98,6 +100,7 @@
         readonly freezer: freezers.Freezer;
     }
     let lives = 0;
+    let current = options.catalog;
     const open = (number: number): Instance => {
         const controller = new AbortController();
         events.setMaxListeners(0, controller.signal);
@@ -151,7 +154,7 @@
             meter: options.meter,
             signal: controller.signal,
         });
-        scheduler.catalog.accept(options.catalog);
+        scheduler.catalog.accept(current);
         return { scheduler, controller, freezer };
     };
     /** Heartbeats of an instance, as long as its present life goes on. */
@@ -196,6 +199,10 @@
         getState: (jobId, instance) =>
             instances[instance]!.scheduler.intake.getState(callerOfJob(instance, jobId), jobId),
         count: (queue, instance) => instances[instance]!.scheduler.intake.count(callerOf(instance, queue, "")),
+        configure: catalog => {
+            current = catalog;
+            instances.forEach(instance => instance.scheduler.catalog.accept(catalog));
+        },
         getLeader: () => {
             const number = instances.findIndex(instance =>
                 !instance.controller.signal.aborted && instance.scheduler.isLeading()
--- a/src/leader/handoverCalls.ts
+++ b/src/leader/handoverCalls.ts
@@ -19,7 +19,7 @@
         ask: async (candidate, offer, timeoutMs) => {
             const outcome = await post(candidate, ASK_PATH, offer, timeoutMs);
             const power = outcome.kind === "answered" && outcome.status === OK ? Number(outcome.body) : NO_POWER;
-            return power > NO_POWER ? { power } : undefined;
+            return Number.isFinite(power) && power > NO_POWER ? { power } : undefined;
         },
         tell: async (candidate, offer, timeoutMs) => {
             // Without an answer the lease lapses as it would have without a handover.
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -14,6 +14,7 @@
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
 import type * as heldLease from "./heldLease";
+import * as knownServices from "./knownServices";
 import type * as machines from "./machines";
 import * as ordersOfTerm from "./orders";
 import * as progressWriter from "./progressWriter";
@@ -194,7 +195,14 @@
         }
     };
 
-    const takeDirectory = (listed: readonly entries.WorkerInfo[]) => {
+    const leaveOutUnknown = knownServices.createServiceFilter({
+        catalog: options.catalog,
+        log,
+        meter,
+        isInUse: id => (workers.get(id)?.tasks.size ?? 0) > 0,
+    });
+    const takeDirectory = (all: readonly entries.WorkerInfo[]) => {
+        const listed = leaveOutUnknown(all);
         const present = new Set(listed.map(info => info.id));
         for (const info of listed) {
             const worker = getWorker(info.id);
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -48,6 +48,7 @@
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
     progress_writes_total: counter("leader: transactions that store progress", "outcome"),
+    entries_unusable_total: counter("what others wrote that could not be used, and was left out", "kind"),
     log_lines_total: counter("lines written to standard output", "level"),
     log_lines_dropped_total: counter("lines beyond the budget, or without a reader", "level"),
 } satisfies Readonly<Record<string, MetricSpec>>;
--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -128,3 +128,36 @@
         await peer.close();
     });
 });
+
+// Symptom: an instance refuses every request as out of date. Sequence: a peer's answer names a version that is none.
+// Cause: it was remembered as the newest that anyone has seen.
+describe("a peer's answer that cannot be right", () => {
+    const sound = { reply: { status: 200 }, configurationVersion: 3, peers: ["10.0.0.1:1"] };
+    const cases: ReadonlyArray<readonly [name: string, answer: unknown, kind: string]> = [
+        ["none of it", sound, "replied"],
+        ["a status that is a text", { ...sound, reply: { status: "200" } }, "silent"],
+        ["a status out of range", { ...sound, reply: { status: 1_000 } }, "silent"],
+        ["a version that is a text", { ...sound, configurationVersion: "9" }, "silent"],
+        ["a version beyond all numbers", { ...sound, configurationVersion: 1e300 }, "silent"],
+        ["no version", { reply: sound.reply }, "silent"],
+        ["a list", [sound], "silent"],
+    ];
+    test.each(cases)("with %s", async (_name, body, kind) => {
+        const client: calls.HttpClient = {
+            call: async () => ({ kind: "answered", status: 200, body: JSON.stringify(body) }),
+            close: () => undefined,
+        };
+        const answer = await relay.createPeerClient(client)("a:1", { request: REQUEST, leastVersion: 0 }, TIMEOUT_MS);
+        expect(answer.kind).toBe(kind);
+    });
+
+    test("names only peers that can be called", async () => {
+        const peers = ["10.0.0.1:1", 7, "", "nowhere", "10.0.0.2:2"];
+        const client: calls.HttpClient = {
+            call: async () => ({ kind: "answered", status: 200, body: JSON.stringify({ ...sound, peers }) }),
+            close: () => undefined,
+        };
+        const answer = await relay.createPeerClient(client)("a:1", { request: REQUEST, leastVersion: 0 }, TIMEOUT_MS);
+        expect(answer).toMatchObject({ kind: "replied", passed: { peers: ["10.0.0.1:1", "10.0.0.2:2"] } });
+    });
+});
--- a/src/relay/messages.ts
+++ b/src/relay/messages.ts
@@ -68,17 +68,17 @@
         return undefined;
     }
     const { status, body, retryAfterMs } = reply;
-    if (!Number.isInteger(status)) {
+    if (!isStatus(status) || !isVersion(fields["configurationVersion"])) {
         return undefined;
     }
     return {
         reply: {
-            status: status as number,
+            status,
             body,
-            retryAfterMs: retryAfterMs === undefined ? undefined : toNumber(retryAfterMs),
+            retryAfterMs: retryAfterMs === undefined ? undefined : Math.max(0, toNumber(retryAfterMs)),
         },
-        configurationVersion: toNumber(fields["configurationVersion"]),
-        peers: Array.isArray(fields["peers"]) ? fields["peers"].filter(peer => typeof peer === "string") : [],
+        configurationVersion: fields["configurationVersion"],
+        peers: Array.isArray(fields["peers"]) ? fields["peers"].filter(isAddress) : [],
     };
 }
 
@@ -92,6 +92,19 @@
     }
 }
 
+function isStatus(value: unknown): value is number {
+    return Number.isInteger(value) && (value as number) >= 200 && (value as number) < 600;
+}
+
+/** One that is no version, taken for the newest, would have every later request refused as out of date. */
+function isVersion(value: unknown): value is number {
+    return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function isAddress(value: unknown): value is string {
+    return typeof value === "string" && /^[^\s:]+:\d{1,5}$/.test(value);
+}
+
 function toFields(value: unknown): Record<string, unknown> | undefined {
     return typeof value === "object" && value ? value as Record<string, unknown> : undefined;
 }
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -29,6 +29,7 @@
         fixtures.createJob(4, long, { queue: "batch" }),
         fixtures.createJob(5, long, { queue: "batch" }),
     ]);
+    site.workers.add({ ...fixtures.createWorkerInfo(9), service: "nobody's" });
     await site.clock.advance(4_000);
     const urgent = fixtures.createJob(6, { estimateMs: 1_000, needs: WHOLE_MEMORY }, { queue: "urgent" });
     await fixtures.settle(site.clock, site.submit(urgent, 1));
