--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -4,17 +4,29 @@
 import * as result from "../result/index";
 import * as output from "./output";
 
+interface ExplainOptions {
+    readonly all?: boolean;
+    readonly logs?: string[];
+    readonly json?: boolean;
+}
+
 export function register(program: commander.Command): void {
     program.command("explain")
-        .description("Tell from log lines what became of a request or job")
-        .argument("<id>", "id of the request or of the job")
+        .description("Tell from log lines what became of a request or job, or of all jobs")
+        .argument("[id]", "id of the request or of the job")
+        .option("--all", "a ledger of all jobs: what became of them, and where their time went")
         .option("--logs <files...>", "files with log lines of any instances; without it standard input")
-        .option("--json", "print the story as JSON")
-        .action((id: string, options: { logs?: string[]; json?: boolean; }) => {
-            const texts = (options.logs ?? [STANDARD_INPUT]).map(file => fs.readFileSync(file, "utf8"));
-            const lines = texts.flatMap(text => text.split("\n")).map(explain.parseLine).filter(line =>
-                line !== undefined
-            );
+        .option("--json", "print the story or the ledger as JSON")
+        .action((id: string | undefined, options: ExplainOptions) => {
+            const lines = readLines(options.logs ?? [STANDARD_INPUT]);
+            if (options.all) {
+                const ledger = explain.keepLedger(lines);
+                output.writeLine(options.json ? JSON.stringify(ledger) : explain.renderLedger(ledger));
+                return;
+            }
+            if (id === undefined) {
+                throw new output.CommandError(result.ResultCode.BadRequest, "needs an id, or --all");
+            }
             const story = explain.tellStory(lines, id);
             output.writeLine(options.json ? JSON.stringify(story) : explain.renderStory(story));
             if (story.verdict.kind === "unknown") {
@@ -23,5 +35,12 @@
         });
 }
 
+function readLines(files: readonly string[]): explain.LogLine[] {
+    return files.map(file => fs.readFileSync(file, "utf8"))
+        .flatMap(text => text.split("\n"))
+        .map(explain.parseLine)
+        .filter(line => line !== undefined);
+}
+
 /** Path under which Node.js reads standard input. */
 const STANDARD_INPUT = "/dev/stdin";
--- /dev/null
+++ b/src/explain/__tests__/ledger.test.ts
@@ -0,0 +1,141 @@
+import * as explain from "../index";
+
+const JOB = "00000000000000aa";
+const OTHER = "00000000000000bb";
+
+function line(second: number, event: string, fields: Record<string, unknown> = {}, instance = "leader"): string {
+    const time = new Date(1_700_000_000_000 + second * 1_000).toISOString();
+    return JSON.stringify({ time, level: "info", instance, event, ...fields });
+}
+
+function submitted(second: number, outcome: string, fields: Record<string, unknown> = {}): string {
+    return line(second, "request", {
+        call: "submit",
+        job: JOB,
+        account: "x",
+        queue: "q",
+        outcome,
+        tookMs: 0,
+        ...fields,
+    }, "a");
+}
+
+function placed(second: number, unit: string, waitedMs: number): string {
+    return line(second, "placed", { unit: `${JOB}.${unit}`, run: 1, waitedMs });
+}
+
+function lost(second: number, task: string, ranMs: number, reason: string): string {
+    return line(second, "runEnded", { task: `${JOB}.${task}`, how: "stopped", ranMs, reason });
+}
+
+function ended(second: number, state = "completed"): string {
+    return line(second, "jobEnded", { job: JOB, state, objectiveMs: 4_000, expectedMs: 2_000, coreSeconds: 9 });
+}
+
+function keep(lines: readonly string[]): explain.Ledger {
+    return explain.keepLedger(lines.map(explain.parseLine).filter(parsed => parsed !== undefined));
+}
+
+interface Case {
+    readonly name: string;
+    readonly lines: readonly string[];
+    readonly served: explain.Served;
+    readonly delays: Readonly<Record<string, number>>;
+}
+
+const cases: readonly Case[] = [
+    {
+        name: "in time",
+        lines: [submitted(0, "accepted"), placed(1, "0.0.0", 1_000), ended(3)],
+        served: "inTime",
+        delays: { entry: 0, place: 1_000, longRun: 0 },
+    },
+    {
+        name: "late at the entry",
+        lines: [
+            submitted(0, "notAccepted", { reason: "the store cannot be reached" }),
+            submitted(3, "accepted"),
+            placed(3, "0.0.0", 0),
+            ended(5),
+        ],
+        served: "late",
+        delays: { entry: 3_000, place: 0, longRun: 0 },
+    },
+    {
+        name: "late for a gang that was stopped, of which each member tells",
+        lines: [
+            submitted(0, "accepted"),
+            placed(0, "0.0.0", 0),
+            lost(2, "0.0.0", 2_000, "preempted for bb.0.0.0"),
+            lost(2, "0.0.1", 1_900, "preempted for bb.0.0.0"),
+            placed(4, "0.0.0", 2_000),
+            ended(6),
+        ],
+        served: "late",
+        delays: { entry: 0, place: 0, preempted: 4_000, longRun: 0 },
+    },
+    {
+        name: "late for the slowest of many tasks, step after step",
+        lines: [
+            submitted(0, "accepted"),
+            placed(0, "0.0.0", 0),
+            placed(2, "0.0.1", 2_000),
+            placed(3, "0.1.0", 500),
+            ended(11),
+        ],
+        served: "late",
+        delays: { entry: 0, place: 2_500, longRun: 6_500 },
+    },
+    {
+        name: "missed by failures",
+        lines: [
+            submitted(0, "accepted"),
+            placed(0, "0.0.0", 0),
+            line(2, "runFailed", { task: `${JOB}.0.0.0`, worker: "w", ranMs: 2_000 }),
+            ended(2, "failed"),
+        ],
+        served: "missed",
+        delays: { entry: 0, place: 0, longRun: 0 },
+    },
+    {
+        name: "refused",
+        lines: [submitted(0, "notAccepted", { reason: "no" }), submitted(1, "notAccepted", { reason: "no" })],
+        served: "refused",
+        delays: { entry: 0 },
+    },
+    { name: "open", lines: [submitted(0, "accepted")], served: "open", delays: { entry: 0 } },
+];
+
+describe("the ledger", () => {
+    test.each(cases)("of a job that is $name", ({ lines, served, delays }) => {
+        const [job] = keep(lines).jobs;
+        expect(job).toMatchObject({ jobId: JOB, queue: "q", entry: "a", served });
+        expect(job!.delays).toEqual(delays);
+    });
+
+    test("leaves out cancelled jobs", () => {
+        expect(keep([submitted(0, "accepted"), ended(1, "cancelled")]).jobs).toEqual([]);
+    });
+
+    test("tells what became of the victim of a stop and of the job that it was made for", () => {
+        const other = (text: string) => text.replaceAll(JOB, OTHER);
+        const ledger = keep([
+            submitted(0, "accepted"),
+            placed(0, "0.0.0", 0),
+            other(submitted(1, "accepted")).replace("\"q\"", "\"urgent\""),
+            line(1, "preempting", { group: `${JOB}.0.0.0`, forUnit: `${OTHER}.0.0.0`, lossCoreSeconds: 7 }),
+            other(ended(3)),
+            ended(9),
+        ]);
+        expect(ledger.stops).toEqual([{
+            victimQueue: "q",
+            victimServed: "late",
+            forQueue: "urgent",
+            forServed: "inTime",
+            lossCoreSeconds: 7,
+        }]);
+        const text = explain.renderLedger(ledger);
+        expect(text).toContain("q (late) for urgent (inTime)");
+        expect(text).toContain(`${JOB}  q  late (completed)  9000 of 4000 ms, 9 core-seconds: longRun 7000`);
+    });
+});
--- /dev/null
+++ b/src/explain/renderLedger.ts
@@ -0,0 +1,87 @@
+/** A ledger as text for people: what was served by queue and entry, and what the others lost their time to. */
+import * as ledgers from "./ledger";
+
+const KINDS = Object.values(ledgers.Served);
+const NAME_WIDTH = 24;
+const WIDTH = 9;
+
+export function renderLedger({ jobs, stops }: ledgers.Ledger): string {
+    return [
+        ...renderCounts("queue", groupBy(jobs, job => job.queue)),
+        "",
+        ...renderCounts("entry", groupBy(jobs, job => job.entry)),
+        "",
+        "what jobs that were not in time lost most time to, and all time lost to it",
+        ...renderCauses(jobs.filter(job => job.served !== ledgers.Served.InTime)),
+        "",
+        "work stopped for urgent work: by queue of the victim and of the urgent job, and what became of both",
+        ...renderStops(stops),
+        "",
+        "jobs that were not in time",
+        ...jobs.filter(job => job.served !== ledgers.Served.InTime).sort((a, b) => a.sentAt - b.sentAt).map(renderJob),
+    ].join("\n");
+}
+
+function renderCounts(
+    title: string,
+    groups: ReadonlyMap<string, readonly ledgers.LedgerEntry[]>,
+): string[] {
+    const header = [title.padEnd(NAME_WIDTH), "jobs".padStart(WIDTH), ...KINDS.map(kind => kind.padStart(WIDTH))];
+    const rows = [...groups].sort(([a], [b]) => a < b ? -1 : 1).map(([name, jobs]) => [
+        name.padEnd(NAME_WIDTH),
+        String(jobs.length).padStart(WIDTH),
+        ...KINDS.map(kind => String(jobs.filter(job => job.served === kind).length).padStart(WIDTH)),
+    ]);
+    return [header, ...rows].map(cells => cells.join(""));
+}
+
+function renderCauses(jobs: readonly ledgers.LedgerEntry[]): string[] {
+    const causes = new Map<string, { jobs: number; coreSeconds: number; ms: number; }>();
+    for (const job of jobs) {
+        const main = getMainCause(job);
+        for (const [cause, ms] of Object.entries(job.delays)) {
+            const entry = causes.get(cause) ?? { jobs: 0, coreSeconds: 0, ms: 0 };
+            entry.jobs += cause === main ? 1 : 0;
+            entry.coreSeconds += cause === main ? job.coreSeconds : 0;
+            entry.ms += ms;
+            causes.set(cause, entry);
+        }
+    }
+    return [...causes].sort(([, a], [, b]) => b.jobs - a.jobs || b.ms - a.ms).map(([cause, entry]) =>
+        `${cause.padEnd(NAME_WIDTH)}${String(entry.jobs).padStart(WIDTH)} jobs `
+        + `${String(Math.round(entry.coreSeconds)).padStart(WIDTH)} core-seconds `
+        + `${String(Math.round(entry.ms / 1_000)).padStart(WIDTH)} s`
+    );
+}
+
+function getMainCause(job: ledgers.LedgerEntry): string {
+    return Object.entries(job.delays).reduce((a, b) => b[1] > a[1] ? b : a)[0];
+}
+
+function renderStops(stops: readonly ledgers.StopRecord[]): string[] {
+    const groups = groupBy(
+        stops,
+        stop => `${stop.victimQueue} (${stop.victimServed}) for ${stop.forQueue} (${stop.forServed})`,
+    );
+    return [...groups].sort(([, a], [, b]) => b.length - a.length).map(([name, group]) => {
+        const loss = group.reduce((total, stop) => total + stop.lossCoreSeconds, 0);
+        return `${String(group.length).padStart(WIDTH)} stops ${String(loss).padStart(WIDTH)} core-seconds  ${name}`;
+    });
+}
+
+function renderJob(job: ledgers.LedgerEntry): string {
+    const delays = Object.entries(job.delays).filter(([, ms]) => ms > 0).sort((a, b) => b[1] - a[1])
+        .map(([cause, ms]) => `${cause} ${Math.round(ms)}`);
+    return `${new Date(job.sentAt).toISOString()}  ${job.jobId}  ${job.queue}  ${job.served} (${job.state})  `
+        + `${job.tookMs ?? "-"} of ${job.objectiveMs ?? "-"} ms, ${Math.round(job.coreSeconds)} core-seconds: `
+        + delays.join(", ");
+}
+
+function groupBy<T>(items: readonly T[], getName: (item: T) => string): Map<string, T[]> {
+    const groups = new Map<string, T[]>();
+    for (const item of items) {
+        const name = getName(item);
+        groups.set(name, [...groups.get(name) ?? [], item]);
+    }
+    return groups;
+}
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -26,6 +26,7 @@
     readonly meter: observe.Meter;
     readonly listener: BookListener;
     getQueue(name: string): catalog.Queue | undefined;
+    getExpected(job: entries.JobEntry): outcomes.ExpectedTimes;
 }
 
 export interface Book {
@@ -91,6 +92,7 @@
         log,
         meter,
         listener,
+        getExpected: options.getExpected,
         onOver: job => active.delete(job),
         stopAll,
     });
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -1,9 +1,18 @@
 /** How steps, occurrences and jobs come to their end: by tasks that are done, or by too many failures. */
 import type * as clock from "../clock/index";
+import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
 import * as entries from "./entries";
 
+/** Of one occurrence, as expected now. */
+export interface ExpectedTimes {
+    /** Time within which it should end. */
+    readonly objectiveMs: number;
+    /** Its longest chain of work. */
+    readonly chainMs: number;
+}
+
 export interface OutcomesOptions {
     readonly clock: clock.Clock;
     readonly log: observe.Log;
@@ -12,6 +21,7 @@
         occurrenceChanged(occurrence: entries.OccurrenceEntry): void;
         jobChanged(job: entries.JobEntry): void;
     };
+    getExpected(job: entries.JobEntry): ExpectedTimes;
     onOver(job: entries.JobEntry): void;
     /** Stops what still runs of an occurrence that is over. */
     stopAll(occurrence: entries.OccurrenceEntry, reason: string): void;
@@ -37,7 +47,17 @@
         const { account } = job.submission;
         const queue = job.queue.name;
         const ageMs = Math.round(job.endedAt - job.submission.acceptedAt);
-        log.info("jobEnded", { job: job.submission.jobId, account, queue, state, ageMs });
+        const expected = options.getExpected(job);
+        log.info("jobEnded", {
+            job: job.submission.jobId,
+            account,
+            queue,
+            state,
+            ageMs,
+            objectiveMs: Math.round(expected.objectiveMs),
+            expectedMs: Math.round(expected.chainMs),
+            coreSeconds: Math.round(getCoreSeconds(job)),
+        });
         meter.increment("jobs_ended_total", { account, queue, state });
         meter.record("job_duration_ms", { account, queue }, ageMs);
     };
@@ -108,7 +128,14 @@
         }
         task.failedOn.add(worker.id);
         worker.failuresInRow++;
-        log.info("runFailed", { task: task.name, run, worker: worker.id, failures, of: job.queue.maxAttempts });
+        log.info("runFailed", {
+            task: task.name,
+            run,
+            worker: worker.id,
+            failures,
+            of: job.queue.maxAttempts,
+            ranMs: Math.round(time.now() - task.runningSince),
+        });
         if (failures >= job.queue.maxAttempts && !step.occurrence.over) {
             endOccurrence(step.occurrence, true);
         }
@@ -116,3 +143,11 @@
 
     return { endJob, markDone, markStepDone, countFailure };
 }
+
+/** Work of one occurrence, as its caller estimates it. */
+function getCoreSeconds(job: entries.JobEntry): number {
+    return job.submission.spec.steps.reduce(
+        (sum, step) => sum + step.count * decisions.getCoreEquivalents(step.needs) * step.estimateMs / 1_000,
+        0,
+    );
+}
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -107,6 +107,7 @@
         log,
         meter,
         getQueue: name => options.catalog.getQueue(name),
+        getExpected: job => units.getExpected(job, expect),
         listener: {
             occurrenceChanged: writer.markOccurrence,
             jobChanged: writer.markJob,
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -2,6 +2,7 @@
 import * as decisions from "../decisions/index";
 import * as work from "../work/index";
 import * as entries from "./entries";
+import type * as outcomes from "./outcomes";
 
 /** A waiting unit, its urgency, and the tasks that it stands for. */
 export interface UnitOfTasks {
@@ -134,7 +135,7 @@
         claim: getClaim(step, options),
         priority: job.queue.priority,
         ageMs: options.wallNow - since,
-        objectiveMs: job.queue.stretch * getChainMs(occurrence, options.expect) + job.queue.objectiveMs,
+        objectiveMs: getExpected(job, options.expect).objectiveMs,
         remainingMs: getChainFromMs(step, options.expect),
     };
 }
@@ -150,8 +151,15 @@
     return job.queue.priority === 0 ? decisions.Claim.Urgent : decisions.Claim.None;
 }
 
+/** Of an occurrence of the job; its objective is counted from its acceptance, or from when it is due. */
+export function getExpected(job: entries.JobEntry, expect: Expect): outcomes.ExpectedTimes {
+    const [occurrence] = job.occurrences.values();
+    const chainMs = occurrence ? getChainMs(occurrence, expect) : 0;
+    return { chainMs, objectiveMs: job.queue.stretch * chainMs + job.queue.objectiveMs };
+}
+
 /** The longest chain of work of an occurrence. */
-export function getChainMs(occurrence: entries.OccurrenceEntry, expect: Expect): number {
+function getChainMs(occurrence: entries.OccurrenceEntry, expect: Expect): number {
     return occurrence.steps
         .filter(step => step.spec.after.length === 0)
         .reduce((longest, step) => Math.max(longest, getChainFromMs(step, expect)), 0);
