--- a/src/cli/experimentCommand.ts
+++ b/src/cli/experimentCommand.ts
@@ -3,6 +3,7 @@
 import * as decisions from "../decisions/index";
 import * as experiment from "../experiment/index";
 import * as result from "../result/index";
+import * as drawnExperiment from "./drawnExperiment";
 import * as output from "./output";
 
 interface ExperimentOptions {
@@ -11,8 +12,15 @@
     readonly seeds: number;
     readonly json?: boolean;
     readonly report?: string;
+    readonly drawn?: number;
+    readonly size: experiment.Size;
+    readonly without: Array<decisions.Mechanism | typeof ALL>;
+    readonly holdout?: boolean;
+    readonly threads: number;
 }
 
+const DEFAULT_THREADS = 4;
+
 /** `experiment`: loads played through the real decisions, faster than time. */
 export function register(program: commander.Command): void {
     program.command("experiment")
@@ -27,7 +35,34 @@
         .option("--seeds <n>", "runs with as many seeds in a row", Number, 1)
         .option("--json", "one JSON document with all figures")
         .option("--report <file>", "write an HTML page with charts")
-        .action((names: string[], options: ExperimentOptions) => run(names.length > 0 ? names : ["small"], options));
+        .option("--drawn <n>", "compare the policies on as many random deployments instead", Number)
+        .addOption(
+            new commander.Option("--size <size>", "of the random deployments")
+                .choices(Object.values(experiment.Size))
+                .default(experiment.Size.Small),
+        )
+        .addOption(
+            new commander.Option("--without <names...>", "compare with each of these mechanisms left out, or all")
+                .choices([ALL, ...Object.keys(decisions.MECHANISMS)])
+                .default([]),
+        )
+        .option("--holdout", "random deployments of seeds that are kept for the end")
+        .option("--threads <n>", "threads that play random deployments", Number, DEFAULT_THREADS)
+        .action(async (names: string[], options: ExperimentOptions) => {
+            if (options.drawn === undefined) {
+                await run(names.length > 0 ? names : ["small"], options);
+                return;
+            }
+            await drawnExperiment.runDrawn({ ...options, drawn: options.drawn, without: expandAll(options.without) });
+        });
+}
+
+const ALL = "all";
+
+function expandAll(names: ReadonlyArray<decisions.Mechanism | typeof ALL>): readonly decisions.Mechanism[] {
+    return names.includes(ALL)
+        ? Object.keys(decisions.MECHANISMS).filter(decisions.isMechanism)
+        : names.filter(name => name !== ALL);
 }
 
 type RunResult = Parameters<typeof experiment.renderReport>[0][number];
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,8 +1,9 @@
 /** Order, place and preemption: decisions without a network or a clock of their own. */
+export { isMechanism, type Mechanism, MECHANISMS, NOTHING } from "./mechanism";
 export { getProspect, Prospect, type Urgency } from "./order";
 export { decidePace, type PaceInput } from "./pace";
 export { plan } from "./plan";
-export { POLICIES, type Policy, type PolicyName } from "./policy";
+export { leaveOut, POLICIES, type Policy, type PolicyName } from "./policy";
 export { createPredictor, type Predictor } from "./prediction";
 export { addRoom, copyRoom, countFits, getCoreEquivalents, type MutableRoom, takeRoom } from "./room";
 export {
--- a/src/decisions/order.ts
+++ b/src/decisions/order.ts
@@ -56,6 +56,11 @@
         || compareNumbers(getSlackMs(a), getSlackMs(b));
 }
 
+/** Sorts by claim, priority and slack. */
+export function compareWithoutProspect(a: Urgency, b: Urgency): number {
+    return b.claim - a.claim || a.priority - b.priority || compareNumbers(getSlackMs(a), getSlackMs(b));
+}
+
 /** Also of infinite numbers, whose difference is none. */
 export function compareNumbers(a: number, b: number): number {
     return a === b ? 0 : a < b ? -1 : 1;
--- a/src/decisions/place.ts
+++ b/src/decisions/place.ts
@@ -1,5 +1,6 @@
 /** Where a unit fits: the choice of workers within the room that a fleet has left. */
 import * as fleets from "./fleet";
+import * as mechanism from "./mechanism";
 import * as rooms from "./room";
 import type * as types from "./types";
 
@@ -18,17 +19,21 @@
 const IDLE_PATIENCE_MS = 2_000;
 
 /** One host for each member, or `undefined` where the unit does not fit. */
-export function place(unit: types.WaitingUnit, fleet: fleets.Fleet): fleets.Host[] | undefined {
+export function place(
+    unit: types.WaitingUnit,
+    fleet: fleets.Fleet,
+    leftOut: ReadonlySet<mechanism.Mechanism> = mechanism.NOTHING,
+): fleets.Host[] | undefined {
     const pool = fleet.getPool(unit.service);
     if (unit.count === 1) {
-        const host = placeOne(unit, fleet, pool);
+        const host = placeOne(unit, fleet, pool, leftOut);
         return host && [host];
     }
     if (!unit.sameRack) {
         return pack(unit, iterateCandidates(unit, fleet, pool));
     }
     return placeInOneRack(unit, pool)
-        ?? (maySpread(unit, pool) ? pack(unit, iterateCandidates(unit, fleet, pool)) : undefined);
+        ?? (maySpread(unit, pool, leftOut) ? pack(unit, iterateCandidates(unit, fleet, pool)) : undefined);
 }
 
 /** Whether the worker may run the unit at all, whatever room it has. */
@@ -74,11 +79,17 @@
 }
 
 /** The fullest worker that fits, so that whole workers stay free for what needs them. */
-function placeOne(unit: types.WaitingUnit, fleet: fleets.Fleet, pool: fleets.Pool): fleets.Host | undefined {
+function placeOne(
+    unit: types.WaitingUnit,
+    fleet: fleets.Fleet,
+    pool: fleets.Pool,
+    leftOut: ReadonlySet<mechanism.Mechanism>,
+): fleets.Host | undefined {
     const dataRack = unit.dataRack === undefined ? undefined : pool.racks.get(unit.dataRack);
     if (dataRack) {
         const near = findFullest(unit, sortFullestFirst([...dataRack.hosts]));
-        const mustBeNear = unit.waitedMs < getPatienceMs(unit, DATA_PATIENCE, pool)
+        const mustBeNear = !leftOut.has("dataPatience")
+            && unit.waitedMs < getPatienceMs(unit, DATA_PATIENCE, pool, leftOut)
             && dataRack.hosts.some(host => mayRun(unit, host.worker));
         if (near || mustBeNear) {
             return near;
@@ -153,17 +164,28 @@
 }
 
 /** Whether the gang has waited long enough for a rack, or no rack of its service could ever hold it. */
-function maySpread(unit: types.WaitingUnit, pool: fleets.Pool): boolean {
-    if (unit.waitedMs >= getPatienceMs(unit, SPREAD_PATIENCE, pool)) {
+function maySpread(
+    unit: types.WaitingUnit,
+    pool: fleets.Pool,
+    leftOut: ReadonlySet<mechanism.Mechanism>,
+): boolean {
+    if (leftOut.has("rackPatience") || unit.waitedMs >= getPatienceMs(unit, SPREAD_PATIENCE, pool, leftOut)) {
         return true;
     }
     return ![...pool.racks.values()].some(rack => couldHold(unit, rack));
 }
 
 /** How long the unit waits for a better place, where it takes that share of its expected duration. */
-function getPatienceMs(unit: types.WaitingUnit, share: number, pool: fleets.Pool): number {
+function getPatienceMs(
+    unit: types.WaitingUnit,
+    share: number,
+    pool: fleets.Pool,
+    leftOut: ReadonlySet<mechanism.Mechanism>,
+): number {
     const patienceMs = unit.expectedMs * share;
-    return patienceMs > IDLE_PATIENCE_MS && pool.isMostlyFree() ? IDLE_PATIENCE_MS : patienceMs;
+    return patienceMs > IDLE_PATIENCE_MS && !leftOut.has("idlePatience") && pool.isMostlyFree()
+        ? IDLE_PATIENCE_MS
+        : patienceMs;
 }
 
 function couldHold(unit: types.WaitingUnit, rack: fleets.Rack): boolean {
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -5,6 +5,7 @@
  * it takes the room first and more work is stopped in the next pass, which shows as work thrown away without an end.
  */
 import * as fleets from "./fleet";
+import * as mechanism from "./mechanism";
 import * as place from "./place";
 import * as preempt from "./preempt";
 import * as protection from "./protection";
@@ -15,6 +16,7 @@
     const starts: types.PlannedStart[] = [];
     const stops: types.PlannedStop[] = [];
     const site = createSite(input);
+    const leftOut = input.leftOut ?? mechanism.NOTHING;
     const stepTasks = createStepTasks();
     const hopeless = new Set<string>();
     for (const waiting of input.units) {
@@ -22,20 +24,22 @@
             continue;
         }
         const unit = stepTasks.withPlaced(waiting);
-        const now = place.place(unit, site.free);
+        const now = place.place(unit, site.free, leftOut);
         if (now) {
             starts.push({ unit, workerIds: getIds(now) });
             stepTasks.add(unit, now);
             site.take(unit, now);
             continue;
         }
-        const later = place.place(unit, site.getSoon());
+        const later = place.place(unit, site.getSoon(), leftOut);
         if (later) {
             stepTasks.add(unit, later);
             site.reserve(unit, later);
             continue;
         }
-        const needed = unit.claim === types.Claim.None ? undefined : site.getPreemptor().choose(unit);
+        const needed = unit.claim === types.Claim.None || leftOut.has("preemption")
+            ? undefined
+            : site.getPreemptor().choose(unit);
         if (!needed) {
             hopeless.add(unit.family);
             continue;
@@ -71,6 +75,7 @@
                 fleet: getSoon(),
                 groups: input.getGroups(),
                 protector: protection.createProtector(),
+                sparesVictims: !input.leftOut?.has("sparing"),
             }),
         /** `hosts` are of `free`, one for each member. */
         take: (unit: types.WaitingUnit, hosts: readonly fleets.Host[]) => {
--- a/src/decisions/policy.ts
+++ b/src/decisions/policy.ts
@@ -1,10 +1,12 @@
 /** What may differ from one deployment or experiment to the next: the order of the queue and the price of a stop. */
+import * as mechanism from "./mechanism";
 import * as order from "./order";
 import * as stopCost from "./stopCost";
 
 export interface Policy {
     compare(a: order.Urgency, b: order.Urgency): number;
     getStopCost(input: stopCost.StopCostInput): number;
+    readonly leftOut: ReadonlySet<mechanism.Mechanism>;
 }
 
 /** Guarantees come first under any policy: they are promises, not preferences. */
@@ -13,19 +15,41 @@
 }
 
 const { getStopCost } = stopCost;
+const leftOut = mechanism.NOTHING;
 
 /** By name. `worth` is what instances use; the others are there to be compared with it. */
 export const POLICIES = {
     /** What can still be earned, then priority, then the time that is left. */
-    worth: { compare: order.compareUrgency, getStopCost },
+    worth: { compare: order.compareUrgency, getStopCost, leftOut },
     /** The same order; stops are weighed by the thrown away work alone. */
-    lossOnly: { compare: order.compareUrgency, getStopCost: input => input.lossCoreSeconds },
-    arrival: { compare: afterClaims((a, b) => b.ageMs - a.ageMs), getStopCost },
-    priority: { compare: afterClaims((a, b) => a.priority - b.priority || b.ageMs - a.ageMs), getStopCost },
-    shortest: { compare: afterClaims((a, b) => a.remainingMs - b.remainingMs), getStopCost },
+    lossOnly: { compare: order.compareUrgency, getStopCost: input => input.lossCoreSeconds, leftOut },
+    arrival: { compare: afterClaims((a, b) => b.ageMs - a.ageMs), getStopCost, leftOut },
+    priority: {
+        compare: afterClaims((a, b) => a.priority - b.priority || b.ageMs - a.ageMs),
+        getStopCost,
+        leftOut,
+    },
+    shortest: { compare: afterClaims((a, b) => a.remainingMs - b.remainingMs), getStopCost, leftOut },
     slack: {
         compare: afterClaims((a, b) => order.compareNumbers(order.getSlackMs(a), order.getSlackMs(b))),
         getStopCost,
+        leftOut,
     },
 } satisfies Readonly<Record<string, Policy>>;
 export type PolicyName = keyof typeof POLICIES;
+
+/** The policy with these mechanisms left out. */
+export function leaveOut(policy: Policy, names: Iterable<mechanism.Mechanism>): Policy {
+    const all: ReadonlySet<mechanism.Mechanism> = new Set([...policy.leftOut, ...names]);
+    return {
+        ...policy,
+        leftOut: all,
+        compare: all.has("inTimeOrder") ? order.compareWithoutProspect : policy.compare,
+        getStopCost: input =>
+            policy.getStopCost({
+                ...input,
+                ignoresLateness: all.has("lateness"),
+                preemptions: all.has("repeatedStops") ? 0 : input.preemptions,
+            }),
+    };
+}
--- a/src/decisions/preempt.ts
+++ b/src/decisions/preempt.ts
@@ -41,9 +41,11 @@
     readonly fleet: fleets.Fleet;
     readonly groups: readonly types.RunningGroup[];
     readonly protector: protection.Protector;
+    /** Whether victims that turn out not to be needed go on. */
+    readonly sparesVictims: boolean;
 }
 
-export function createPreemptor({ fleet, groups, protector }: PreemptorOptions): Preemptor {
+export function createPreemptor({ fleet, groups, protector, sparesVictims }: PreemptorOptions): Preemptor {
     const groupsByWorker = groupByWorker(groups);
     const stopped = new Set<types.RunningGroup>();
     const offersByKind = new Map<string, Map<fleets.Rack, Offer>>();
@@ -79,10 +81,12 @@
     };
     const chooseBeside = (unit: types.WaitingUnit, spared: ReadonlySet<types.RunningGroup>) => {
         const offers = [...getOffers(unit, spared).values()];
-        const best = unit.sameRack ? findCheapest(unit, offers) : takeWays(unit, mergeWays(offers));
+        const best = unit.sameRack
+            ? findCheapest(unit, offers, sparesVictims)
+            : takeWays(unit, mergeWays(offers), sparesVictims);
         // A guarantee is kept within its bound even where no single rack can take the gang.
         return best ?? (unit.sameRack && unit.claim === types.Claim.Guaranteed
-            ? takeWays(unit, mergeWays(offers))
+            ? takeWays(unit, mergeWays(offers), sparesVictims)
             : undefined);
     };
     return {
@@ -177,10 +181,14 @@
 }
 
 /** The cheapest choice that one rack offers. */
-function findCheapest(unit: types.WaitingUnit, offers: readonly Offer[]): sparing.Needed | undefined {
+function findCheapest(
+    unit: types.WaitingUnit,
+    offers: readonly Offer[],
+    sparesVictims: boolean,
+): sparing.Needed | undefined {
     let best: sparing.Needed | undefined;
     for (const offer of offers) {
-        offer.whole ??= { choice: takeWays(unit, offer.ways) };
+        offer.whole ??= { choice: takeWays(unit, offer.ways, sparesVictims) };
         const { choice } = offer.whole;
         if (choice && (!best || choice.costCoreSeconds < best.costCoreSeconds)) {
             best = choice;
@@ -211,7 +219,11 @@
 }
 
 /** Takes ways in their order, one a host, until all members have a place. */
-function takeWays(unit: types.WaitingUnit, ways: Iterable<Way>): sparing.Needed | undefined {
+function takeWays(
+    unit: types.WaitingUnit,
+    ways: Iterable<Way>,
+    sparesVictims: boolean,
+): sparing.Needed | undefined {
     const chosen = new Map<fleets.Host, Way>();
     let placed = 0;
     for (const way of ways) {
@@ -229,5 +241,5 @@
         return undefined;
     }
     const victims = [...chosen.values()].flatMap(way => way.candidates.slice(0, way.victimCount));
-    return sparing.spareVictims(unit, [...chosen.keys()], victims);
+    return sparing.spareVictims(unit, [...chosen.keys()], victims, sparesVictims);
 }
--- a/src/decisions/sparing.ts
+++ b/src/decisions/sparing.ts
@@ -18,14 +18,15 @@
     readonly costCoreSeconds: number;
 }
 
-/** `hosts` together hold the unit once all `victims` are stopped; spares the dearest victims first. */
+/** `hosts` together hold the unit once all `victims` are stopped; spares the dearest victims first, if any. */
 export function spareVictims(
     unit: types.WaitingUnit,
     hosts: readonly fleets.Host[],
     victims: Iterable<types.RunningGroup>,
+    sparesVictims = true,
 ): Needed {
     const needed = new Set(victims);
-    const dearestFirst = [...needed].sort((a, b) => b.costCoreSeconds - a.costCoreSeconds);
+    const dearestFirst = (sparesVictims ? [...needed] : []).sort((a, b) => b.costCoreSeconds - a.costCoreSeconds);
     for (const victim of dearestFirst) {
         needed.delete(victim);
         if (fill(unit, hosts, needed).length < unit.count) {
--- a/src/decisions/stopCost.ts
+++ b/src/decisions/stopCost.ts
@@ -18,6 +18,8 @@
     readonly unsavedMs: number;
     /** How often it was stopped for urgent work before. */
     readonly preemptions: number;
+    /** Whether it does not count that the job ends late for the stop. */
+    readonly ignoresLateness?: boolean;
 }
 
 /** Work that was stopped for urgent work rests for what urgent jobs take on average: the next one takes its room. */
@@ -31,7 +33,7 @@
 const PREEMPTION_CORE_SECONDS = 100;
 
 export function getStopCost(input: StopCostInput): number {
-    const once = input.lossCoreSeconds + getLatenessCost(input);
+    const once = input.lossCoreSeconds + (input.ignoresLateness ? 0 : getLatenessCost(input));
     return once * (1 + input.preemptions) + PREEMPTION_CORE_SECONDS * input.preemptions;
 }
 
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -1,5 +1,6 @@
 /** What the placement decisions see, and what they decide. Times are on the monotonic clock, in milliseconds. */
 import type * as work from "../work/index";
+import type * as mechanism from "./mechanism";
 
 /** A worker on which tasks may be started now. */
 export interface PlaceableWorker {
@@ -83,6 +84,7 @@
 
 export interface PlanInput {
     readonly now: number;
+    readonly leftOut?: ReadonlySet<mechanism.Mechanism>;
     readonly workers: readonly PlaceableWorker[];
     /** In the order in which they are to be served. */
     readonly units: readonly WaitingUnit[];
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -44,6 +44,7 @@
     configure(catalog: catalogs.Catalog): void;
     /** The instance that leads, if one does. */
     getLeader(): number | undefined;
+    isAlive(instance: number): boolean;
     /** Ends an instance without a word. */
     kill(instance: number): void;
     /** Ends an instance as a loss of power does: nobody is told. */
@@ -209,6 +210,7 @@
             );
             return number < 0 ? undefined : number;
         },
+        isAlive: number => !instances[number]!.controller.signal.aborted,
         kill: number => instances[number]!.controller.abort(),
         freeze: (number, ms, suspended) => instances[number]!.freezer.freeze(ms, suspended),
         silence: number => {
--- /dev/null
+++ b/src/experiment/__tests__/drawn.test.ts
@@ -0,0 +1,128 @@
+import * as decisions from "../../decisions/index";
+import * as generate from "../generate";
+import * as experiment from "../index";
+import * as measures from "../measures";
+import type * as play from "../play";
+
+const SEEDS = Array.from({ length: 40 }, (_, number) => number + 1);
+
+describe("a drawn deployment", () => {
+    test.each(Object.values(experiment.Size))(
+        "of the size %s is the same for the same seed, and can hold its jobs",
+        size => {
+            for (const seed of SEEDS) {
+                const load = experiment.drawLoad(seed, size);
+                expect(experiment.drawLoad(seed, size)).toEqual(load);
+                expect(load.instances).toBeGreaterThanOrEqual(load.zones);
+                expect(load.zoneShares).toHaveLength(load.zones);
+                for (const { spec } of generate.generateJobs(load, generate.createSource(seed)).map(item => item.job)) {
+                    for (const { needs, estimateMs, dataRack } of spec.steps) {
+                        expect(needs.cpuMillis).toBeLessThanOrEqual(load.capacity.cpuMillis);
+                        expect(needs.memoryMb).toBeLessThanOrEqual(load.capacity.memoryMb);
+                        expect(needs.accelerators).toBeLessThanOrEqual(load.capacity.accelerators);
+                        expect(estimateMs).toBeGreaterThan(0);
+                        expect(dataRack === undefined || Number(dataRack.slice(1)) * load.workersPerRack < load.workers)
+                            .toBe(true);
+                    }
+                }
+            }
+        },
+    );
+
+    test("differs from seed to seed in all that matters", () => {
+        const loads = SEEDS.map(seed => experiment.drawLoad(seed));
+        const countValues = (get: (load: experiment.Load) => unknown) => new Set(loads.map(get)).size;
+        expect(countValues(load => load.workers)).toBeGreaterThan(15);
+        expect(countValues(load => load.zones)).toBe(4);
+        expect(countValues(load => load.classes.length)).toBe(3);
+        expect(countValues(load => load.troubles.length)).toBe(5);
+        const kinds = new Set(loads.flatMap(load => load.troubles.map(trouble => trouble.kind)));
+        expect(kinds.size).toBe(9);
+    });
+});
+
+describe("the measures", () => {
+    const [planned] = generate.generateJobs(experiment.drawLoad(1), generate.createSource(1));
+    const createJob = (zone: string, arrivesAt: number, afterMs: number | undefined): play.JobOutcome => ({
+        planned: {
+            ...planned!,
+            arrivesAt,
+            cancelAfterMs: undefined,
+            poisoned: false,
+            objectiveMs: 1_000,
+            coreSeconds: 10,
+        },
+        zone,
+        accepted: true,
+        firstStartMs: 0,
+        end: afterMs === undefined ? undefined : { state: "completed", afterMs },
+    });
+    const played: play.Played = {
+        jobs: [
+            createJob("a", 0, 500),
+            createJob("a", 0, 500),
+            createJob("b", 5_000, 500),
+            createJob("b", 9_000, undefined),
+        ],
+        samples: [],
+        thrownAwayCoreSeconds: 4,
+        stoppedRuns: 2,
+        workerCalls: 8,
+        breaches: [],
+        simulatedMs: 0,
+    };
+
+    test("tell the worst zone and windows apart from the whole", () => {
+        expect(measures.measure(played)).toMatchObject({
+            whole: 0.75,
+            worstZone: 0.5,
+            worstWindows: 0.5,
+            thrownAway: 0.1,
+            stoppedRuns: 0.5,
+            looks: 2,
+        });
+    });
+
+    test("are compared deployment by deployment", () => {
+        const base = measures.measure(played);
+        const differences = experiment.compare(
+            [base, base],
+            [{ ...base, whole: base.whole + 0.01 }, { ...base, whole: base.whole + 0.03 }],
+        );
+        const whole = differences.find(difference => difference.measure === "whole")!;
+        expect(whole.baseline).toBeCloseTo(0.75);
+        expect(whole.mean).toBeCloseTo(0.02);
+        expect(whole.error).toBeCloseTo(0.01);
+        expect(differences.find(difference => difference.measure === "looks")).toMatchObject({ mean: 0, error: 0 });
+    });
+
+    test.each([
+        [[1, 2, 3], [10, 20, 30], 1],
+        [[1, 2, 3], [3, 2, 1], -1],
+    ])("of %j and %j rank alike by %d", (a, b, correlation) => {
+        expect(experiment.getRankCorrelation(a, b)).toBeCloseTo(correlation);
+    });
+});
+
+describe("a batch", () => {
+    const names = Object.keys(decisions.MECHANISMS).filter(decisions.isMechanism);
+
+    test("gives the results in the order of its tasks", async () => {
+        const tasks = [2, 1].map((seed): experiment.BatchTask => ({
+            seed,
+            size: "small",
+            variant: { policy: "worth", leftOut: [] },
+        }));
+        const [first, second] = await experiment.playBatch(tasks, 0);
+        expect((await experiment.playBatch([tasks[1]!], 0))[0]).toEqual(second);
+        expect(first).not.toEqual(second);
+    });
+
+    test.each(names)("without %s keeps every promise", async name => {
+        const [result] = await experiment.playBatch(
+            [{ seed: 3, size: "small", variant: { policy: "worth", leftOut: [name] } }],
+            0,
+        );
+        expect(result!.breaches).toEqual([]);
+    });
+});
--- /dev/null
+++ b/src/experiment/batchThread.ts
@@ -0,0 +1,6 @@
+/** What a thread of a batch runs: plays each task that it is sent, and sends back the result. */
+import * as threads from "node:worker_threads";
+import * as batch from "./batch";
+
+const port = threads.parentPort!;
+port.on("message", (task: batch.BatchTask) => void batch.playTask(task).then(result => port.postMessage(result)));
--- /dev/null
+++ b/src/experiment/drawnLoad.ts
@@ -0,0 +1,148 @@
+/**
+ * Deployments drawn from a seed: site, accounts, kinds of job, load and troubles, all at random.
+ *
+ * A policy that is tried on a few deployments is fitted to them. These ranges hold the users' deployments as points
+ * inside, none in the middle by choice, and reach well beyond them.
+ */
+import * as random from "../random/index";
+import type * as work from "../work/index";
+import * as generate from "./generate";
+import type * as loads from "./load";
+
+/** How large the drawn sites are. */
+export const Size = { Small: "small", Grown: "grown" } as const;
+export type Size = typeof Size[keyof typeof Size];
+
+/** Workers and instances, from and to. */
+const SIZES = {
+    small: { workers: [12, 64], instances: [3, 9], workersPerRack: [4, 12] },
+    grown: { workers: [150, 400], instances: [20, 60], workersPerRack: [10, 40] },
+} as const satisfies Readonly<Record<Size, Readonly<Record<string, readonly [number, number]>>>>;
+
+const FOR_MS = 34_000;
+const MOST_CLASSES = 4;
+const MOST_TROUBLES = 4;
+
+export function drawLoad(seed: number, size: Size = Size.Small): loads.Load {
+    const source = generate.createSource(seed);
+    const between = (least: number, most: number) => least + (most - least) * source.nextFloat();
+    /** As likely between 1 and 2 as between 2 and 4. */
+    const betweenByRatio = (least: number, most: number) => least * (most / least) ** source.nextFloat();
+    const whole = ([least, most]: readonly [number, number]) => Math.round(betweenByRatio(least, most));
+    const workers = whole(SIZES[size].workers);
+    const zones = 2 + source.nextInt(4);
+    const capacity: work.Room = {
+        cpuMillis: 1_000 * source.pick([16, 32, 64, 128]),
+        memoryMb: 1_024 * source.pick([64, 128, 256]),
+        accelerators: source.pick([4, 8, 8, 16]),
+    };
+    const site = { workers, capacity, forMs: FOR_MS };
+    const classes = drawClasses(site, source);
+    return {
+        about: `drawn from seed ${seed}`,
+        ...site,
+        workersPerRack: Math.min(workers, whole(SIZES[size].workersPerRack)),
+        zones,
+        instances: Math.max(zones, whole(SIZES[size].instances)),
+        zoneShares: Array.from({ length: zones }, () => between(0.5, 1.5)),
+        accounts: 2 + source.nextInt(9),
+        skew: between(0.3, 1),
+        guaranteed: source.pick([0, 0.3, 0.6, 0.6, 0.9]),
+        classes,
+        troubles: Array.from(
+            { length: source.nextInt(MOST_TROUBLES + 1) },
+            () => drawTrouble(classes, source),
+        ),
+    };
+}
+
+type Site = Pick<loads.Load, "workers" | "capacity">;
+
+/** The site's room is asked for by between four tenths and a little more than all of it. */
+function drawClasses(site: Site, source: random.Random): loads.JobClass[] {
+    const priorities = [0, 1, 2, source.nextInt(3)].slice(0, 2 + source.nextInt(MOST_CLASSES - 1));
+    const demand = 0.4 + 0.75 * source.nextFloat();
+    const shares = priorities.map(priority => (0.3 + source.nextFloat()) * DEMAND_BY_PRIORITY[priority]!);
+    const sum = shares.reduce((total, share) => total + share, 0);
+    return priorities.map((priority, number) => {
+        const item = drawClass(`class-${number}`, priority, site.capacity, source);
+        return { ...item, perSecond: demand * shares[number]! / sum / getShareOfSite(item, site) };
+    });
+}
+
+/** Urgent work is a smaller part of the whole than what it may stop. */
+const DEMAND_BY_PRIORITY: readonly number[] = [0.5, 1, 1];
+
+function drawClass(name: string, priority: number, capacity: work.Room, source: random.Random): loads.JobClass {
+    const between = (least: number, most: number) => least + (most - least) * source.nextFloat();
+    const urgent = priority === 0;
+    const duration = urgent ? between(1_000, 5_000) : between(4_000, 14_000);
+    const width = urgent ? between(1, 8) : between(2, 24);
+    const gangs = source.pick(urgent ? [0, 0.5, 1, 1] : [0, 0, 0.5, 1, 1]);
+    const steps = urgent ? 1 : between(1, 2);
+    return {
+        name,
+        priority,
+        perSecond: 0,
+        durationMs: { mean: duration, spread: between(0.2, 0.6), most: 3 * duration },
+        width: { mean: width, spread: 0.8, most: 6 * width },
+        steps: { mean: steps, spread: urgent ? 0 : 0.4, most: 3 },
+        needs: {
+            cpuMillis: Math.round(capacity.cpuMillis * between(0.05, 0.45)),
+            memoryMb: Math.round(capacity.memoryMb * between(0.05, 0.35)),
+        },
+        accelerators: source.pick(gangs > 0 ? [[1, 2, 4, 8, 8], [1, 2, 4], [2, 4]] : [[1], [1], [1, 2, 4]])
+            .filter(count => count <= capacity.accelerators),
+        gangs,
+        sameRack: gangs > 0 ? between(0, 0.9) : 0,
+        saves: source.pick([0, 0.45, 0.8]),
+        nearData: between(0, 0.35),
+        bounded: gangs > 0 ? 0 : between(0, 0.2),
+        cancelled: urgent ? 0 : between(0, 0.2),
+        poison: source.pick([0, 0, 0.01]),
+        fails: between(0, 0.06),
+        estimateOff: 1,
+        estimateOffShare: between(0, 0.9),
+        stretch: urgent ? between(1.3, 2.5) : between(2, 4),
+        objectiveMs: urgent ? between(200, 1_000) : between(500, 3_000),
+        maxAttempts: 2 + source.nextInt(3),
+        worth: { inTime: 4 - priority, late: (4 - priority) * between(0.15, 0.5) },
+    };
+}
+
+/** Of the site's room, the part that one job takes, counted as if it ran for a second. */
+function getShareOfSite(item: loads.JobClass, { workers, capacity }: Site): number {
+    const accelerators = item.accelerators.reduce((sum, count) => sum + count, 0) / item.accelerators.length;
+    const ofWorker = Math.max(
+        accelerators / capacity.accelerators,
+        item.needs.cpuMillis / capacity.cpuMillis,
+        item.needs.memoryMb / capacity.memoryMb,
+    );
+    return item.width.mean * item.steps.mean * item.durationMs.mean / 1_000 * ofWorker / workers;
+}
+
+function drawTrouble(classes: readonly loads.JobClass[], source: random.Random): loads.Trouble {
+    const atMs = 2_000 + source.nextInt(FOR_MS - 8_000);
+    const forMs = 3_000 + source.nextInt(6_000);
+    const share = 0.05 + 0.2 * source.nextFloat();
+    const kind = source.pick(
+        ["slow", "hang", "cut", "fail", "crash", "leave", "burst", "storeAway", "leaderLost"] as const,
+    );
+    switch (kind) {
+        case "slow":
+            return { kind, atMs, forMs, share, times: 3 + 5 * source.nextFloat() };
+        case "hang":
+        case "cut":
+        case "fail":
+            return { kind, atMs, forMs, share };
+        case "crash":
+            return { kind, atMs, share: share / 2 };
+        case "leave":
+            return { kind, atMs, share: share / 2, leftMs: 2_000 + source.nextInt(4_000) };
+        case "storeAway":
+        case "leaderLost":
+            return { kind, atMs, forMs: forMs / 2 };
+        case "burst":
+            return { kind, atMs, forMs, class: source.pick(classes).name, times: 1.5 + 1.5 * source.nextFloat() };
+    }
+}
--- a/src/experiment/generate.ts
+++ b/src/experiment/generate.ts
@@ -7,6 +7,8 @@
 export interface PlannedJob {
     readonly job: emulator.EmulatedJob;
     readonly class: loads.JobClass;
+    /** Of the callers that hand it in. */
+    readonly zone: number;
     readonly arrivesAt: number;
     /** After its acceptance; `undefined`: never. */
     readonly cancelAfterMs: number | undefined;
@@ -62,7 +64,7 @@
 function createJob(
     load: loads.Load,
     item: loads.JobClass,
-    number: number,
+    jobNumber: number,
     arrivesAt: number,
     source: random.Random,
 ): PlannedJob {
@@ -82,7 +84,7 @@
         ...work.PLAIN_STEP,
         count,
         needs,
-        estimateMs: Math.round(durationMs * item.estimateOff ** (2 * source.nextFloat() - 1)),
+        estimateMs: Math.round(durationMs * drawEstimate(item, source)),
         after: index > 0 ? [index - 1] : [],
         checkpoints,
         gang,
@@ -90,12 +92,13 @@
         dataRack,
         maxPerWorker,
     }));
+    const zone = load.zoneShares ? pickShare(load.zoneShares, source) : jobNumber % load.instances;
     const poisoned = has(item.poison);
     const failures = source.nextInt(FAILURE_PATTERNS);
     const chainMs = durationsMs.reduce((sum, durationMs) => sum + durationMs, 0);
     return {
         job: {
-            jobId: number.toString(16).padStart(16, "0"),
+            jobId: jobNumber.toString(16).padStart(16, "0"),
             queue: item.name,
             account: getAccountName(pickAccount(load, source)),
             spec: { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 },
@@ -103,6 +106,7 @@
             fails: (task, run) => poisoned || isUnlucky(task, run, failures, item.fails),
         },
         class: item,
+        zone,
         arrivesAt,
         cancelAfterMs: has(item.cancelled) ? source.nextFloat() * CANCEL_WITHIN_MS : undefined,
         poisoned,
@@ -145,13 +149,23 @@
 }
 
 function pickAccount(load: loads.Load, source: random.Random): number {
-    const weights = Array.from({ length: load.accounts }, (_, number) => load.skew ** number);
-    let left = source.nextFloat() * weights.reduce((sum, weight) => sum + weight, 0);
-    for (let number = 0; number < load.accounts - 1; number++) {
-        left -= weights[number]!;
+    return pickShare(Array.from({ length: load.accounts }, (_, number) => load.skew ** number), source);
+}
+
+/** The number of one of the shares, each as likely as it is large. */
+function pickShare(shares: readonly number[], source: random.Random): number {
+    let left = source.nextFloat() * shares.reduce((sum, share) => sum + share, 0);
+    for (let number = 0; number < shares.length - 1; number++) {
+        left -= shares[number]!;
         if (left < 0) {
             return number;
         }
     }
-    return load.accounts - 1;
+    return shares.length - 1;
+}
+
+/** What a caller estimates for its task, as a share of what the task takes. */
+function drawEstimate(item: loads.JobClass, source: random.Random): number {
+    const offset = 2 * source.nextFloat() - 1;
+    return item.estimateOffShare === undefined ? item.estimateOff ** offset : 1 + item.estimateOffShare * offset;
 }
--- a/src/experiment/index.ts
+++ b/src/experiment/index.ts
@@ -1,7 +1,11 @@
 /** Loads played through the real scheduler, and what callers got of each. */
+export { type BatchResult, type BatchTask, playBatch, type Variant } from "./batch";
 export { getUpperBound } from "./bound";
+export { compare, type Difference, getRankCorrelation } from "./compare";
+export { drawLoad, Size } from "./drawnLoad";
 export { type Load } from "./load";
 export { LOADS } from "./loads";
+export { type Measure, MEASURES, type Measures } from "./measures";
 export { play, type Played, type PlayOptions } from "./play";
 export { renderReport } from "./report";
 export { type Group, summarise, type Summary } from "./summary";
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -35,6 +35,8 @@
     readonly fails: number;
     /** Estimates are off by up to this factor, either way; 1: exact. */
     readonly estimateOff: number;
+    /** Set where estimates are off by up to this share instead, either way. */
+    readonly estimateOffShare?: number;
     /** The objective is this multiple of the job's longest chain of work, and `objectiveMs` more. */
     readonly stretch: number;
     readonly objectiveMs: number;
@@ -55,6 +57,10 @@
     | { readonly kind: "crash"; readonly atMs: number; readonly share: number; }
     /** A share of the workers drains, and leaves `leftMs` later. */
     | { readonly kind: "leave"; readonly atMs: number; readonly share: number; readonly leftMs: number; }
+    /** The store turns every call away. */
+    | { readonly kind: "storeAway"; readonly atMs: number; readonly forMs: number; }
+    /** The leader falls silent, and starts again `forMs` later. */
+    | { readonly kind: "leaderLost"; readonly atMs: number; readonly forMs: number; }
     /** A class comes `times` as often. */
     | { readonly kind: "burst"; readonly atMs: number; readonly forMs: number; class: string; times: number; };
 
@@ -63,6 +69,10 @@
     readonly workers: number;
     readonly workersPerRack: number;
     readonly zones: number;
+    /** Instances of the scheduler; they lie in the zones in turns. */
+    readonly instances: number;
+    /** Share of the jobs that each zone's callers hand in; without it all the same. */
+    readonly zoneShares?: readonly number[];
     readonly capacity: work.Room;
     readonly accounts: number;
     /** Each account sends this share of what the one before it sends; 1: all the same. */
--- a/src/experiment/loads.ts
+++ b/src/experiment/loads.ts
@@ -74,6 +74,7 @@
     workers: 33,
     workersPerRack: 8,
     zones: 3,
+    instances: 3,
     capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 },
     accounts: 4,
     skew: 0.7,
--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -12,7 +12,7 @@
 /** What became of a job. Times are milliseconds from its arrival. */
 export interface JobOutcome {
     readonly planned: generate.PlannedJob;
-    /** Zone of the instance that took it; each instance stands for one. */
+    /** Of its callers. */
     readonly zone: string;
     readonly accepted: boolean;
     readonly firstStartMs: number | undefined;
@@ -35,6 +35,8 @@
     /** Core-seconds of runs that were stopped, broken or lapsed and not saved. */
     readonly thrownAwayCoreSeconds: number;
     readonly stoppedRuns: number;
+    /** Looks and orders. */
+    readonly workerCalls: number;
     /** Broken promises, in words. */
     readonly breaches: readonly string[];
     readonly simulatedMs: number;
@@ -46,7 +48,6 @@
     readonly policy: decisions.Policy;
 }
 
-const INSTANCES = 3;
 /** The instances find a leader, and the leader its workers, before jobs come. */
 const LEAD_MS = 2_000;
 const STEP_MS = 50;
@@ -67,10 +68,11 @@
         clock: time,
         log: record.log,
         ...telemetry.createMetrics(),
-        instances: INSTANCES,
+        instances: load.instances,
         workers,
         catalog: createCatalog(load),
         workerFaults: affected.faults,
+        storeFaults: affected.storeFaults,
         policy: options.policy,
     });
     affected.failOn(site.workers, planned);
@@ -80,9 +82,9 @@
     let sampleAt = 0;
     for (let at = 0; at < load.forMs + FINISH_MS && record.isOpen(); at += STEP_MS) {
         for (; next < planned.length && planned[next]!.arrivesAt <= at; next++) {
-            handIn(site, planned[next]!, record, time);
+            handIn(planned[next]!, { site, load, record, time });
         }
-        affected.apply(site.workers, at);
+        affected.apply(site, at);
         if (at >= sampleAt) {
             samples.push(takeSample(site.workers, workers, at, record.countWaiting()));
             sampleAt = at + SAMPLE_MS;
@@ -94,34 +96,62 @@
         jobs: record.getOutcomes(),
         samples,
         ...record.getLosses(),
+        workerCalls: affected.countWorkerCalls(),
         breaches: site.workers.breaches,
         simulatedMs: time.now() - startAt,
     };
 }
 
-function handIn(
-    site: emulator.Site,
-    planned: generate.PlannedJob,
-    record: JobRecord,
-    time: clocks.ManualClock,
-): void {
+interface Playing {
+    readonly site: emulator.Site;
+    readonly load: loads.Load;
+    readonly record: JobRecord;
+    readonly time: clocks.ManualClock;
+}
+
+/** A caller that is refused comes back this often, each time after a pause, as long as it has patience. */
+const MOST_TRIES = 4;
+const LEAST_PAUSE_MS = 500;
+const MORE_PAUSE_MS = 150;
+const PATIENCE_MS = 3_000;
+
+function handIn(planned: generate.PlannedJob, playing: Playing): void {
+    const { site, load, record, time } = playing;
     const { job } = planned;
-    const instance = Number.parseInt(job.jobId, 16) % INSTANCES;
-    void site.submit(job, instance).then(reply => {
-        if (reply.kind !== "accepted") {
-            return;
-        }
-        record.accept(job.jobId);
-        if (planned.cancelAfterMs !== undefined) {
-            time.setTimer(planned.cancelAfterMs, () => void site.cancel(job.jobId, instance));
-        }
-    });
+    const startedAt = time.now();
+    const send = (tries: number) => {
+        const instance = chooseInstance(planned.zone + tries * load.zones, playing);
+        void site.submit(job, instance).then(reply => {
+            if (reply.kind === "accepted") {
+                record.accept(job.jobId);
+                if (planned.cancelAfterMs !== undefined) {
+                    time.setTimer(planned.cancelAfterMs, () => void site.cancel(job.jobId, instance));
+                }
+                return;
+            }
+            const pauseMs = LEAST_PAUSE_MS + tries * MORE_PAUSE_MS;
+            if (tries < MOST_TRIES && time.now() + pauseMs - startedAt < PATIENCE_MS) {
+                time.setTimer(pauseMs, () => send(tries + 1));
+                return;
+            }
+            record.giveUp(job.jobId);
+        });
+    };
+    send(0);
+}
+
+/** The balancer's choice: the instance of that number, or the next one that is there. */
+function chooseInstance(wanted: number, { site, load }: Playing): number {
+    const candidates = Array.from({ length: load.instances }, (_, next) => (wanted + next) % load.instances);
+    return candidates.find(site.isAlive) ?? candidates[0]!;
 }
 
 /** What the instances log of the jobs, as it comes. */
 interface JobRecord {
     readonly log: Parameters<typeof emulator.createSite>[0]["log"];
     accept(jobId: string): void;
+    /** Its caller does not come back. */
+    giveUp(jobId: string): void;
     /** Whether jobs are still to come or to end. */
     isOpen(): boolean;
     countWaiting(): number;
@@ -134,13 +164,12 @@
     interface Entry {
         readonly planned: generate.PlannedJob;
         accepted: boolean;
-        zone: string;
         firstStartAt: number | undefined;
         end: { state: string; at: number; } | undefined;
     }
     const entries = new Map(planned.map((item): [string, Entry] => [
         item.job.jobId,
-        { planned: item, accepted: false, zone: "", firstStartAt: undefined, end: undefined },
+        { planned: item, accepted: false, firstStartAt: undefined, end: undefined },
     ]));
     let thrownAwayCoreSeconds = 0;
     let stoppedRuns = 0;
@@ -157,7 +186,8 @@
             case "runEnded": {
                 const entry = findEntry(fields["task"]);
                 stoppedRuns++;
-                if (entry && fields["saved"] !== true) {
+                // What its caller has cancelled is not thrown away by a decision.
+                if (entry && fields["saved"] !== true && fields["reason"] !== "jobCancelled") {
                     const step = entry.planned.job.spec.steps[0]!;
                     const cores = step.needs.cpuMillis / 1_000
                         + generate.CORES_PER_ACCELERATOR * step.needs.accelerators;
@@ -179,6 +209,10 @@
         accept: jobId => {
             entries.get(jobId)!.accepted = true;
         },
+        giveUp: jobId => {
+            const entry = entries.get(jobId)!;
+            entry.end ??= { state: "refused", at: now() };
+        },
         isOpen: () => [...entries.values()].some(entry => !entry.end),
         countWaiting: () =>
             [...entries.values()].filter(entry => entry.accepted && entry.firstStartAt === undefined && !entry.end)
@@ -186,7 +220,7 @@
         getOutcomes: () =>
             [...entries.values()].map(entry => ({
                 planned: entry.planned,
-                zone: `zone-${Number.parseInt(entry.planned.job.jobId, 16) % INSTANCES}`,
+                zone: `zone-${entry.planned.zone}`,
                 accepted: entry.accepted,
                 firstStartMs: entry.firstStartAt === undefined
                     ? undefined
--- a/src/experiment/summary.ts
+++ b/src/experiment/summary.ts
@@ -40,17 +40,13 @@
 
 export function summarise(played: play.Played): Summary {
     const { jobs, samples } = played;
-    const groupBy = (getName: (job: play.JobOutcome) => string) =>
-        [...new Set(jobs.map(getName))].sort().map(name =>
-            createGroup(name, jobs.filter(job => getName(job) === name), jobs)
-        );
     const mean = (values: readonly number[]) =>
         values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
     return {
         all: createGroup("all", jobs, jobs),
-        classes: groupBy(job => job.planned.class.name),
-        accounts: groupBy(job => job.planned.job.account),
-        zones: groupBy(job => job.zone),
+        classes: groupBy(jobs, job => job.planned.class.name),
+        accounts: groupBy(jobs, job => job.planned.job.account),
+        zones: groupBy(jobs, job => job.zone),
         utilisation: mean(samples.map(sample => sample.utilisation)),
         fragmentation: mean(samples.map(sample => sample.fragmentation)),
         thrownAwayCoreSeconds: played.thrownAwayCoreSeconds,
@@ -59,6 +55,12 @@
     };
 }
 
+export function groupBy(jobs: readonly play.JobOutcome[], getName: (job: play.JobOutcome) => string): Group[] {
+    return [...new Set(jobs.map(getName))].sort().map(name =>
+        createGroup(name, jobs.filter(job => getName(job) === name), jobs)
+    );
+}
+
 type Served = "inTime" | "late" | "missed" | "refused" | "cancelled";
 
 function getServed(job: play.JobOutcome): Served {
--- a/src/experiment/troubles.ts
+++ b/src/experiment/troubles.ts
@@ -7,8 +7,11 @@
 
 export interface Troubles {
     readonly faults: emulator.WorkerFaults;
-    /** Lets workers crash or drain whose time has come. */
-    apply(workers: emulator.EmulatedWorkers, atMs: number): void;
+    /** Calls to workers so far. */
+    countWorkerCalls(): number;
+    readonly storeFaults: emulator.StoreFaults;
+    /** Lets workers crash or drain, and leaders fall silent and return, whose time has come. */
+    apply(site: emulator.Site, atMs: number): void;
     /** Makes runs fail that were started where all fails. */
     failOn(workers: emulator.EmulatedWorkers, planned: readonly generate.PlannedJob[]): void;
 }
@@ -30,14 +33,19 @@
         workerIds: new Set("share" in trouble ? pickIds(workers, trouble.share, source) : []),
         applied: false,
     }));
+    let workerCalls = 0;
+    /** Instances that fell silent, and when each returns. */
+    const silenced = new Map<number, number>();
     const isStruck = (kind: loads.Trouble["kind"], workerId: string, at: number) =>
         strikes.find(({ trouble, workerIds }) =>
-            trouble.kind === kind && workerIds.has(workerId) && "forMs" in trouble
-            && at >= trouble.atMs && at < trouble.atMs + trouble.forMs
+            trouble.kind === kind && workerIds.has(workerId) && "forMs" in trouble && isDuring(trouble, at)
         );
     return {
         faults: {
-            decide: workerId => isStruck("cut", workerId, now()) ? "cut" : "none",
+            decide: workerId => {
+                workerCalls++;
+                return isStruck("cut", workerId, now()) ? "cut" : "none";
+            },
             lateMs: 0,
             getSlowness: workerId => {
                 if (isStruck("hang", workerId, now())) {
@@ -47,7 +55,22 @@
                 return slow?.kind === "slow" ? slow.times : 1;
             },
         },
-        apply: (emulated, atMs) => {
+        countWorkerCalls: () => workerCalls,
+        storeFaults: {
+            decide: () =>
+                strikes.some(({ trouble }) => trouble.kind === "storeAway" && isDuring(trouble, now()))
+                    ? "refuse"
+                    : "none",
+            lateMs: 0,
+        },
+        apply: (site, atMs) => {
+            const emulated = site.workers;
+            for (const [instance, backAt] of silenced) {
+                if (backAt <= atMs) {
+                    silenced.delete(instance);
+                    site.restart(instance);
+                }
+            }
             for (const strike of strikes) {
                 const { trouble, workerIds } = strike;
                 if (strike.applied || trouble.atMs > atMs) {
@@ -57,6 +80,11 @@
                 if (trouble.kind === "crash") {
                     workerIds.forEach(id => emulated.kill(id, false));
                 }
+                if (trouble.kind === "leaderLost") {
+                    const instance = site.getLeader() ?? 0;
+                    silenced.set(instance, atMs + trouble.forMs);
+                    site.silence(instance);
+                }
                 if (trouble.kind === "leave") {
                     workerIds.forEach(id => emulated.drain(id, trouble.leftMs));
                 }
@@ -83,3 +111,7 @@
     }
     return picked;
 }
+
+function isDuring(trouble: { readonly atMs: number; readonly forMs: number; }, at: number): boolean {
+    return at >= trouble.atMs && at < trouble.atMs + trouble.forMs;
+}
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -27,6 +27,7 @@
     readonly listener: BookListener;
     getQueue(name: string): catalog.Queue | undefined;
     getExpected(job: entries.JobEntry): outcomes.ExpectedTimes;
+    readonly leftOut: ReadonlySet<decisions.Mechanism>;
 }
 
 export interface Book {
@@ -316,7 +317,7 @@
             }
             const wasStopping = task.phase === "stopping";
             if (wasStopping && task.stopReason.startsWith("preempted")) {
-                task.restsUntil = time.now() + decisions.REST_MS;
+                task.restsUntil = options.leftOut.has("rests") ? 0 : time.now() + decisions.REST_MS;
                 task.preemptions++;
             }
             toWaiting(task);
--- a/src/leader/firstLooks.ts
+++ b/src/leader/firstLooks.ts
@@ -25,14 +25,14 @@
 /** A silent worker keeps the others waiting no longer: a live one answers within some 10 ms. */
 const LONGEST_TURN_MS = 100;
 
-export function createFirstLooks(time: clock.Clock): FirstLooks {
+export function createFirstLooks(time: clock.Clock, mostUnderWay = MOST_UNDER_WAY): FirstLooks {
     const waiting: ReadonlyArray<Array<() => void>> = [[], [], []];
     let underWay = 0;
     let admitting = false;
 
     const admit = () => {
         admitting = false;
-        while (underWay < MOST_UNDER_WAY) {
+        while (underWay < mostUnderWay) {
             const next = waiting.find(queue => queue.length > 0)?.shift();
             if (!next) {
                 return;
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -1,5 +1,6 @@
 /** Gives the orders that the book wants, and sees each through to a certain outcome. */
 import type * as clock from "../clock/index";
+import type * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as book from "./book";
 import type * as entries from "./entries";
@@ -14,6 +15,7 @@
     readonly signal: AbortSignal;
     getSession(worker: entries.WorkerEntry): workerSession.WorkerSession | undefined;
     mayOrder(): boolean;
+    readonly leftOut: ReadonlySet<decisions.Mechanism>;
 }
 
 /** A task and the run for which its row is stored; by the time of the order it may be placed anew. */
@@ -139,6 +141,10 @@
      */
     const settleUnanswered = async (task: entries.TaskEntry, worker: entries.WorkerEntry) => {
         const { run } = task;
+        if (options.leftOut.has("unansweredLooks")) {
+            taskBook.requestStop(task, "startUnanswered");
+            return;
+        }
         task.unansweredAt = time.now();
         options.getSession(worker)?.lookNow();
         await time.sleep(UNANSWERED_PATIENCE_MS, options.signal);
--- a/src/leader/slowness.ts
+++ b/src/leader/slowness.ts
@@ -11,6 +11,7 @@
     readonly now: number;
     readonly book: book.Book;
     readonly log: observe.Log;
+    readonly leftOut: ReadonlySet<decisions.Mechanism>;
 }
 
 export function judgeSpeed(worker: entries.WorkerEntry, options: SlownessOptions): void {
@@ -25,7 +26,12 @@
             slowdowns: slowdowns.map(slowdown => Math.round(slowdown * 10) / 10),
         });
     }
-    worker.setAsideUntil = Math.max(worker.setAsideUntil, options.now + SLOW_ASIDE_MS);
+    if (!options.leftOut.has("slowWorkers")) {
+        worker.setAsideUntil = Math.max(worker.setAsideUntil, options.now + SLOW_ASIDE_MS);
+    }
+    if (options.leftOut.has("slowMoves")) {
+        return;
+    }
     for (const task of running) {
         const { priority } = task.step.occurrence.job.queue;
         const saves = task.step.spec.checkpoints;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -82,11 +82,15 @@
 export function createTerm(options: TermOptions): Term {
     const { clock: time, log, meter, leadership } = options;
     const { signal } = leadership;
+    const { leftOut } = options.policy;
     const lookWaitMs = Math.round(Math.min(MOST_LOOK_WAIT_MS, LOOK_SHARE * options.maxLeaseMs));
     const workers = new Map<string, entries.WorkerEntry>();
     const sessions = new Map<string, workerSession.WorkerSession>();
     const predictor = decisions.createPredictor();
-    const firstLooks = firstLooksOfTerm.createFirstLooks(time);
+    const firstLooks = firstLooksOfTerm.createFirstLooks(
+        time,
+        options.policy.leftOut.has("firstLooks") ? Infinity : undefined,
+    );
     const openedAt = time.now();
     let passPlanned = false;
     /** What the latest pass took. */
@@ -108,6 +112,7 @@
         meter,
         getQueue: name => options.catalog.getQueue(name),
         getExpected: job => units.getExpected(job, expect),
+        leftOut,
         listener: {
             occurrenceChanged: writer.markOccurrence,
             jobChanged: writer.markJob,
@@ -123,6 +128,7 @@
         signal,
         getSession: worker => sessions.get(worker.id),
         mayOrder: leadership.mayOrder,
+        leftOut,
     });
     const adviceDesk = advice.createAdviceDesk({
         adviser: options.adviser,
@@ -158,7 +164,7 @@
                     learn(end);
                 }
                 reconcile.reconcile({ book, clock: time, log, stopStranger: orders.stopStranger }, worker, lists);
-                slowness.judgeSpeed(worker, { now: time.now(), book, log });
+                slowness.judgeSpeed(worker, { now: time.now(), book, log, leftOut });
                 sharing.paceFillers(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
@@ -250,7 +256,8 @@
         }
     };
 
-    const expect: units.Expect = step => predictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
+    const learned = leftOut.has("prediction") ? decisions.createPredictor() : predictor;
+    const expect: units.Expect = step => learned.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
 
     const isPlaceable = (worker: entries.WorkerEntry, now: number) =>
         worker.listed && worker.heard && !worker.info.draining && !worker.reserved && worker.strangers === 0
@@ -275,7 +282,7 @@
             policy: options.policy,
             isGuaranteed: job => guaranteed.has(job),
         };
-        watch.stopWhatCannotGoOn([...workers.values()], { now, expect, book, log });
+        watch.stopWhatCannotGoOn([...workers.values()], { now, expect, book, log, leftOut });
         const waiting = units.collectUnits(book.active, view);
         if (waiting.length === 0) {
             return;
@@ -285,6 +292,7 @@
         let groups: ReadonlyMap<string, units.GroupOfTasks> = new Map();
         const plan = decisions.plan({
             now,
+            leftOut,
             workers: placeable.map(units.toPlaceable),
             units: waiting.map(item => item.unit),
             getGroups: () => {
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -1,5 +1,6 @@
 /** Tasks that cannot go on where they are: on workers that leave, that are lost, or that make no progress. */
 import type * as clock from "../clock/index";
+import type * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as book from "./book";
 import type * as entries from "./entries";
@@ -62,10 +63,12 @@
         readonly expect: units.Expect;
         readonly book: book.Book;
         readonly log: observe.Log;
+        readonly leftOut: ReadonlySet<decisions.Mechanism>;
     },
 ): void {
+    const { leftOut } = options;
     for (const worker of workers) {
-        if (worker.failuresInRow >= SUSPECT_FAILURES) {
+        if (worker.failuresInRow >= SUSPECT_FAILURES && !leftOut.has("failingWorkers")) {
             worker.failuresInRow = 0;
             worker.setAsideUntil = options.now + SUSPECT_ASIDE_MS;
             options.log.warn("workerSuspect", { worker: worker.id, reason: "failures in a row" });
@@ -74,10 +77,10 @@
             if (task.phase !== "running" || !worker.heard) {
                 continue;
             }
-            if (worker.info.draining && !endsInTime(task, worker, options)) {
+            if (worker.info.draining && !leftOut.has("leavingWorkers") && !endsInTime(task, worker, options)) {
                 options.book.requestStop(task, "workerLeaves");
             }
-            else if (hangs(task, options.expect)) {
+            else if (!leftOut.has("hangingTasks") && hangs(task, options.expect)) {
                 task.stalls++;
                 worker.setAsideUntil = options.now + HANG_ASIDE_MS;
                 options.log.warn("workerSuspect", { worker: worker.id, reason: "no progress", task: task.name });
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -66,6 +66,7 @@
 
 export function createScheduler(options: SchedulerOptions): Scheduler {
     const { clock: time, log, meter } = options;
+    const { leftOut } = options.policy;
     const current = catalogs.createCurrentCatalog();
     const health = rows.createStoreHealth({
         store: rows.createCountedStore(options.store, meter),
@@ -74,7 +75,7 @@
         probe: { table: work.Table.Lead, part: work.LEADER_PART },
         onAway: why => {
             log.warn("storeLost", { why });
-            void handover.offer();
+            offerTerm();
         },
         onBack: awayMs => log.info("storeRegained", { awayMs: Math.round(awayMs) }),
     });
@@ -87,7 +88,7 @@
             ...options.getBounds(),
             store,
             catalog: current,
-            leadership,
+            leadership: leftOut.has("prolonging") ? { ...leadership, mayProlong: leadership.mayOrder } : leadership,
             onDeposed: reason => lease.depose(reason),
         });
         term = started;
@@ -105,15 +106,23 @@
         life: options.life,
         watchAddress: options.watchAddress,
         peerAddress: options.peerAddress,
-        watchHolder: options.watchProcess,
+        watchHolder: (address, onGone) => {
+            const watch = options.watchProcess(address, onGone);
+            return leftOut.has("heartbeats") ? { ...watch, getSilentMs: () => undefined } : watch;
+        },
         signal: options.signal,
         power: options.power,
         getWaiting: () => term?.getWaiting(),
-        onRenewalLate: () => void handover.offer(),
+        onRenewalLate: () => offerTerm(),
         onElected: openTerm,
     });
     const isStoreAway = () => health.getAwayMs() !== undefined;
     const handover = leader.createHandover({ ...options, port: options.handover, lease, store, isStoreAway });
+    const offerTerm = () => {
+        if (!leftOut.has("handover")) {
+            void handover.offer();
+        }
+    };
     const intake = intakes.createIntake({
         store,
         health,
