Emulated tasks of one step differ, and losses are told by reason

Cause: where the emulator and the platform disagreed, the emulator was wrong: all tasks of an emulated step took the same time, while on the platform the slowest of twenty takes three times as long as the fastest. Now: a class says how uneven its tasks are (logarithm, standard deviation 0.1 to 0.45 on drawn deployments), objectives and work follow from it, and a play tells the work that was thrown away by reason. Durations are whole milliseconds: a task told at 99 percent for ever by rounding was taken to hang, 17 percent of all work.

--- a/src/emulator/jobModel.ts
+++ b/src/emulator/jobModel.ts
@@ -8,21 +8,26 @@
     readonly queue: string;
     readonly account: string;
     readonly spec: work.JobSpec;
-    /** Duration of each step's tasks. */
+    /** Duration of each step's tasks, as a rule. */
     readonly durationsMs: readonly number[];
+    /** By how much the task of that number takes longer than the rule; without it all are the same. */
+    readonly getUnevenness?: (step: number, index: number) => number;
     /** Whether a run of a task fails at its end; by default none does. */
     fails?: (task: string, run: number) => boolean;
 }
 
 /** What the task of that name does; its job must be known. */
 export function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workerLife.TaskModel {
-    const [jobId, occurrence, stepNumber] = task.split(".");
+    const [jobId, occurrence, stepNumber, index] = task.split(".");
     const job = jobs.get(jobId!)!;
     const number = Number(stepNumber);
     const step = job.spec.steps[number]!;
     return {
         needs: step.fills ? { ...step.needs, cpuMillis: 0 } : step.needs,
-        durationMs: step.lasting ? Infinity : job.durationsMs[number]!,
+        durationMs: step.lasting
+            ? Infinity
+            // Whole, so that all that is done is told as 100 percent.
+            : Math.round(job.durationsMs[number]! * (job.getUnevenness?.(number, Number(index)) ?? 1)),
         gangSize: step.gang ? step.count : 1,
         gang: `${jobId}.${occurrence}.${stepNumber}`,
         checkpoints: step.checkpoints,
--- a/src/experiment/__tests__/drawn.test.ts
+++ b/src/experiment/__tests__/drawn.test.ts
@@ -67,6 +67,7 @@
         samples: [],
         thrownAwayCoreSeconds: 4,
         stoppedRuns: 2,
+        lossByReason: { preempted: 4 },
         workerCalls: 8,
         breaches: [],
         simulatedMs: 0,
--- a/src/experiment/__tests__/experiment.test.ts
+++ b/src/experiment/__tests__/experiment.test.ts
@@ -102,6 +102,7 @@
             samples: [],
             thrownAwayCoreSeconds: 0,
             stoppedRuns: 0,
+            lossByReason: {},
             workerCalls: 0,
             breaches: [],
             simulatedMs: 0,
--- a/src/experiment/drawnLoad.ts
+++ b/src/experiment/drawnLoad.ts
@@ -85,6 +85,7 @@
         priority,
         perSecond: 0,
         durationMs: { mean: duration, spread: between(0.2, 0.6), most: 3 * duration },
+        uneven: between(0.1, 0.45),
         width: { mean: width, spread: 0.8, most: 6 * width },
         steps: { mean: steps, spread: urgent ? 0 : 0.4, most: 3 },
         needs: {
--- a/src/experiment/generate.ts
+++ b/src/experiment/generate.ts
@@ -20,8 +20,6 @@
 }
 
 const CANCEL_WITHIN_MS = 8_000;
-/** Tasks of one step differ by this much. */
-const UNEVEN = 0.15;
 
 /** The generator's first numbers are close to an end of their range for small seeds, so they are not used. */
 export function createSource(seed: number): random.Random {
@@ -80,6 +78,7 @@
         { length: Math.max(1, Math.round(draw(item.steps, source))) },
         () => Math.round(draw(item.durationMs, source)),
     );
+    const unevenness = durationsMs.map(() => Array.from({ length: count }, () => drawUnevenness(item, source)));
     const steps = durationsMs.map((durationMs, index): work.StepSpec => ({
         ...work.PLAIN_STEP,
         count,
@@ -95,7 +94,10 @@
     const zone = load.zoneShares ? pickShare(load.zoneShares, source) : jobNumber % load.instances;
     const poisoned = has(item.poison);
     const failures = source.nextInt(FAILURE_PATTERNS);
-    const chainMs = durationsMs.reduce((sum, durationMs) => sum + durationMs, 0);
+    const sumSteps = (getFactor: (factors: readonly number[]) => number) =>
+        durationsMs.reduce((sum, durationMs, step) => sum + durationMs * getFactor(unevenness[step]!), 0);
+    const chainMs = sumSteps(factors => Math.max(...factors));
+    const workMs = sumSteps(factors => factors.reduce((sum, factor) => sum + factor, 0));
     return {
         job: {
             jobId: jobNumber.toString(16).padStart(16, "0"),
@@ -103,6 +105,7 @@
             account: getAccountName(pickAccount(load, source)),
             spec: { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 },
             durationsMs,
+            getUnevenness: (step, index) => unevenness[step]![index]!,
             fails: (task, run) => poisoned || isUnlucky(task, run, failures, item.fails),
         },
         class: item,
@@ -110,8 +113,8 @@
         arrivesAt,
         cancelAfterMs: has(item.cancelled) ? source.nextFloat() * CANCEL_WITHIN_MS : undefined,
         poisoned,
-        objectiveMs: item.stretch * chainMs * (1 + UNEVEN) + item.objectiveMs,
-        coreSeconds: count * chainMs / 1_000 * (needs.cpuMillis / 1_000 + CORES_PER_ACCELERATOR * needs.accelerators),
+        objectiveMs: item.stretch * chainMs + item.objectiveMs,
+        coreSeconds: workMs / 1_000 * (needs.cpuMillis / 1_000 + CORES_PER_ACCELERATOR * needs.accelerators),
     };
 }
 
@@ -164,6 +167,10 @@
     return shares.length - 1;
 }
 
+function drawUnevenness(item: loads.JobClass, source: random.Random): number {
+    return item.uneven > 0 ? Math.exp(item.uneven * source.nextNormal()) : 1;
+}
+
 /** What a caller estimates for its task, as a share of what the task takes. */
 function drawEstimate(item: loads.JobClass, source: random.Random): number {
     const offset = 2 * source.nextFloat() - 1;
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -15,6 +15,8 @@
     /** Jobs a second over the whole site. */
     readonly perSecond: number;
     readonly durationMs: Spread;
+    /** Standard deviation of the logarithm of what the tasks of one step take; 0: all the same. */
+    readonly uneven: number;
     /** Tasks of a step. */
     readonly width: Spread;
     /** Steps, each after the one before. */
--- a/src/experiment/loads.ts
+++ b/src/experiment/loads.ts
@@ -9,6 +9,7 @@
     priority: 1,
     perSecond: 0.44,
     durationMs: { mean: 8_500, spread: 0.3, most: 11_000 },
+    uneven: 0,
     width: { mean: 5, spread: 0.8, most: 30 },
     steps: ALWAYS(1),
     needs: { cpuMillis: 13_000, memoryMb: 19_000 },
--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -35,6 +35,8 @@
     /** Core-seconds of runs that were stopped, broken or lapsed and not saved. */
     readonly thrownAwayCoreSeconds: number;
     readonly stoppedRuns: number;
+    /** The same by why: core-seconds thrown away. */
+    readonly lossByReason: Readonly<Record<string, number>>;
     /** Looks and orders. */
     readonly workerCalls: number;
     /** Broken promises, in words. */
@@ -156,7 +158,7 @@
     isOpen(): boolean;
     countWaiting(): number;
     getOutcomes(): JobOutcome[];
-    getLosses(): { thrownAwayCoreSeconds: number; stoppedRuns: number; };
+    getLosses(): Pick<Played, "thrownAwayCoreSeconds" | "stoppedRuns" | "lossByReason">;
 }
 
 /** Follows the jobs by what the instances log. */
@@ -173,6 +175,7 @@
     ]));
     let thrownAwayCoreSeconds = 0;
     let stoppedRuns = 0;
+    const lossByReason: Record<string, number> = {};
     const findEntry = (name: unknown) => entries.get(String(name).split(".", 1)[0]!);
     const take = (event: string, fields: Readonly<Record<string, unknown>> = {}) => {
         switch (event) {
@@ -191,7 +194,10 @@
                     const step = entry.planned.job.spec.steps[0]!;
                     const cores = step.needs.cpuMillis / 1_000
                         + generate.CORES_PER_ACCELERATOR * step.needs.accelerators;
-                    thrownAwayCoreSeconds += Number(fields["ranMs"]) / 1_000 * cores;
+                    const loss = Number(fields["ranMs"]) / 1_000 * cores;
+                    const reason = String(fields["reason"] ?? fields["how"]).split(" for ", 1)[0]!;
+                    thrownAwayCoreSeconds += loss;
+                    lossByReason[reason] = (lossByReason[reason] ?? 0) + loss;
                 }
                 break;
             }
@@ -227,7 +233,7 @@
                     : entry.firstStartAt - entry.planned.arrivesAt,
                 end: entry.end && { state: entry.end.state, afterMs: entry.end.at - entry.planned.arrivesAt },
             })),
-        getLosses: () => ({ thrownAwayCoreSeconds, stoppedRuns }),
+        getLosses: () => ({ thrownAwayCoreSeconds, stoppedRuns, lossByReason }),
     };
 }
 
--- a/src/random/index.ts
+++ b/src/random/index.ts
@@ -9,6 +9,8 @@
     nextInt(bound: number): number;
     /** Exponentially distributed with the given mean. */
     nextExponential(mean: number): number;
+    /** Normally distributed, with mean 0 and standard deviation 1. */
+    nextNormal(): number;
     /** A uniformly chosen element; the list must not be empty. */
     pick<T>(items: readonly T[]): T;
 }
@@ -23,6 +25,7 @@
         nextFloat,
         nextInt,
         nextExponential: mean => -mean * Math.log(1 - nextFloat()),
+        nextNormal: () => Math.sqrt(-2 * Math.log(1 - nextFloat())) * Math.cos(2 * Math.PI * nextFloat()),
         pick: items => items[nextInt(items.length)]!,
     };
 }
