The weights of the measures say where they come from

Cause: comments called them means and a median of what users name, which they are not: the price of thrown away work is the highest of six, the weights were chosen. No figure is changed.

--- a/src/experiment/measures.ts
+++ b/src/experiment/measures.ts
@@ -19,9 +19,9 @@
 export type Measure = keyof typeof MEASURES;
 export type Measures = Readonly<Record<Measure, number>>;
 
-/** Means of what the users' sheets weigh the parts with, scaled to one. */
+/** Chosen: the whole counts most, then the zone, as three groups of users weigh them; their sum is one. */
 const WEIGHTS = { whole: 0.42, worstZone: 0.24, worstClass: 0.14, worstAccount: 0.13, worstWindows: 0.07 } as const;
-/** A core-second of thrown away work, beside the worth of a job: the median of the users' sheets. */
+/** A core-second of thrown away work, beside the worth of a job: the highest that users name. */
 const THROWN_AWAY_PRICE = 0.0021;
 const WINDOW_MS = 2_000;
 const WORST_WINDOWS = 2;
