--- a/src/experiment/__tests__/drawn.test.ts
+++ b/src/experiment/__tests__/drawn.test.ts
@@ -2,7 +2,7 @@
 import * as generate from "../generate";
 import * as experiment from "../index";
 import * as measures from "../measures";
-import type * as play from "../play";
+import type * as outcomes from "../played";
 
 const SEEDS = Array.from({ length: 40 }, (_, number) => number + 1);
 
@@ -43,7 +43,7 @@
 
 describe("the measures", () => {
     const [planned] = generate.generateJobs(experiment.drawLoad(1), generate.createSource(1));
-    const createJob = (zone: string, arrivesAt: number, afterMs: number | undefined): play.JobOutcome => ({
+    const createJob = (zone: string, arrivesAt: number, afterMs: number | undefined): outcomes.JobOutcome => ({
         planned: {
             ...planned!,
             arrivesAt,
@@ -57,7 +57,7 @@
         firstStartMs: 0,
         end: afterMs === undefined ? undefined : { state: "completed", afterMs },
     });
-    const played: play.Played = {
+    const played: outcomes.Played = {
         jobs: [
             createJob("a", 0, 500),
             createJob("a", 0, 500),
--- a/src/experiment/__tests__/experiment.test.ts
+++ b/src/experiment/__tests__/experiment.test.ts
@@ -2,7 +2,7 @@
 import * as generate from "../generate";
 import * as experiment from "../index";
 import type * as loads from "../load";
-import type * as play from "../play";
+import type * as outcomes from "../played";
 
 const SMALL = experiment.LOADS["small"]!;
 const SHORT: loads.Load = { ...SMALL, workers: 8, forMs: 6_000 };
@@ -71,7 +71,7 @@
 
 describe("what callers got", () => {
     const [planned] = generate.generateJobs(SHORT, generate.createSource(5));
-    const createOutcome = (fields: Partial<play.JobOutcome>): play.JobOutcome => ({
+    const createOutcome = (fields: Partial<outcomes.JobOutcome>): outcomes.JobOutcome => ({
         planned: { ...planned!, cancelAfterMs: undefined, poisoned: false, objectiveMs: 10_000 },
         zone: "zone-0",
         accepted: true,
@@ -80,7 +80,7 @@
         ...fields,
     });
     const cases: ReadonlyArray<
-        readonly [name: string, fields: Partial<play.JobOutcome>, worth: number, counted: string]
+        readonly [name: string, fields: Partial<outcomes.JobOutcome>, worth: number, counted: string]
     > = [
         ["in time", {}, 1, "inTime"],
         ["late", { end: { state: "completed", afterMs: 25_000 } }, 0.25, "late"],
@@ -91,7 +91,7 @@
     ];
     test.each(cases)("%s", (_name, fields, worth, counted) => {
         const outcome = createOutcome(fields);
-        const played: play.Played = {
+        const played: outcomes.Played = {
             jobs: [{
                 ...outcome,
                 planned: {
--- a/src/experiment/index.ts
+++ b/src/experiment/index.ts
@@ -6,6 +6,7 @@
 export { type Load } from "./load";
 export { LOADS } from "./loads";
 export { type Measure, MEASURES, type Measures } from "./measures";
-export { play, type Played, type PlayOptions } from "./play";
+export { play, type PlayOptions } from "./play";
+export { type Played } from "./played";
 export { renderReport } from "./report";
 export { type Group, summarise, type Summary } from "./summary";
--- a/src/experiment/report.ts
+++ b/src/experiment/report.ts
@@ -1,5 +1,5 @@
 /** An HTML page with charts of what was played. */
-import type * as play from "./play";
+import type * as outcomes from "./played";
 import type * as summary from "./summary";
 
 export interface Result {
@@ -9,7 +9,7 @@
     readonly summary: summary.Summary;
     /** Worth that no schedule exceeds; left out of the charts. */
     readonly upperBound?: number;
-    readonly samples: readonly play.Sample[];
+    readonly samples: readonly outcomes.Sample[];
 }
 
 type ChartSpec = Readonly<Record<string, unknown>>;
--- a/src/experiment/summary.ts
+++ b/src/experiment/summary.ts
@@ -1,6 +1,6 @@
 /** What callers got: by class, account and zone, and in all. */
 import * as hdr from "hdr-histogram-js";
-import type * as play from "./play";
+import type * as outcomes from "./played";
 import * as worth from "./worth";
 
 export interface Group {
@@ -38,7 +38,7 @@
 
 const HOUR_MS = 3_600_000;
 
-export function summarise(played: play.Played): Summary {
+export function summarise(played: outcomes.Played): Summary {
     const { jobs, samples } = played;
     const mean = (values: readonly number[]) =>
         values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
@@ -55,7 +55,7 @@
     };
 }
 
-export function groupBy(jobs: readonly play.JobOutcome[], getName: (job: play.JobOutcome) => string): Group[] {
+export function groupBy(jobs: readonly outcomes.JobOutcome[], getName: (job: outcomes.JobOutcome) => string): Group[] {
     return [...new Set(jobs.map(getName))].sort().map(name =>
         createGroup(name, jobs.filter(job => getName(job) === name), jobs)
     );
@@ -63,7 +63,7 @@
 
 type Served = "inTime" | "late" | "missed" | "refused" | "cancelled";
 
-function getServed(job: play.JobOutcome): Served {
+function getServed(job: outcomes.JobOutcome): Served {
     if (!job.accepted) {
         return "refused";
     }
@@ -80,7 +80,7 @@
     return end.afterMs <= worth.LATE_MULTIPLE * planned.objectiveMs ? "late" : "missed";
 }
 
-function createGroup(name: string, jobs: readonly play.JobOutcome[], all: readonly play.JobOutcome[]): Group {
+function createGroup(name: string, jobs: readonly outcomes.JobOutcome[], all: readonly outcomes.JobOutcome[]): Group {
     const counts: Record<Served, number> = { inTime: 0, late: 0, missed: 0, refused: 0, cancelled: 0 };
     const getWeight = worth.createWeights(all.map(job => job.planned));
     let earned = 0;
