The ledger calls what it read of a job a tally

Cause: the type was called Account, beside a field that names the client account; a newcomer reads it as the customer's. Names only; its tests pass unchanged.

--- a/src/explain/ledger.ts
+++ b/src/explain/ledger.ts
@@ -59,7 +59,8 @@
     lostReason: string | undefined;
 }
 
-interface Account {
+/** What was read of one job so far. */
+interface Tally {
     queue: string;
     account: string;
     entry: string;
@@ -74,16 +75,16 @@
 
 /** Cancelled jobs are left out: nobody waits for them. */
 export function keepLedger(lines: readonly story.LogLine[]): Ledger {
-    const accounts = new Map<string, Account>();
+    const tallies = new Map<string, Tally>();
     const stops: story.LogLine[] = [];
     for (const line of [...lines].sort((a, b) => Date.parse(a.time) - Date.parse(b.time))) {
         if (line.event === "preempting") {
             stops.push(line);
         }
-        takeLine(accounts, line);
+        takeLine(tallies, line);
     }
-    const jobs = [...accounts].filter(([, account]) => account.ended?.fields["state"] !== "cancelled")
-        .map(([jobId, account]) => createEntry(jobId, account));
+    const jobs = [...tallies].filter(([, tally]) => tally.ended?.fields["state"] !== "cancelled")
+        .map(([jobId, tally]) => createEntry(jobId, tally));
     const byId = new Map(jobs.map(job => [job.jobId, job]));
     return {
         jobs,
@@ -103,16 +104,16 @@
     };
 }
 
-function takeLine(accounts: Map<string, Account>, line: story.LogLine): void {
+function takeLine(tallies: Map<string, Tally>, line: story.LogLine): void {
     const { fields } = line;
     switch (line.event) {
         case "request":
             if (fields["call"] === "submit") {
-                takeSubmission(accounts, line);
+                takeSubmission(tallies, line);
             }
             break;
         case "placed": {
-            const unit = findUnit(accounts, fields["unit"], true);
+            const unit = findUnit(tallies, fields["unit"], true);
             if (unit) {
                 addDelay(unit, unit.lostReason ?? "place", Number(fields["waitedMs"]) + unit.lostMs);
                 unit.lostMs = 0;
@@ -122,7 +123,7 @@
         }
         case "runEnded":
         case "runFailed": {
-            const unit = findUnit(accounts, fields["task"], false);
+            const unit = findUnit(tallies, fields["task"], false);
             if (unit) {
                 unit.lostMs = Math.max(unit.lostMs, Number(fields["ranMs"] ?? 0));
                 unit.lostReason ??= line.event === "runFailed" ? "failed" : getReason(fields);
@@ -130,9 +131,9 @@
             break;
         }
         case "jobEnded": {
-            const account = accounts.get(String(fields["job"]));
-            if (account) {
-                account.ended = line;
+            const tally = tallies.get(String(fields["job"]));
+            if (tally) {
+                tally.ended = line;
             }
             break;
         }
@@ -141,12 +142,12 @@
     }
 }
 
-function takeSubmission(accounts: Map<string, Account>, line: story.LogLine): void {
+function takeSubmission(tallies: Map<string, Tally>, line: story.LogLine): void {
     const { fields } = line;
     const jobId = String(fields["job"]);
-    let account = accounts.get(jobId);
-    if (!account) {
-        account = {
+    let tally = tallies.get(jobId);
+    if (!tally) {
+        tally = {
             queue: String(fields["queue"]),
             account: String(fields["account"]),
             entry: line.instance,
@@ -157,24 +158,24 @@
             steps: new Map(),
             ended: undefined,
         };
-        accounts.set(jobId, account);
+        tallies.set(jobId, tally);
     }
-    if (account.acceptedAt !== undefined) {
+    if (tally.acceptedAt !== undefined) {
         return;
     }
-    account.sends++;
+    tally.sends++;
     if (fields["outcome"] === "accepted") {
-        account.acceptedAt = Date.parse(line.time);
+        tally.acceptedAt = Date.parse(line.time);
     }
     else {
-        account.reason = String(fields["reason"] ?? fields["outcome"]);
+        tally.reason = String(fields["reason"] ?? fields["outcome"]);
     }
 }
 
 /** The unit that a task's name belongs to. Members of a gang are told one by one, and count with the unit that was placed. */
-function findUnit(accounts: Map<string, Account>, name: unknown, create: boolean): Unit | undefined {
+function findUnit(tallies: Map<string, Tally>, name: unknown, create: boolean): Unit | undefined {
     const text = String(name);
-    const steps = accounts.get(getJobId(text))?.steps;
+    const steps = tallies.get(getJobId(text))?.steps;
     const step = text.split(".").slice(1, 3).join(".");
     if (!steps) {
         return undefined;
@@ -204,12 +205,12 @@
     return String(name).split(".", 1)[0]!;
 }
 
-function createEntry(jobId: string, account: Account): LedgerEntry {
-    const { ended, sentAt, acceptedAt } = account;
+function createEntry(jobId: string, tally: Tally): LedgerEntry {
+    const { ended, sentAt, acceptedAt } = tally;
     const objectiveMs = ended ? toNumber(ended.fields["objectiveMs"]) : undefined;
     const tookMs = ended && Date.parse(ended.time) - sentAt;
     const delays = new Map<string, number>([["entry", (acceptedAt ?? sentAt) - sentAt]]);
-    for (const units of account.steps.values()) {
+    for (const units of tally.steps.values()) {
         const slowest = [...units.values()].reduce((a, b) => sum(b.delays) > sum(a.delays) ? b : a);
         slowest.delays.forEach((ms, reason) => delays.set(reason, (delays.get(reason) ?? 0) + ms));
     }
@@ -219,13 +220,13 @@
     }
     return {
         jobId,
-        queue: account.queue,
-        account: account.account,
-        entry: account.entry,
+        queue: tally.queue,
+        account: tally.account,
+        entry: tally.entry,
         sentAt,
-        sends: account.sends,
-        served: judge(account, tookMs, objectiveMs),
-        state: ended ? String(ended.fields["state"]) : account.reason ?? "open",
+        sends: tally.sends,
+        served: judge(tally, tookMs, objectiveMs),
+        state: ended ? String(ended.fields["state"]) : tally.reason ?? "open",
         tookMs,
         objectiveMs,
         coreSeconds: toNumber(ended?.fields["coreSeconds"]) ?? 0,
@@ -233,14 +234,14 @@
     };
 }
 
-function judge(account: Account, tookMs: number | undefined, objectiveMs: number | undefined): Served {
-    if (account.acceptedAt === undefined) {
+function judge(tally: Tally, tookMs: number | undefined, objectiveMs: number | undefined): Served {
+    if (tally.acceptedAt === undefined) {
         return Served.Refused;
     }
-    if (!account.ended || tookMs === undefined) {
+    if (!tally.ended || tookMs === undefined) {
         return Served.Open;
     }
-    if (account.ended.fields["state"] !== "completed" || objectiveMs === undefined) {
+    if (tally.ended.fields["state"] !== "completed" || objectiveMs === undefined) {
         return Served.Missed;
     }
     if (tookMs <= objectiveMs) {
