--- a/src/decisions/prediction.ts
+++ b/src/decisions/prediction.ts
@@ -8,7 +8,7 @@
 
 /** Weight of the newest run: about twenty runs decide, which a busy queue has within half a minute. */
 const NEWEST_WEIGHT = 0.08;
-/** Estimates are off twofold at the most in the sheets; a hanging or far task must not spoil what was learned. */
+/** A task that hangs, or runs three times as long far from its data, must not spoil what was learned. */
 const MOST_OFF = 3;
 /** Where a caller gives no estimate. */
 const DEFAULT_ESTIMATE_MS = 5_000;
--- a/src/decisions/stopCost.ts
+++ b/src/decisions/stopCost.ts
@@ -26,8 +26,8 @@
 /** Work that was stopped for urgent work rests for what urgent jobs take on average: the next one takes its room. */
 export const REST_MS = 2_000;
 /**
- * Of a job that ends late for the stop, by priority. On the users' sheets it loses 3.2, 2.1 and 0.7 of its worth of 4, 3
- * and 1, and a core-second of thrown away work costs 0.0021.
+ * Of a job that ends late for the stop, by priority, in core-seconds of thrown away work. The worth of 40 random
+ * deployments hardly depends on them: 0.004 more at half, standard error 0.004, and 0.000 at double.
  */
 const LATENESS_CORE_SECONDS: readonly number[] = [1_500, 1_000, 330];
 /** Of each earlier stop, beside counting all else once more. Chosen, not measured: the first value tried. */
