A table whose reads fail is told of, by line and figure

Cause: reads of one table could fail for good while the store answered other calls; the lines told of neither, and the counter of calls did not tell tables apart, so that a read that is given up could not be told from a silent connection. Now: tableLost and tableRegained, table_reads_total, table_read_duration_ms and table_age_ms by table; a timeout says how many bytes had come. After: a test without the platform, which fails without the lines. No change of what is decided.

--- a/src/calls/httpClient.ts
+++ b/src/calls/httpClient.ts
@@ -63,6 +63,7 @@
     return new Promise(resolve => {
         let sent = false;
         let finished = false;
+        let receivedBytes = 0;
         const { host, port } = parseAddress(call.address);
         const headers: Record<string, string | number> = { ...call.headers };
         if (call.body !== undefined) {
@@ -82,7 +83,7 @@
             setImmediate(() => {
                 if (!finished) {
                     // The connection may have fallen silent, and the next call needs a new one.
-                    req.destroy(new Error(`no answer within ${call.timeoutMs} ms`));
+                    req.destroy(new Error(describeTimeout(call.timeoutMs, receivedBytes)));
                 }
             });
         }, call.timeoutMs);
@@ -103,7 +104,10 @@
         req.on("error", err => finish({ kind: "noAnswer", sent, message: err.message }));
         req.once("response", res => {
             const chunks: Buffer[] = [];
-            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            res.on("data", (chunk: Buffer) => {
+                receivedBytes += chunk.length;
+                chunks.push(chunk);
+            });
             res.on("error", err => finish({ kind: "noAnswer", sent, message: err.message }));
             res.on("end", () =>
                 finish({
@@ -115,3 +119,10 @@
         req.end(call.body);
     });
 }
+
+/** Tells silence from an answer that was still coming. */
+function describeTimeout(timeoutMs: number, receivedBytes: number): string {
+    return receivedBytes === 0
+        ? `no answer within ${timeoutMs} ms`
+        : `no whole answer within ${timeoutMs} ms, ${receivedBytes} bytes of it had come`;
+}
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -51,6 +51,7 @@
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
+    readonly meter: observe.Meter;
     readonly instance: string;
     /** Unique to this life of the process. */
     readonly life: string;
@@ -166,6 +167,7 @@
         store: options.store,
         clock: time,
         log,
+        meter: options.meter,
         table: work.Table.Lead,
         part: work.LEADER_PART,
         signal: options.signal,
--- a/src/rows/__tests__/followTable.test.ts
+++ b/src/rows/__tests__/followTable.test.ts
@@ -1,5 +1,6 @@
 import * as clocks from "../../clock/index";
 import * as emulator from "../../emulator/index";
+import * as telemetry from "../../telemetry/index";
 import * as rows from "../index";
 
 const TABLE = "op";
@@ -10,6 +11,9 @@
     readonly store: emulator.EmulatedStore;
     /** The value that is known of the key, and when it was learned. */
     readonly known: Map<string, { readonly value: string; readonly at: number; }>;
+    readonly lines: ReadonlyArray<{ readonly event: string; readonly fields: Readonly<Record<string, unknown>>; }>;
+    readonly getAgeMs: () => number;
+    readonly renderMetrics: () => string;
     readonly stop: () => void;
 }
 
@@ -28,10 +32,14 @@
         }
     };
     const stopping = new AbortController();
-    rows.followTable({
+    const lines: Array<{ event: string; fields: Readonly<Record<string, unknown>>; }> = [];
+    const write = (event: string, fields: Readonly<Record<string, unknown>>) => void lines.push({ event, fields });
+    const { meter, render } = telemetry.createMetrics();
+    const follower = rows.followTable({
         store: store.open("a"),
         clock: time,
-        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        log: { info: write, warn: write, error: write },
+        meter,
         table: TABLE,
         part: "",
         signal: stopping.signal,
@@ -39,7 +47,15 @@
         onSnapshot: all => all.forEach(take),
         onChanges: changes => changes.forEach(row => row.removed ? known.delete(row.key) : take(row)),
     });
-    return { time, store, known, stop: () => stopping.abort() };
+    return {
+        time,
+        store,
+        known,
+        lines,
+        getAgeMs: follower.getAgeMs,
+        renderMetrics: render,
+        stop: () => stopping.abort(),
+    };
 }
 
 interface Case {
@@ -122,6 +138,29 @@
         expect(opened.known.get("config")?.value).toBe("1");
     });
 
+    test("whose reads fail while the store answers other calls is told of", async () => {
+        // Symptom: an instance serves under an old configuration, and neither its lines nor its figures say so.
+        // Sequence: reads of this one table fail from some moment on. Cause: nothing tells tables apart; the store
+        // counts as reached as long as any call is answered.
+        const opened = open((now, call) => call === "feed" && now >= 2_000 && now < 9_000 ? "silent" : "none");
+        await opened.time.advance(8_000);
+        expect(opened.lines).toEqual([{
+            event: "tableLost",
+            fields: { table: TABLE, why: "emulated", ageMs: expect.any(Number) },
+        }]);
+        expect(opened.getAgeMs()).toBeGreaterThan(5_000);
+        expect(opened.renderMetrics()).toMatch(/table_age_ms\{table="op"\} [5-7]\d{3}\n/);
+        expect(opened.renderMetrics()).toMatch(/table_reads_total\{table="op",outcome="failed"\} [3-5]\n/);
+        await opened.time.advance(4_000);
+        expect(opened.lines.at(-1)).toEqual({
+            event: "tableRegained",
+            fields: { table: TABLE, lostMs: expect.any(Number), failures: expect.any(Number) },
+        });
+        expect(opened.getAgeMs()).toBeLessThan(1_500);
+        opened.stop();
+        expect(opened.renderMetrics()).not.toContain("table_age_ms{");
+    });
+
     test.each(cases)("$name", async ({ decide, forgets, changedAt, knownUntil }) => {
         const opened = open(decide ?? (() => "none"));
         opened.store.put({ table: TABLE, part: "", key: "config", value: "1" });
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -9,11 +9,13 @@
 import type * as observe from "../observe/index";
 import type * as rows from "./index";
 import * as readAll from "./readAll";
+import * as tableContact from "./tableContact";
 
 export interface TableFollowerOptions {
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
+    readonly meter: observe.Meter;
     readonly table: string;
     readonly part: string;
     readonly signal: AbortSignal;
@@ -32,6 +34,8 @@
 }
 
 export interface TableFollower {
+    /** Milliseconds since the moment as of which the table is known for certain; `Infinity` before the first answer. */
+    getAgeMs(): number;
     /** Resolves when the follower has stopped. */
     readonly done: Promise<void>;
 }
@@ -45,20 +49,27 @@
 const RETRY_PAUSE_MS = 150;
 
 export function followTable(options: TableFollowerOptions): TableFollower {
-    return { done: follow(options) };
+    const contact = tableContact.createTableContact(options);
+    return { done: follow(options, contact), getAgeMs: contact.getAgeMs };
 }
 
 /** Ends without a word after the signal, also when an answer is on its way: its taker may be gone. */
-async function follow(options: TableFollowerOptions): Promise<void> {
+async function follow(options: TableFollowerOptions, contact: tableContact.TableContact): Promise<void> {
     const { store, signal, everyMs = 0 } = options;
     const waitMs = everyMs > 0 ? 0 : POLL_WAIT_MS;
     let after: number | undefined;
+    const keep = (askedAt: number) => {
+        contact.keep(askedAt);
+        options.onContact?.();
+    };
     const lose = async (message: string) => {
+        contact.lose(message);
         options.onLoss?.(message);
         await options.clock.sleep(RETRY_PAUSE_MS, signal);
     };
     while (!signal.aborted) {
         if (after === undefined) {
+            const askedAt = options.clock.now();
             const all = await readAll.readAll(store, { table: options.table, part: options.part }, READ_TIMEOUT_MS);
             if (signal.aborted) {
                 return;
@@ -68,13 +79,14 @@
                 continue;
             }
             after = all.version;
-            options.onContact?.();
+            keep(askedAt);
             options.onSnapshot(all.rows);
             continue;
         }
         if (everyMs > 0) {
             await options.clock.sleep(everyMs, signal);
         }
+        const askedAt = options.clock.now();
         const changes = await store.feed(options.table, after, waitMs, waitMs + POLL_SLACK_MS);
         if (signal.aborted) {
             return;
@@ -82,7 +94,7 @@
         switch (changes.kind) {
             case "changes":
                 after = Math.max(after, changes.version);
-                options.onContact?.();
+                keep(askedAt);
                 if (changes.rows.length > 0) {
                     options.onChanges(changes.rows);
                 }
--- /dev/null
+++ b/src/rows/tableContact.ts
@@ -0,0 +1,59 @@
+/**
+ * What a follower knows of how current its table is, told in lines and figures.
+ *
+ * What goes wrong without it: the store answers all other calls, one table's reads fail again and again, and the
+ * instance goes on with what it read last. Nothing in its lines or figures says so.
+ */
+import type * as clock from "../clock/index";
+import type * as observe from "../observe/index";
+
+export interface TableContactOptions {
+    readonly clock: clock.Clock;
+    readonly log: observe.Log;
+    readonly meter: observe.Meter;
+    readonly table: string;
+    readonly signal: AbortSignal;
+}
+
+export interface TableContact {
+    /** An answer has come whole; it holds whatever was written before `askedAt`. */
+    keep(askedAt: number): void;
+    /** An answer has not come, or not whole. */
+    lose(why: string): void;
+    /** Milliseconds since the moment as of which the table is known for certain; `Infinity` before the first answer. */
+    getAgeMs(): number;
+}
+
+export function createTableContact(options: TableContactOptions): TableContact {
+    const { clock: time, log, meter, table } = options;
+    let currentAt = -Infinity;
+    let lostAt: number | undefined;
+    let failures = 0;
+    const getAgeMs = () => time.now() - currentAt;
+    const endGauge = meter.registerGauges(() =>
+        Number.isFinite(currentAt) ? [{ metric: "table_age_ms", labels: { table }, value: Math.round(getAgeMs()) }] : []
+    );
+    options.signal.addEventListener("abort", endGauge, { once: true });
+    return {
+        keep: askedAt => {
+            currentAt = askedAt;
+            meter.increment("table_reads_total", { table, outcome: "whole" });
+            meter.record("table_read_duration_ms", { table }, time.now() - askedAt);
+            if (lostAt !== undefined) {
+                log.info("tableRegained", { table, lostMs: Math.round(time.now() - lostAt), failures });
+                lostAt = undefined;
+                failures = 0;
+            }
+        },
+        lose: why => {
+            failures++;
+            meter.increment("table_reads_total", { table, outcome: "failed" });
+            if (lostAt === undefined) {
+                lostAt = time.now();
+                const ageMs = Number.isFinite(currentAt) ? Math.round(getAgeMs()) : undefined;
+                log.warn("tableLost", { table, why, ageMs });
+            }
+        },
+        getAgeMs,
+    };
+}
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -102,6 +102,7 @@
         store,
         clock: time,
         log,
+        meter,
         instance: options.instance,
         life: options.life,
         watchAddress: options.watchAddress,
