--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,14 @@
 /** @type {import("jest").Config} */
 module.exports = {
     testEnvironment: "node",
-    roots: ["<rootDir>/src", "<rootDir>/platform", "<rootDir>/standins", "<rootDir>/bin", "<rootDir>/soak"],
+    roots: [
+        "<rootDir>/src",
+        "<rootDir>/platform",
+        "<rootDir>/standins",
+        "<rootDir>/bin",
+        "<rootDir>/soak",
+        "<rootDir>/verdict",
+    ],
     testMatch: ["**/__tests__/**/*.test.ts"],
     transform: {
         "^.+\\.ts$": ["@swc/jest", {
--- /dev/null
+++ b/verdict/main.ts
@@ -0,0 +1,50 @@
+/**
+ * `node dist/verdict/main.js --jest REPORT --check "COMMAND=EXIT CODE"`: prints known failures and what keeps the run
+ * from landing, and exits with 1 if something does.
+ */
+import * as commander from "commander";
+import * as fs from "node:fs";
+import * as verdict from "./index";
+
+interface Options {
+    readonly jest: string;
+    readonly check: readonly string[];
+    readonly list: string;
+}
+
+function main(): void {
+    const options = new commander.Command("verdict")
+        .requiredOption("--jest <file>", "what jest --json wrote")
+        .option("--check <result...>", "another check: its command, =, and its exit code", [])
+        .option("--list <file>", "the known failures", "KNOWN-RED.txt")
+        .parse()
+        .opts<Options>();
+    const parsed = verdict.parseKnownFailures(fs.existsSync(options.list) ? fs.readFileSync(options.list, "utf8") : "");
+    if (parsed.kind === "invalid") {
+        parsed.problems.forEach(problem => print(`${options.list}: ${problem}`));
+        process.exitCode = 1;
+        return;
+    }
+    const results = [
+        ...verdict.readJestReport(fs.readFileSync(options.jest, "utf8"), process.cwd()),
+        ...options.check.map(parseCheck),
+    ];
+    const { problems, known, passed } = verdict.judge(results, parsed.failures);
+    known.forEach(entry =>
+        print(`KNOWN RED (issue ${entry.issue}): ${entry.test}\n    ${entry.command}\n    ${entry.seen}`)
+    );
+    problems.forEach(print);
+    print(`${passed} passed, ${problems.length} failed, ${known.length} known red`);
+    process.exitCode = problems.length > 0 ? 1 : 0;
+}
+
+function parseCheck(text: string): verdict.CheckResult {
+    const separator = text.lastIndexOf("=");
+    return { name: text.slice(0, separator), outcome: text.slice(separator + 1) === "0" ? "passed" : "failed" };
+}
+
+function print(line: string): void {
+    process.stdout.write(`${line}\n`);
+}
+
+main();
