No caller is served under a configuration that may be out of date

Cause: an instance whose reads of the configuration fail or take too long went on under the one it had, ready all the while; nothing but the store's absence kept it from that. Now: a whole answer holds all that was confirmed before it was asked for, so an instance knows as of when it is up to date. Once that is longer ago than a change may take to be in force everywhere, it is not ready, passes callers on, and refuses what nobody else can serve; a peer in the same state refuses too. Ruled out: the time of the first byte in place of that of the call, which says nothing certain about what the answer holds.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -43,6 +43,7 @@
 const GRACE_S = 6;
 const UPKEEP_S = 2;
 const STATUS_S = 120;
+const CONFIGURATION_MS = 2_000;
 
 /** A soak that is ended early leaves no process behind. */
 const atExit = new Set<() => void>();
@@ -69,6 +70,7 @@
                 graceSeconds: GRACE_S,
                 upkeepSeconds: UPKEEP_S,
                 statusSeconds: STATUS_S,
+                configurationMs: CONFIGURATION_MS,
             },
         }),
     );
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -65,6 +65,7 @@
 const HEARTBEAT_MS = 200;
 const CALLER_PATIENCE_MS = 3_000;
 const UPKEEP_MS = 2_000;
+const CONFIGURATION_MS = 2_000;
 const ROW_BYTES = 65_536;
 const DEFAULT_RETENTION_MS = 600_000;
 const NO_ADVISER: leader.Adviser = {
@@ -149,7 +150,10 @@
                 upkeepMs: UPKEEP_MS,
                 retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
                 rowBytes: ROW_BYTES,
+                configurationMs: CONFIGURATION_MS,
             }),
+            // Its instances are told of each configuration without the store.
+            getConfigurationAgeMs: () => 0,
             clock: freezer.clock,
             log: options.log,
             meter: options.meter,
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -28,6 +28,7 @@
     requests_passed_total: counter("requests passed on to another instance, by its status", "outcome"),
     ready: gauge("1 while the instance takes callers' connections"),
     configuration_version: gauge("version of the configuration in force"),
+    configuration_fresh: gauge("1 while callers may be served under the configuration in force"),
     store_reachable: gauge("1 while the store answers"),
     store_calls_total: counter("calls to the store", "call", "outcome"),
     table_reads_total: counter("reads of a followed table, whole or failed", "table", "outcome"),
--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -13,9 +13,10 @@
 /** No test waits for it but the one of a peer that is silent. */
 const TIMEOUT_MS = 5_000;
 
-async function open(handle: (request: relay.CallersRequest) => Promise<relay.CallersReply>) {
+async function open(handle: (request: relay.CallersRequest) => Promise<relay.CallersReply>, isFresh = true) {
     const route = relay.createRequestRoute({
         getConfigurationVersion: () => 7,
+        isConfigurationFresh: () => isFresh,
         getPeers: () => ["10.0.0.1:1"],
         handle,
     });
@@ -87,6 +88,18 @@
         expect(handled).toBe(false);
     });
 
+    test("is not handled where a change may be due that is not known", async () => {
+        let handled = false;
+        const peer = await open(async () => {
+            handled = true;
+            return { status: 200 };
+        }, false);
+        const answer = await peer.send(REQUEST, { leastVersion: 7 });
+        await peer.close();
+        expect(answer).toMatchObject({ passed: { reply: { status: 503 }, configurationVersion: 7 } });
+        expect(handled).toBe(false);
+    });
+
     const malformed = ["", "null", "{}", "{\"request\":{\"method\":1,\"path\":\"/\"}}", "x".repeat(2_000_000)];
     test.each(malformed.map(text => ({ text, name: text.slice(0, 30) })))(
         "that is malformed reaches nobody: $name",
--- a/src/relay/__tests__/relay.test.ts
+++ b/src/relay/__tests__/relay.test.ts
@@ -28,6 +28,8 @@
 
 interface OpenOptions {
     readonly storeAway?: boolean;
+    /** Whether a change may be due that is not known here. */
+    readonly stale?: boolean;
     readonly answers?: Readonly<Record<string, relay.PeerAnswer>>;
     /** Known without being named by another; the ones that answer otherwise. */
     readonly known?: readonly string[];
@@ -44,6 +46,7 @@
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         meter: { increment: () => undefined, record: () => undefined, registerGauges: () => () => undefined },
         getConfigurationVersion: options.version ?? (() => 1),
+        isConfigurationFresh: () => !options.stale,
         isStoreAway: () => options.storeAway ?? false,
         ownAddress: "self",
         getPeers: () => options.known ?? Object.keys(answers),
@@ -84,6 +87,33 @@
             asked: ["leader"],
             handled: false,
         },
+        {
+            // Symptom: a queue that was removed is served by some instances. Sequence: their reads of the configuration
+            // take too long. Cause: nothing but the store's absence kept an instance from serving by what it had.
+            name: "goes to the leader while a change may be due that is not known here",
+            stale: true,
+            answers: { leader: replied({ status: 404 }) },
+            reply: { status: 404 },
+            asked: ["leader"],
+            handled: false,
+        },
+        {
+            name: "is refused while a change may be due here and no peer can serve it",
+            stale: true,
+            answers: { leader: unreachable },
+            reply: { status: 503, retryAfterMs: 1_000, body: { error: "configuration out of date" } },
+            asked: ["leader"],
+            handled: false,
+        },
+        {
+            name: "is not judged by an old configuration while the store is away either",
+            stale: true,
+            storeAway: true,
+            answers: {},
+            reply: { status: 503, retryAfterMs: 1_000, body: { error: "configuration out of date" } },
+            asked: [],
+            handled: false,
+        },
         {
             name: "goes to the leader when it is refused here first",
             here: refused,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -26,6 +26,8 @@
     readonly meter: observe.Meter;
     /** Version of the configuration in force here; 0: none. */
     getConfigurationVersion(): number;
+    /** Whether callers may be served under it; not where a change may be due that has not been read here. */
+    isConfigurationFresh(): boolean;
     isStoreAway(): boolean;
     /** Where other instances pass requests on to this one. */
     readonly ownAddress: string;
@@ -132,17 +134,18 @@
     };
     /**
      * What goes wrong without it: a caller has seen the effect of a new configuration through another instance, and
-     * the next request is handled here under the old one: a key that was taken away works again.
+     * the next request is handled here under the old one: a key that was taken away works again. Or a change is due
+     * that this instance has not been able to read.
      */
     const handleHere = async (handle: () => Promise<messages.CallersReply>): Promise<messages.CallersReply> =>
-        options.getConfigurationVersion() < versionSeen
+        options.getConfigurationVersion() < versionSeen || !options.isConfigurationFresh()
             ? replies.OUT_OF_DATE
             : handle();
 
     return {
         answer: async (request, handle) => {
             const deadlineAt = time.now() + request.deadlineMs;
-            if (options.isStoreAway()) {
+            if (options.isStoreAway() || !options.isConfigurationFresh()) {
                 return await pass(request, deadlineAt) ?? handleHere(handle);
             }
             const reply = await handleHere(handle);
--- a/src/relay/requestRoute.ts
+++ b/src/relay/requestRoute.ts
@@ -7,6 +7,8 @@
 export interface RequestRouteOptions {
     /** Version of the configuration in force here; 0: none. */
     getConfigurationVersion(): number;
+    /** Whether requests may be handled under it. */
+    isConfigurationFresh(): boolean;
     /** Addresses of other instances. */
     getPeers(): readonly string[];
     handle(request: messages.CallersRequest): Promise<messages.CallersReply>;
@@ -22,7 +24,7 @@
             }
             // Read before the request is handled: the reply may be under a newer one, never under an older one.
             const configurationVersion = options.getConfigurationVersion();
-            const reply = configurationVersion < passed.leastVersion
+            const reply = configurationVersion < passed.leastVersion || !options.isConfigurationFresh()
                 ? replies.OUT_OF_DATE
                 : await options.handle(passed.request);
             return messages.encode({ reply, configurationVersion, peers: options.getPeers() });
--- a/src/rows/__tests__/followTable.test.ts
+++ b/src/rows/__tests__/followTable.test.ts
@@ -138,6 +138,34 @@
         expect(opened.known.get("config")?.value).toBe("1");
     });
 
+    test("is known as of a moment less than a second ago while the store answers at once", async () => {
+        // A poll that finds nothing was held by the store, so that it tells of changes up to its end.
+        const opened = open(() => "none");
+        await opened.time.advance(2_000);
+        const ages: number[] = [];
+        for (let step = 0; step < 300; step++) {
+            await opened.time.advance(10);
+            ages.push(opened.getAgeMs());
+        }
+        expect(Math.max(...ages)).toBeLessThan(1_000);
+        opened.stop();
+    });
+
+    test("is known anew as soon as the store answers again, without the wait of a poll", async () => {
+        // Symptom: an instance refuses callers for a poll's wait longer than the store was away. Cause: what is known
+        // counts as old until a poll ends, and one that finds nothing is held.
+        const opened = open((now, call) => call === "feed" && now >= 2_000 && now < 4_000 ? "silent" : "none");
+        await opened.time.advance(4_000);
+        while (opened.getAgeMs() > 1_000) {
+            await opened.time.advance(5);
+        }
+        const regained = opened.lines.at(-1);
+        expect(regained?.event).toBe("tableRegained");
+        // The poll that was silent ends 1.2 s after it began, and the next one follows after a pause of 0.15 s.
+        expect(opened.time.now() - 1_000).toBeLessThan(4_000 + 1_200 + 150 + 5 * LATENCY_MS);
+        opened.stop();
+    });
+
     test("whose reads fail while the store answers other calls is told of", async () => {
         // Symptom: an instance serves under an old configuration, and neither its lines nor its figures say so.
         // Sequence: reads of this one table fail from some moment on. Cause: nothing tells tables apart; the store
@@ -150,12 +178,15 @@
         }]);
         expect(opened.getAgeMs()).toBeGreaterThan(5_000);
         expect(opened.renderMetrics()).toMatch(/table_age_ms\{table="op"\} [5-7]\d{3}\n/);
-        expect(opened.renderMetrics()).toMatch(/table_reads_total\{table="op",outcome="failed"\} [3-5]\n/);
         await opened.time.advance(4_000);
-        expect(opened.lines.at(-1)).toEqual({
+        const regained = opened.lines.at(-1)!;
+        expect(regained).toEqual({
             event: "tableRegained",
             fields: { table: TABLE, lostMs: expect.any(Number), failures: expect.any(Number) },
         });
+        const failures = String(regained.fields["failures"]);
+        expect(Number(failures)).toBeGreaterThanOrEqual(3);
+        expect(opened.renderMetrics()).toContain(`table_reads_total{table="op",outcome="failed"} ${failures}\n`);
         expect(opened.getAgeMs()).toBeLessThan(1_500);
         opened.stop();
         expect(opened.renderMetrics()).not.toContain("table_age_ms{");
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -63,15 +63,21 @@
     const { store, signal, everyMs = 0 } = options;
     const waitMs = everyMs > 0 ? 0 : POLL_WAIT_MS;
     let after: number | undefined;
-    const keep = (askedAt: number) => {
-        contact.keep(askedAt);
+    let pollMs = waitMs;
+    const keep = (askedAt: number, asOf = askedAt) => {
+        contact.keep(askedAt, asOf);
         options.onContact?.();
+        pollMs = waitMs;
     };
     const lose = async (message: string) => {
+        // The next answer comes at once, so that what is known is not taken for old for longer than need be.
+        pollMs = 0;
         contact.lose(message);
         options.onLoss?.(message);
         await options.clock.sleep(RETRY_PAUSE_MS, signal);
     };
+    /** A poll that finds nothing is held by the store for its wait, and so tells of changes up to the end of it. */
+    const getHeldMs = (askedAt: number, heldMs: number) => options.clock.now() - askedAt >= heldMs ? heldMs : 0;
     while (!signal.aborted) {
         if (after === undefined) {
             const askedAt = options.clock.now();
@@ -93,14 +99,14 @@
             await options.clock.sleep(everyMs, signal);
         }
         const askedAt = options.clock.now();
-        const changes = await store.feed(options.table, after, waitMs, waitMs + POLL_SLACK_MS, rows.MOST_ANSWER_MS);
+        const changes = await store.feed(options.table, after, pollMs, pollMs + POLL_SLACK_MS, rows.MOST_ANSWER_MS);
         if (signal.aborted) {
             return;
         }
         switch (changes.kind) {
             case "changes":
                 after = Math.max(after, changes.version);
-                keep(askedAt);
+                keep(askedAt, changes.rows.length > 0 ? askedAt : askedAt + getHeldMs(askedAt, pollMs));
                 if (changes.rows.length > 0) {
                     options.onChanges(changes.rows);
                 }
--- a/src/rows/tableContact.ts
+++ b/src/rows/tableContact.ts
@@ -16,8 +16,8 @@
 }
 
 export interface TableContact {
-    /** An answer has come whole; it holds whatever was written before `askedAt`. */
-    keep(askedAt: number): void;
+    /** An answer to what was asked at `askedAt` has come whole; it holds whatever was written before `asOf`. */
+    keep(askedAt: number, asOf: number): void;
     /** An answer has not come, or not whole. */
     lose(why: string): void;
     /** Milliseconds since the moment as of which the table is known for certain; `Infinity` before the first answer. */
@@ -35,8 +35,8 @@
     );
     options.signal.addEventListener("abort", endGauge, { once: true });
     return {
-        keep: askedAt => {
-            currentAt = askedAt;
+        keep: (askedAt, asOf) => {
+            currentAt = asOf;
             meter.increment("table_reads_total", { table, outcome: "whole" });
             meter.record("table_read_duration_ms", { table }, time.now() - askedAt);
             if (lostAt !== undefined) {
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -46,6 +46,7 @@
         log.info("line");
     }
     const passing = relay.createRelay({
+        isConfigurationFresh: () => true,
         clock: site.clock,
         log,
         meter: site.metrics.meter,
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -33,6 +33,8 @@
     readonly meter: observe.Meter;
     /** Asked at the beginning of each term, and for each submission. */
     getBounds(): SchedulerBounds;
+    /** Milliseconds since the moment as of which the configuration is known for certain; `Infinity`: not read yet. */
+    getConfigurationAgeMs(): number;
     readonly signal: AbortSignal;
 }
 
@@ -45,6 +47,8 @@
     readonly retentionMs: number;
     /** The longest value of a row in the store. */
     readonly rowBytes: number;
+    /** How long after its confirmation a configuration may take to be in force everywhere. */
+    readonly configurationMs: number;
 }
 
 export interface Scheduler {
@@ -56,6 +60,8 @@
     isReady(): boolean;
     isLeading(): boolean;
     isStoreAway(): boolean;
+    /** Whether callers may be served under the configuration in force here. */
+    isConfigurationFresh(): boolean;
     /** Where the leader takes requests that are passed on; `undefined` where it is this instance or not known. */
     getLeaderAddress(): string | undefined;
     /** What other instances ask when they cannot lead any more. */
@@ -137,10 +143,17 @@
             return observed && counts && { counts, ageMs: time.now() - observed.seenAt };
         },
     });
-    const isReady = () => current.get() !== undefined && !isStoreAway();
+    const { isFresh } = catalogs.createFreshness({
+        log,
+        getVersion: () => current.get()?.version,
+        getAgeMs: options.getConfigurationAgeMs,
+        getMostMs: () => options.getBounds().configurationMs,
+    });
+    const isReady = () => current.get() !== undefined && isFresh() && !isStoreAway();
     meter.registerGauges(() => [
         { metric: "ready", value: Number(isReady()) },
         { metric: "configuration_version", value: current.get()?.version ?? 0 },
+        { metric: "configuration_fresh", value: Number(isFresh()) },
         { metric: "store_reachable", value: Number(!isStoreAway()) },
         { metric: "leading", value: Number(lease.isLeading()) },
     ]);
@@ -152,6 +165,7 @@
         isReady,
         isLeading: lease.isLeading,
         isStoreAway,
+        isConfigurationFresh: isFresh,
         getLeaderAddress: () => {
             const address = lease.getObservation()?.record.peerAddress;
             return address === options.peerAddress ? undefined : address || undefined;
