Counts of waiting jobs cannot outgrow the lease's row

The lease's row holds a count for each queue that has waiting jobs, 14 bytes each; with 3,500 such queues the store refuses the row, and no leader can renew its lease. Before: the test of a renewal with 5,000 such queues fails. After: passes. Read in the code, seen on no site.

--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -35,6 +35,8 @@
     /** Since the store last answered. */
     readonly silenceMs?: number;
     readonly countsAgeMs?: number;
+    /** The leader's counts, of some queues only or of all. */
+    readonly counts?: { readonly counts: Readonly<Record<string, number>>; readonly complete: boolean; };
 }
 
 function open(options: OpenOptions): Opened {
@@ -55,7 +57,10 @@
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         ...telemetry.createMetrics(),
         getRowBytes: () => 65_536,
-        getWaiting: () => ({ counts: { q: 4 }, ageMs: options.countsAgeMs ?? 0 }),
+        getWaiting: () => ({
+            ...(options.counts ?? { counts: { q: 4 }, complete: true }),
+            ageMs: options.countsAgeMs ?? 0,
+        }),
     });
     const submit = async () => {
         const startedAt = time.now();
@@ -187,6 +192,15 @@
         expect(await count(open({}))).toEqual({ kind: "waiting", count: 4 });
     });
 
+    test.each([
+        ["none waits of a queue that the leader does not count among all", true, 0],
+        ["it is taken from the rows where the leader's counts had no room for the queue", false, 1],
+    ])("%s", async (_name, complete, expected) => {
+        const opened = open({ counts: { counts: { other: 9 }, complete } });
+        await opened.submit();
+        expect(await count(opened)).toEqual({ kind: "waiting", count: expected });
+    });
+
     test("is taken from the rows when no leader has told for a while", async () => {
         // Symptom: no job is said to wait while some do. Sequence: the leader is lost or has just begun. Cause: its last
         // counts, or none, were given for the truth.
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -41,7 +41,14 @@
     /** The longest value of a row. */
     getRowBytes(): number;
     /** Counts of waiting jobs as the leader last published them, and their age. */
-    getWaiting(): { readonly counts: Readonly<Record<string, number>>; readonly ageMs: number; } | undefined;
+    getWaiting(): PublishedCounts | undefined;
+}
+
+export interface PublishedCounts {
+    readonly counts: Readonly<Record<string, number>>;
+    /** Whether a queue that is not among them has no waiting job. */
+    readonly complete: boolean;
+    readonly ageMs: number;
 }
 
 export interface Intake {
@@ -293,9 +300,11 @@
         count: async caller => {
             const startedAt = time.now();
             const published = options.getWaiting();
-            const reply: IntakeReply = published && published.ageMs <= COUNTS_AGE_MS
-                ? { kind: "waiting", count: published.counts[caller.queue.name] ?? 0 }
-                : await countRows(caller);
+            const recent = published && published.ageMs <= COUNTS_AGE_MS ? published : undefined;
+            const known = recent?.counts[caller.queue.name] ?? (recent?.complete ? 0 : undefined);
+            const reply: IntakeReply = known === undefined
+                ? await countRows(caller)
+                : { kind: "waiting", count: known };
             return logReply("count", caller, "", reply, startedAt);
         },
     };
--- /dev/null
+++ b/src/leader/__tests__/waitingCounts.test.ts
@@ -0,0 +1,69 @@
+import * as clocks from "../../clock/index";
+import * as emulator from "../../emulator/index";
+import * as telemetry from "../../telemetry/index";
+import * as heldLease from "../heldLease";
+import * as lease from "../lease";
+import * as waitingCounts from "../waitingCounts";
+
+/** As the users' stores bound a row, less what base64 adds. */
+const ROW_BYTES = 49_152;
+const ENTRY_BYTES = 14;
+
+function createCounts(queues: number): Record<string, number> {
+    return Object.fromEntries(
+        Array.from({ length: queues }, (_, number) => [`r-${String(number).padStart(7, "0")}`, 1 + number % 9]),
+    );
+}
+
+describe("counts of waiting jobs", () => {
+    const room = Math.floor(waitingCounts.MOST_COUNTS_BYTES / ENTRY_BYTES);
+    const cases: ReadonlyArray<readonly [name: string, queues: number, counted: number]> = [
+        ["of no queue", 0, 0],
+        ["of as many queues as there is room for", room, room],
+        ["of one queue more", room + 1, room],
+        ["of the queues of a large site", 20_000, room],
+    ];
+    test.each(cases)("%s", (_name, queues, counted) => {
+        const fitted = waitingCounts.fitCounts(createCounts(queues));
+        expect(Object.keys(fitted.counts)).toHaveLength(counted);
+        expect(fitted.complete).toBe(counted === queues);
+    });
+
+    test("leave out the queues with the fewest", () => {
+        expect(waitingCounts.fitCounts({ a: 1, b: 300, c: 20 }, 17)).toEqual({
+            counts: { b: 300, c: 20 },
+            complete: false,
+        });
+    });
+
+    test("do not keep the leader from renewing its lease", async () => {
+        // Symptom: terms end a second after they began, one after another, while the store answers. Sequence: 5,000
+        // queues have waiting jobs. Cause: the lease's row holds their counts, and the store refuses so long a row.
+        const time = clocks.createManualClock(0);
+        const store = emulator.createEmulatedStore({ clock: time, latencyMs: 5 });
+        const stopping = new AbortController();
+        const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
+        lease.createLease({
+            store: store.open("a"),
+            clock: time,
+            log,
+            meter: telemetry.createMetrics().meter,
+            instance: "a",
+            life: "a-1",
+            watchAddress: "",
+            peerAddress: "",
+            watchHolder: () => ({ getSilentMs: () => undefined, end: () => undefined }),
+            power: 1,
+            signal: stopping.signal,
+            getWaiting: () => createCounts(5_000),
+            onRenewalLate: () => undefined,
+            onElected: () => undefined,
+        });
+        await time.advance(heldLease.LEASE_MS + 3_000);
+        stopping.abort();
+        const row = store.getRows("lead").find(({ key }) => key === "lease");
+        const record = JSON.parse(row?.value ?? "{}") as lease.LeaseRecord;
+        expect(Object.keys(record.waiting ?? {}).length).toBeGreaterThan(0);
+        expect(Buffer.byteLength(row!.value)).toBeLessThan(ROW_BYTES);
+    });
+});
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -11,6 +11,7 @@
 import * as rows from "../rows/index";
 import * as work from "../work/index";
 import * as heldLease from "./heldLease";
+import * as waitingCounts from "./waitingCounts";
 
 export interface LeaseRecord {
     /** Id of the holder's life; empty: given back. */
@@ -31,6 +32,8 @@
     readonly othersProlongMs?: number;
     /** Jobs of each queue of which no task has started; absent while the holder does not know yet. */
     readonly waiting?: Readonly<Record<string, number>>;
+    /** True where other queues have waiting jobs as well, whose counts had no room. */
+    readonly othersWait?: boolean;
 }
 
 export interface LeaseObservation {
@@ -229,16 +232,20 @@
         token: number,
         othersSilentAt: number,
         waiting?: Readonly<Record<string, number>>,
-    ): LeaseRecord => ({
-        holder: options.life,
-        instance: options.instance,
-        token,
-        watchAddress: options.watchAddress,
-        peerAddress: options.peerAddress,
-        power: options.power,
-        othersProlongMs: Math.ceil(Math.max(0, othersSilentAt - time.now())) || undefined,
-        waiting,
-    });
+    ): LeaseRecord => {
+        const fitted = waiting && waitingCounts.fitCounts(waiting);
+        return {
+            holder: options.life,
+            instance: options.instance,
+            token,
+            watchAddress: options.watchAddress,
+            peerAddress: options.peerAddress,
+            power: options.power,
+            othersProlongMs: Math.ceil(Math.max(0, othersSilentAt - time.now())) || undefined,
+            waiting: fitted?.counts,
+            othersWait: fitted?.complete === false || undefined,
+        };
+    };
     /**
      * Monotonic time from which on no earlier leader prolongs any work. Holders before the last one count as well: one
      * that was cut off goes on while a successor comes, ends in good order and is succeeded in turn.
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -140,7 +140,11 @@
         getWaiting: () => {
             const observed = lease.getObservation();
             const counts = observed?.record.waiting;
-            return observed && counts && { counts, ageMs: time.now() - observed.seenAt };
+            return observed && counts && {
+                counts,
+                complete: !observed.record.othersWait,
+                ageMs: time.now() - observed.seenAt,
+            };
         },
     });
     const { isFresh } = catalogs.createFreshness({
