Soak: a grown site, with 5,000 queues over links of 7 Mbit/s

Links of the soak take a rate. Size grown: six processes, five of them on weak links to the store, configurations of 1.3 MB in series beside all other troubles.

--- a/soak/__tests__/link.test.ts
+++ b/soak/__tests__/link.test.ts
@@ -56,6 +56,17 @@
         await new Promise<void>(resolve => echo.server.close(() => resolve()));
     });
 
+    test("of a low rate passes bytes on little by little, and all of them in order", async () => {
+        link.setRate(1_000_000);
+        const text = "x".repeat(100_000) + "end";
+        const pieces: number[] = [];
+        client.on("data", chunk => void pieces.push(chunk.length));
+        client.write(text);
+        await until(() => answers.endsWith("end"));
+        expect(answers).toBe(`0${text}`);
+        expect(pieces.length).toBeGreaterThan(3);
+    });
+
     const cases: ReadonlyArray<{ state: links.LinkState; arrives: boolean; }> = [
         { state: "requestsHeld", arrives: false },
         { state: "silent", arrives: false },
--- a/soak/link.ts
+++ b/soak/link.ts
@@ -19,6 +19,8 @@
     setState(state: LinkState): void;
     /** Each way takes so much longer, in milliseconds. */
     setDelay(ms: number): void;
+    /** Each way of each connection carries at most so much. */
+    setRate(bytesPerSecond: number): void;
     close(): void;
 }
 
@@ -44,12 +46,17 @@
     const channels = new Set<Channel>();
     let state: LinkState = LinkState.Open;
     let delayMs = 0;
+    let bytesPerSecond = Infinity;
 
     const isHeld = (direction: Direction) => HELD[state].includes(direction);
     const join = (from: net.Socket, to: net.Socket, direction: Direction) => {
-        const channel = createChannel(to, () => isHeld(direction), () => delayMs);
+        const channel = createChannel(to, () => isHeld(direction), () => ({ delayMs, bytesPerSecond }));
         channels.add(channel);
-        from.on("data", (chunk: Buffer) => channel.push({ kind: "bytes", bytes: chunk }));
+        from.on("data", (chunk: Buffer) => {
+            for (let at = 0; at < chunk.length; at += SLICE_BYTES) {
+                channel.push({ kind: "bytes", bytes: chunk.subarray(at, at + SLICE_BYTES) });
+            }
+        });
         from.on("end", () => channel.push({ kind: "end" }));
         from.on("close", hadError => channel.push({ kind: "close", reset: hadError }));
         to.on("close", () => channels.delete(channel));
@@ -89,6 +96,9 @@
         setDelay: ms => {
             delayMs = ms;
         },
+        setRate: rate => {
+            bytesPerSecond = rate;
+        },
         close: () => {
             server.close();
             sockets.forEach(socket => socket.destroy());
@@ -101,6 +111,15 @@
     | { readonly kind: "end"; }
     | { readonly kind: "close"; readonly reset: boolean; };
 
+const MS_PER_S = 1_000;
+/** A weak link passes bytes on little by little, not in the pieces that the sender happens to write. */
+const SLICE_BYTES = 8_192;
+
+interface Pace {
+    readonly delayMs: number;
+    readonly bytesPerSecond: number;
+}
+
 interface Channel {
     push(item: Item): void;
     /** Passes on what is due and no longer held. */
@@ -108,7 +127,7 @@
 }
 
 /** One way of one connection: what is pushed comes out in the same order. */
-function createChannel(to: net.Socket, isHeld: () => boolean, getDelay: () => number): Channel {
+function createChannel(to: net.Socket, isHeld: () => boolean, getPace: () => Pace): Channel {
     const waiting: Array<{ readonly item: Item; readonly dueAt: number; }> = [];
     let lastDueAt = 0;
     const flush = () => {
@@ -118,10 +137,12 @@
     };
     return {
         push: item => {
-            lastDueAt = Math.max(lastDueAt, Date.now() + getDelay());
+            const { delayMs, bytesPerSecond } = getPace();
+            const bytes = item.kind === "bytes" ? item.bytes.length : 0;
+            lastDueAt = Math.max(lastDueAt, Date.now() + delayMs) + bytes / bytesPerSecond * MS_PER_S;
             waiting.push({ item, dueAt: lastDueAt });
             if (lastDueAt > Date.now()) {
-                setTimeout(flush, lastDueAt - Date.now()).unref();
+                setTimeout(flush, Math.ceil(lastDueAt - Date.now())).unref();
             }
             else {
                 flush();
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -5,8 +5,17 @@
 
 const SIZES = {
     /** Jobs take two thirds of the accelerators on average; more than fits would make every job late. */
-    small: { instances: 5, workers: 9, troubles: 12, jobsPerSecond: 1.5 },
-    large: { instances: 160, workers: 180, troubles: 30, jobsPerSecond: 25 },
+    small: { instances: 5, workers: 9, troubles: 12, jobsPerSecond: 1.5, otherQueues: 0 },
+    /** A link of 7 Mbit/s, as the weakest have, needs 1.5 s for such a configuration. */
+    grown: {
+        instances: 6,
+        workers: 9,
+        troubles: 12,
+        jobsPerSecond: 1.5,
+        otherQueues: 5_000,
+        storeBytesPerSecond: 875_000,
+    },
+    large: { instances: 160, workers: 180, troubles: 30, jobsPerSecond: 25, otherQueues: 0 },
 } as const;
 
 interface Options {
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -22,9 +22,16 @@
 /** Timers of a busy machine, beside the bound. */
 const SLACK_MS = 500;
 
-export function createOperator(site: sites.Site, time: clock.Clock, source: random.Random): Operator {
+/** `otherQueues` are beside those that callers use, and make the configuration as large as on a site that has grown. */
+export function createOperator(
+    site: sites.Site,
+    time: clock.Clock,
+    source: random.Random,
+    otherQueues: number,
+): Operator {
     const client = standin.createCallerClient({ patienceMs: PATIENCE_MS, connections: 2 });
     const queues = [createQueue("urgent", 0), createQueue("plan", 1), createQueue("batch", 2)];
+    const others = Array.from({ length: otherQueues }, (_, number) => createQueue(`other-${number}`, 2));
     const key = `key-${source.nextInt(1e6)}`;
     const breaches: string[] = [];
     /** When each version was acknowledged. */
@@ -36,7 +43,7 @@
         site.configure({
             version,
             // The queue of each version tells which one is in force.
-            queues: [...queues, createQueue(getMark(version), 2)],
+            queues: [...queues, ...others, createQueue(getMark(version), 2)],
             services: [{ name: "service", refusesOverload: false, spare: false }],
             accounts: [{ name: "office", keys: [key], guaranteedAccelerators: GUARANTEED }],
             limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -19,6 +19,10 @@
     readonly troubles: number;
     readonly jobsPerSecond: number;
     readonly addressBlock: number;
+    /** Queues of the configuration beside those that callers use. */
+    readonly otherQueues: number;
+    /** What each connection to the store carries, but the first instance's; absent: no limit. */
+    readonly storeBytesPerSecond?: number;
     say(line: string): void;
 }
 
@@ -85,7 +89,7 @@
     const board = troubles.createFaultBoard(createSource(1));
     const jobs = new Map<string, emulator.EmulatedJob>();
     const site = await sites.createSite({ ...options, ...board, jobs });
-    const operator = operators.createOperator(site, time, createSource(2));
+    const operator = operators.createOperator(site, time, createSource(2), options.otherQueues);
     const balancer = balancers.createBalancer(site, time, createSource(3));
     const callers = callersOfSite.createCallers({
         clock: time,
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -19,6 +19,8 @@
     readonly workers: number;
     /** Second number of the loopback addresses: sites that run side by side need different ones. */
     readonly addressBlock: number;
+    /** What each connection to the store carries, but the first instance's; absent: no limit. */
+    readonly storeBytesPerSecond?: number;
     readonly storeFaults: emulator.StoreFaults;
     readonly workerFaults: emulator.WorkerFaults;
     readonly jobs: ReadonlyMap<string, emulator.EmulatedJob>;
@@ -146,6 +148,9 @@
         const entry = `${getAddress(Block.EntryLink, number)}:${ENTRY_PORT}`;
         await openServer(standin.createStoreServer(store.open(name)), server);
         const storeLink = await openLink(storeAddress, server);
+        if (options.storeBytesPerSecond !== undefined && number > 0) {
+            storeLink.setRate(options.storeBytesPerSecond);
+        }
         const instance = instances.createInstance({
             name,
             zone: ZONES[number % ZONES.length]!,
