How current a table is counts a machine's suspension, as the lease does; long functions split

Cause: the age of the configuration was taken from the monotonic clock alone, which does not count a suspension, so that a machine that wakes up would serve callers under what it read before it until its next read ends. The wait of a call (src/calls/patience.ts) and the two reads of a follower are functions of their own; no other change of what is decided.

--- a/src/calls/httpClient.ts
+++ b/src/calls/httpClient.ts
@@ -1,25 +1,17 @@
 /**
  * HTTP calls to the platform, to workers and to other instances: keep-alive connections, a timeout for each call, and
  * a typed outcome that says whether the call may have been carried out.
- *
- * A timeout is there to notice silence. What goes wrong where it bounds the whole of an answer whose length has no
- * bound: on a weak link the answer takes longer, is given up while it is coming, and is asked for anew from its first
- * byte, for ever. One notices a link that is busy without pause and a reader that is behind for good. So whoever asks
- * for such an answer sets `mostMs`, and `timeoutMs` then bounds the time without a byte of it.
  */
 import * as http from "node:http";
+import * as patience from "./patience";
 
-export interface HttpCall {
+export interface HttpCall extends patience.Patience {
     /** `IP:PORT`. */
     readonly address: string;
     readonly method: "GET" | "POST" | "PUT" | "DELETE";
     readonly path: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string;
-    /** From the call to the end of the answer; with `mostMs`, to its beginning, and from one part of it to the next. */
-    readonly timeoutMs: number;
-    /** From the call to the end of an answer that keeps coming. */
-    readonly mostMs?: number;
 }
 
 export type HttpOutcome =
@@ -70,7 +62,6 @@
 function send(agent: http.Agent, call: HttpCall): Promise<HttpOutcome> {
     return new Promise(resolve => {
         let sent = false;
-        let finished = false;
         let receivedBytes = 0;
         const { host, port } = parseAddress(call.address);
         const headers: Record<string, string | number> = { ...call.headers };
@@ -86,33 +77,12 @@
             path: call.path,
             headers,
         });
-        const startedAt = performance.now();
-        let heardAt = startedAt;
-        /** When the call has to be given up, as far as can be told now. */
-        const getDueAt = () =>
-            call.mostMs === undefined
-                ? startedAt + call.timeoutMs
-                : Math.min(heardAt + call.timeoutMs, startedAt + call.mostMs);
-        const giveUpIfDue = () => {
-            if (finished) {
-                return;
-            }
-            if (getDueAt() <= performance.now()) {
-                // The connection may have fallen silent, and the next call needs a new one.
-                req.destroy(new Error(describeTimeout(performance.now() - startedAt, receivedBytes)));
-                return;
-            }
-            arm();
-        };
-        let timer: NodeJS.Timeout;
-        const arm = () => {
-            // A busy process sees its timers before the answers that have come in the meantime; these go first.
-            timer = setTimeout(() => setImmediate(giveUpIfDue), Math.max(0, Math.ceil(getDueAt() - performance.now())));
-        };
-        arm();
+        const wait = patience.startWait(call, afterMs => {
+            // The connection may have fallen silent, and the next call needs a new one.
+            req.destroy(new Error(describeEnd(afterMs, receivedBytes)));
+        });
         const finish = (outcome: HttpOutcome) => {
-            finished = true;
-            clearTimeout(timer);
+            wait.end();
             resolve(outcome);
         };
         req.once("socket", socket => {
@@ -127,9 +97,9 @@
         req.on("error", err => finish({ kind: "noAnswer", sent, message: err.message }));
         req.once("response", res => {
             const chunks: Buffer[] = [];
-            heardAt = performance.now();
+            wait.hear();
             res.on("data", (chunk: Buffer) => {
-                heardAt = performance.now();
+                wait.hear();
                 receivedBytes += chunk.length;
                 chunks.push(chunk);
             });
@@ -146,7 +116,7 @@
 }
 
 /** Tells silence from an answer that was still coming. */
-function describeTimeout(afterMs: number, receivedBytes: number): string {
+function describeEnd(afterMs: number, receivedBytes: number): string {
     const ms = Math.round(afterMs);
     return receivedBytes === 0
         ? `no answer within ${ms} ms`
--- a/src/leader/heldLease.ts
+++ b/src/leader/heldLease.ts
@@ -1,6 +1,6 @@
 /** The lease as its holder sees it: how long it may give orders, and prolong what runs. */
 import * as events from "node:events";
-import type * as clock from "../clock/index";
+import * as clock from "../clock/index";
 import type * as rows from "../rows/index";
 
 export interface Leadership {
@@ -22,23 +22,17 @@
     /** Of the lease's row, as of the latest renewal. */
     version: number;
     /** When the latest renewal that succeeded was sent. */
-    renewedAt: Times;
+    renewedAt: clock.Moment;
     getLeftMs(): number;
 }
 
-/** One moment on both clocks. */
-export interface Times {
-    readonly monotonic: number;
-    readonly wall: number;
-}
-
 export interface HeldLeaseStart {
     readonly token: number;
     readonly tokenKey: rows.RowKey;
     /** Of the rows of lease and token. */
     readonly version: number;
     /** When the write that won the lease was sent. */
-    readonly sentAt: Times;
+    readonly sentAt: clock.Moment;
     readonly othersSilentAt: number;
 }
 
@@ -59,15 +53,11 @@
     const controller = new AbortController();
     // Each task that is being stopped waits on the signal.
     events.setMaxListeners(0, controller.signal);
-    const getElapsedMs = () => {
-        const now = readTimes(time);
-        return Math.max(now.monotonic - held.renewedAt.monotonic, now.wall - held.renewedAt.wall);
-    };
     const held: HeldLease = {
         controller,
         version: start.version,
         renewedAt: start.sentAt,
-        getLeftMs: () => LEASE_MS - LEASE_MARGIN_MS - getElapsedMs(),
+        getLeftMs: () => LEASE_MS - LEASE_MARGIN_MS - clock.getElapsedMs(time, held.renewedAt),
         leadership: {
             token: start.token,
             guard: { ...start.tokenKey, version: start.version },
@@ -79,7 +69,3 @@
     };
     return held;
 }
-
-export function readTimes(time: clock.Clock): Times {
-    return { monotonic: time.now(), wall: time.wallTime() };
-}
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -6,7 +6,7 @@
  * a machine that was suspended wakes up with a monotonic clock that did not count the pause, and would give orders
  * that its successor has already given.
  */
-import type * as clock from "../clock/index";
+import * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import * as rows from "../rows/index";
 import * as work from "../work/index";
@@ -259,7 +259,7 @@
         return isHolderOver(observed) ? Math.max(now, inheritedUntil) : now + heldLease.LEASE_MS + heldLease.PROLONG_MS;
     };
     const takeOver = async () => {
-        const sentAt = heldLease.readTimes(time);
+        const sentAt = clock.readMoment(time);
         const token = (observed?.record.token ?? 0) + 1;
         const othersSilentAt = getOthersSilentAt(sentAt.monotonic);
         const record = createRecord(token, othersSilentAt);
@@ -287,7 +287,7 @@
         options.onElected(term.leadership);
     };
     const renew = async (current: heldLease.HeldLease) => {
-        const sentAt = heldLease.readTimes(time);
+        const sentAt = clock.readMoment(time);
         const { token, othersSilentAt } = current.leadership;
         const record = createRecord(token, othersSilentAt, options.getWaiting());
         const cancelLate = time.setTimer(LATE_MS, options.onRenewalLate);
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -9,7 +9,7 @@
  * weak link. With 1.2 s for the whole answer a link of 7 Mbit/s carried 3,960 queues of 264 bytes and not one more;
  * 32 of 40 instances never heard of the 4,245 of the next version. Here only silence ends an answer that has begun.
  */
-import type * as clock from "../clock/index";
+import * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import * as rows from "./index";
 import * as readAll from "./readAll";
@@ -60,64 +60,77 @@
 
 /** Ends without a word after the signal, also when an answer is on its way: its taker may be gone. */
 async function follow(options: TableFollowerOptions, contact: tableContact.TableContact): Promise<void> {
-    const { store, signal, everyMs = 0 } = options;
-    const waitMs = everyMs > 0 ? 0 : POLL_WAIT_MS;
-    let after: number | undefined;
-    let pollMs = waitMs;
-    const keep = (askedAt: number, asOf = askedAt) => {
+    const { store, clock: time, table, signal, everyMs = 0 } = options;
+    const fullWaitMs = everyMs > 0 ? 0 : POLL_WAIT_MS;
+    let waitMs = fullWaitMs;
+    const keep = (askedAt: clock.Moment, asOf = askedAt) => {
+        waitMs = fullWaitMs;
         contact.keep(askedAt, asOf);
         options.onContact?.();
-        pollMs = waitMs;
     };
     const lose = async (message: string) => {
         // The next answer comes at once, so that what is known is not taken for old for longer than need be.
-        pollMs = 0;
+        waitMs = 0;
         contact.lose(message);
         options.onLoss?.(message);
-        await options.clock.sleep(RETRY_PAUSE_MS, signal);
+        await time.sleep(RETRY_PAUSE_MS, signal);
     };
-    /** A poll that finds nothing is held by the store for its wait, and so tells of changes up to the end of it. */
-    const getHeldMs = (askedAt: number, heldMs: number) => options.clock.now() - askedAt >= heldMs ? heldMs : 0;
-    while (!signal.aborted) {
-        if (after === undefined) {
-            const askedAt = options.clock.now();
-            const range = { table: options.table, part: options.part };
-            const all = await readAll.readAll(store, range, READ_SILENCE_MS, rows.MOST_ANSWER_MS);
-            if (signal.aborted) {
-                return;
-            }
-            if (all.kind !== "read") {
-                await lose(all.message);
-                continue;
-            }
-            after = all.version;
-            keep(askedAt);
-            options.onSnapshot(all.rows);
-            continue;
+    /** Both return the version up to which the table is known then; `undefined`: it has to be read whole. */
+    const readWhole = async (): Promise<number | undefined> => {
+        const askedAt = clock.readMoment(time);
+        const range = { table, part: options.part };
+        const all = await readAll.readAll(store, range, READ_SILENCE_MS, rows.MOST_ANSWER_MS);
+        if (signal.aborted) {
+            return undefined;
         }
-        if (everyMs > 0) {
-            await options.clock.sleep(everyMs, signal);
+        if (all.kind !== "read") {
+            await lose(all.message);
+            return undefined;
         }
-        const askedAt = options.clock.now();
-        const changes = await store.feed(options.table, after, pollMs, pollMs + POLL_SLACK_MS, rows.MOST_ANSWER_MS);
+        keep(askedAt);
+        options.onSnapshot(all.rows);
+        return all.version;
+    };
+    const poll = async (after: number): Promise<number | undefined> => {
+        const askedAt = clock.readMoment(time);
+        const heldMs = waitMs;
+        const changes = await store.feed(table, after, heldMs, heldMs + POLL_SLACK_MS, rows.MOST_ANSWER_MS);
         if (signal.aborted) {
-            return;
+            return undefined;
         }
         switch (changes.kind) {
             case "changes":
-                after = Math.max(after, changes.version);
-                keep(askedAt, changes.rows.length > 0 ? askedAt : askedAt + getHeldMs(askedAt, pollMs));
                 if (changes.rows.length > 0) {
+                    keep(askedAt);
                     options.onChanges(changes.rows);
                 }
-                break;
+                else {
+                    keep(askedAt, getEndOfWait(time, askedAt, heldMs));
+                }
+                return Math.max(after, changes.version);
             case "gap":
-                options.log.info("historyGap", { table: options.table, after });
-                after = undefined;
-                break;
+                options.log.info("historyGap", { table, after });
+                return undefined;
             case "unavailable":
                 await lose(changes.message);
-                break;
+                return after;
+        }
+    };
+    let after: number | undefined;
+    while (!signal.aborted) {
+        if (after === undefined) {
+            after = await readWhole();
+            continue;
         }
+        if (everyMs > 0) {
+            await time.sleep(everyMs, signal);
+        }
+        after = await poll(after);
     }
 }
+
+/** A poll that finds nothing is held by the store for its wait, and so tells of changes up to the end of it. */
+function getEndOfWait(time: clock.Clock, askedAt: clock.Moment, heldMs: number): clock.Moment {
+    const wasHeld = time.now() - askedAt.monotonic >= heldMs;
+    return wasHeld ? clock.addMs(askedAt, heldMs) : askedAt;
+}
--- a/src/rows/tableContact.ts
+++ b/src/rows/tableContact.ts
@@ -4,7 +4,7 @@
  * What goes wrong without it: the store answers all other calls, one table's reads fail again and again, and the
  * instance goes on with what it read last. Nothing in its lines or figures says so.
  */
-import type * as clock from "../clock/index";
+import * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 
 export interface TableContactOptions {
@@ -17,7 +17,7 @@
 
 export interface TableContact {
     /** An answer to what was asked at `askedAt` has come whole; it holds whatever was written before `asOf`. */
-    keep(askedAt: number, asOf: number): void;
+    keep(askedAt: clock.Moment, asOf: clock.Moment): void;
     /** An answer has not come, or not whole. */
     lose(why: string): void;
     /** Milliseconds since the moment as of which the table is known for certain; `Infinity` before the first answer. */
@@ -26,19 +26,19 @@
 
 export function createTableContact(options: TableContactOptions): TableContact {
     const { clock: time, log, meter, table } = options;
-    let currentAt = -Infinity;
+    let currentAt: clock.Moment | undefined;
     let lostAt: number | undefined;
     let failures = 0;
-    const getAgeMs = () => time.now() - currentAt;
+    const getAgeMs = () => currentAt ? clock.getElapsedMs(time, currentAt) : Infinity;
     const endGauge = meter.registerGauges(() =>
-        Number.isFinite(currentAt) ? [{ metric: "table_age_ms", labels: { table }, value: Math.round(getAgeMs()) }] : []
+        currentAt ? [{ metric: "table_age_ms", labels: { table }, value: Math.round(getAgeMs()) }] : []
     );
     options.signal.addEventListener("abort", endGauge, { once: true });
     return {
         keep: (askedAt, asOf) => {
             currentAt = asOf;
             meter.increment("table_reads_total", { table, outcome: "whole" });
-            meter.record("table_read_duration_ms", { table }, time.now() - askedAt);
+            meter.record("table_read_duration_ms", { table }, time.now() - askedAt.monotonic);
             if (lostAt !== undefined) {
                 log.info("tableRegained", { table, lostMs: Math.round(time.now() - lostAt), failures });
                 lostAt = undefined;
@@ -50,7 +50,7 @@
             meter.increment("table_reads_total", { table, outcome: "failed" });
             if (lostAt === undefined) {
                 lostAt = time.now();
-                const ageMs = Number.isFinite(currentAt) ? Math.round(getAgeMs()) : undefined;
+                const ageMs = currentAt && Math.round(getAgeMs());
                 log.warn("tableLost", { table, why, ageMs });
             }
         },
