Present interface: reads of rows and objects end by silence, not by their length

Cause: the same as of the configuration that never arrived over weak links: one timeout of 1 s for the whole of an answer, and a configuration document is one row. Now: the first byte has to come within the timeout and each next part as well; 30 s bound the whole.

--- a/src/backing/httpPlatform.ts
+++ b/src/backing/httpPlatform.ts
@@ -14,6 +14,13 @@
     readonly connections: number;
 }
 
+/**
+ * Rows and objects have no bound in length: one may hold a configuration. With the timeout of a call for the whole of
+ * it, a weak link never carries one that has grown: it is given up while it is coming, and asked for anew. So silence
+ * ends a read, and this only an answer that never ends; 26 MB come in the time at 7 Mbit/s.
+ */
+const MOST_ANSWER_MS = 30_000;
+
 const rowSchema = z.object({ key: z.string(), version: z.number().int().nonnegative(), value: z.string() });
 const getSchema = z.object({ rows: z.array(rowSchema.nullable()) });
 const scanSchema = z.object({ rows: z.array(rowSchema) });
@@ -34,24 +41,42 @@
         headersTimeout: options.timeoutMs,
         bodyTimeout: options.timeoutMs,
     });
-    const call = (method: "GET" | "POST" | "PUT", path: string, body?: string | Uint8Array) =>
+    const call = (method: "GET" | "POST" | "PUT", path: string, body?: string | Uint8Array, signal?: AbortSignal) =>
         pool.request({
             method,
             path,
             body,
             headers: { "content-type": typeof body === "string" ? "application/json" : "application/octet-stream" },
-            signal: AbortSignal.timeout(options.timeoutMs),
+            signal: signal ?? AbortSignal.timeout(options.timeoutMs),
         });
-    const post = async <T>(path: string, body: unknown, schema: z.ZodType<T>): Promise<T> => {
-        const res = await call("POST", path, JSON.stringify(body));
+    /** Of a read: the timeout bounds the time to the first byte, and then, by the pool, from one part to the next. */
+    const callToRead = async (method: "GET" | "POST", path: string, body?: string) => {
+        const silence = new AbortController();
+        const timer = setTimeout(() => silence.abort(), options.timeoutMs);
+        try {
+            return await call(
+                method,
+                path,
+                body,
+                AbortSignal.any([silence.signal, AbortSignal.timeout(MOST_ANSWER_MS)]),
+            );
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    };
+    const parse = async <T>(res: undici.Dispatcher.ResponseData, schema: z.ZodType<T>): Promise<T> => {
         const parsed: unknown = await res.body.json();
         if (res.statusCode !== 200) {
             throw new HttpStatusError(res.statusCode);
         }
         return schema.parse(parsed);
     };
+    const post: Post = async (path, body, schema) => parse(await call("POST", path, JSON.stringify(body)), schema);
+    const postToRead: Post = async (path, body, schema) =>
+        parse(await callToRead("POST", path, JSON.stringify(body)), schema);
     return {
-        table: createTable(post),
+        table: createTable(post, postToRead),
         objects: {
             put: async (key, body) => {
                 try {
@@ -65,7 +90,7 @@
             },
             get: async key => {
                 try {
-                    const res = await call("GET", `/objects/${encodeURIComponent(key)}`);
+                    const res = await callToRead("GET", `/objects/${encodeURIComponent(key)}`);
                     const body = new Uint8Array(await res.body.arrayBuffer());
                     if (res.statusCode === 200) {
                         return { kind: "found", body };
@@ -84,10 +109,10 @@
 
 type Post = <T>(path: string, body: unknown, schema: z.ZodType<T>) => Promise<T>;
 
-function createTable(post: Post): tableService.TableService {
+function createTable(post: Post, postToRead: Post): tableService.TableService {
     const read = async <T>(path: string, body: unknown, schema: z.ZodType<{ rows: T; }>) => {
         try {
-            return { kind: "read" as const, value: (await post(path, body, schema)).rows };
+            return { kind: "read" as const, value: (await postToRead(path, body, schema)).rows };
         }
         catch (err) {
             return { kind: "unavailable" as const, message: result.getErrorMessage(err) };
