A wave of upkeep of more than 877 machines does not outgrow its row

Cause, same class: all orders of a wave lay in one row, 56 bytes each, and the store refuses a row of more than 49,152 bytes before it is encoded. Now: 200 machines a row, all rows in one transaction under the leader's guard; the key of the first row is the same as before. Before: the test of 4,800 machines fails (158,029 bytes in a row). After: passes, and the waves of upkeep.test.ts as before.

--- /dev/null
+++ b/src/leader/__tests__/upkeepRows.test.ts
@@ -0,0 +1,67 @@
+import * as clocks from "../../clock/index";
+import * as emulator from "../../emulator/index";
+import * as heldLease from "../heldLease";
+import * as upkeepRows from "../upkeepRows";
+import type * as stagesOfWave from "../upkeepStages";
+
+/** As the users' stores bound a row, less what base64 adds. */
+const ROW_BYTES = 49_152;
+const WAVE = 7;
+const NOW = 5_000;
+
+/** Every third machine is ordered down, every third is done, and the others are still to come. */
+function createStages(machines: number): Map<string, stagesOfWave.Stage> {
+    return new Map(Array.from({ length: machines }, (_, number): [string, stagesOfWave.Stage] => {
+        const id = `m-${String(number).padStart(10, "0")}`;
+        const stages: readonly stagesOfWave.Stage[] = [
+            { kind: "ordered", workerId: `i-${number}`, confirmedAt: undefined },
+            { kind: "done" },
+            { kind: "pending" },
+        ];
+        return [id, stages[number % stages.length]!];
+    }));
+}
+
+describe("the stored orders of a wave", () => {
+    // Symptom: a wave of upkeep stands still. Sequence: it has more machines than one row has room for. Cause: all of
+    // its orders lay in one row, and the store refuses a longer one.
+    test.each([0, 1, 33, 877, 4_800])(
+        "of %d machines are read as they were written, and every row is short",
+        async count => {
+            const time = clocks.createManualClock(0);
+            const store = emulator.createEmulatedStore({ clock: time, latencyMs: 5 });
+            const tokenKey = { table: "lead", part: "leader", key: "token" };
+            store.put({ ...tokenKey, value: "1" });
+            const { leadership } = heldLease.createHeldLease(time, {
+                token: 1,
+                tokenKey,
+                version: 1,
+                sentAt: clocks.readMoment(time),
+                othersSilentAt: 0,
+            });
+            const options = { store: store.open("a"), leadership, timeoutMs: 700 };
+            const stages = createStages(count);
+            const writing = upkeepRows.writeStages(options, WAVE, stages);
+            // Of another wave, whose key begins alike.
+            store.put({
+                table: "upkeep",
+                part: "leader",
+                key: "70",
+                value: JSON.stringify({ other: { worker: "w" } }),
+            });
+            await time.advance(100);
+            expect(await writing).toBe(true);
+            const reading = upkeepRows.readStages(options, WAVE, [...stages.keys()], NOW);
+            await time.advance(100);
+            const read = await reading;
+            const expected = new Map([...stages].map(([id, stage]): [string, stagesOfWave.Stage] => [
+                id,
+                // What is done is stored as ordered in an earlier life, and confirmed.
+                stage.kind === "done" ? { kind: "ordered", workerId: "", confirmedAt: NOW } : stage,
+            ]));
+            expect(read).toEqual(expected);
+            const lengths = store.getRows("upkeep").map(row => Buffer.byteLength(row.value));
+            expect(Math.max(...lengths)).toBeLessThan(ROW_BYTES);
+        },
+    );
+});
--- a/src/leader/upkeepRows.ts
+++ b/src/leader/upkeepRows.ts
@@ -5,7 +5,7 @@
  * carried out seconds later. The successor knows nothing of that machine and takes down as many others as the wave
  * allows. One notices more machines down than allowed.
  */
-import type * as rows from "../rows/index";
+import * as rows from "../rows/index";
 import * as work from "../work/index";
 import type * as heldLease from "./heldLease";
 import type * as stagesOfWave from "./upkeepStages";
@@ -19,6 +19,12 @@
 type OrderedMachines = Readonly<Record<string, { readonly worker: string; readonly confirmed: boolean; }>>;
 
 const TABLE = "upkeep";
+/**
+ * With all orders of a wave in one row, a wave of more than 877 machines stood still: 56 bytes each, and the store
+ * refuses a row of more than 49,152 bytes before it is encoded. So many take 11 kB, which leaves room for longer names;
+ * the 99 rows that a transaction has room for beside its guard hold 19,800 machines.
+ */
+const MACHINES_PER_ROW = 200;
 /** Stands for the worker of a machine whose upkeep is over: any present life is a later one. */
 const EARLIER_LIFE = "";
 
@@ -29,15 +35,14 @@
     machineIds: readonly string[],
     now: number,
 ): Promise<stagesOfWave.Stages | undefined> {
-    const key = String(wave);
-    const result = await options.store.read(
-        { table: TABLE, part: work.LEADER_PART, from: key, before: `${key}!`, limit: 1 },
-        options.timeoutMs,
-    );
+    const result = await rows.readAll(options.store, getRange(wave), options.timeoutMs, rows.MOST_ANSWER_MS);
     if (result.kind !== "read") {
         return undefined;
     }
-    const ordered = result.rows[0] ? JSON.parse(result.rows[0].value) as OrderedMachines : {};
+    const ordered: OrderedMachines = Object.assign(
+        {},
+        ...result.rows.map(row => JSON.parse(row.value) as OrderedMachines),
+    );
     return new Map(machineIds.map((id): [string, stagesOfWave.Stage] => {
         const stored = ordered[id];
         if (!stored) {
@@ -48,14 +53,30 @@
     }));
 }
 
-/** Whether the stages are stored now. */
+/** Whether the stages are stored now. They have to be in the order of the wave's machines, which never changes. */
 export async function writeStages(
     options: UpkeepRows,
     wave: number,
     stages: ReadonlyMap<string, stagesOfWave.Stage>,
 ): Promise<boolean> {
+    const entries = [...stages];
+    const puts: rows.RowPut[] = [];
+    for (let first = 0; first < entries.length; first += MACHINES_PER_ROW) {
+        // Also without an order in it: one may have been stored there that holds no longer.
+        const value = JSON.stringify(toOrdered(entries.slice(first, first + MACHINES_PER_ROW)));
+        puts.push({ table: TABLE, part: work.LEADER_PART, key: getKey(wave, first / MACHINES_PER_ROW), value });
+    }
+    const outcome = await options.store.transact({
+        conditions: [options.leadership.guard],
+        puts,
+        removals: [],
+    }, options.timeoutMs);
+    return outcome.kind === "committed";
+}
+
+function toOrdered(entries: ReadonlyArray<readonly [string, stagesOfWave.Stage]>): OrderedMachines {
     const ordered: Record<string, { worker: string; confirmed: boolean; }> = {};
-    for (const [id, stage] of stages) {
+    for (const [id, stage] of entries) {
         if (stage.kind === "ordered") {
             ordered[id] = { worker: stage.workerId, confirmed: stage.confirmedAt !== undefined };
         }
@@ -63,10 +84,15 @@
             ordered[id] = { worker: EARLIER_LIFE, confirmed: true };
         }
     }
-    const outcome = await options.store.transact({
-        conditions: [options.leadership.guard],
-        puts: [{ table: TABLE, part: work.LEADER_PART, key: String(wave), value: JSON.stringify(ordered) }],
-        removals: [],
-    }, options.timeoutMs);
-    return outcome.kind === "committed";
+    return ordered;
+}
+
+/** `N`, `N.1`, `N.2` and so on. */
+function getKey(wave: number, row: number): string {
+    return row === 0 ? String(wave) : `${wave}.${row}`;
+}
+
+/** `/` follows the point in the order of keys, and precedes all digits. */
+function getRange(wave: number): rows.RowRange {
+    return { table: TABLE, part: work.LEADER_PART, from: String(wave), before: `${wave}/` };
 }
