--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -5,6 +5,8 @@
  * Callers who meet such an instance are refused and lose the second until their next try, though every other instance
  * could serve them. One notices refusals beside idle workers.
  *
+ * The same way goes what comes to an instance whose configuration may be out of date (`src/catalog/freshness.ts`).
+ *
  * The other instance handles the request as it came, key and route included, under its own configuration: the one here
  * may be out of date, since changes come through the store as well. It refuses where its own is the older one.
  */
