Worker contract: a lease outlives the tests that are not about it

Their lease of 1 s ran on the machine's clock and lapsed between two calls; the stand-in was right. Now 60 s; the test of a lapse moves the clock, as before. Nothing is checked less: no test waits for that lease's end.

--- a/standins/worker/__tests__/contract.test.ts
+++ b/standins/worker/__tests__/contract.test.ts
@@ -6,6 +6,11 @@
 import * as standin from "../index";
 
 const CAPACITY = { accelerators: 8, slots: 8, cpus: 32, memoryMb: 1024 };
+/**
+ * Far beyond any test: calls of a busy machine take seconds, and a lease of 1 s lapsed between them, so that tests that
+ * are not about it saw "staleToken". Where a lease lapses the clock is moved.
+ */
+const LEASE_MS = 60_000;
 const NEEDS = { accelerators: 4, slots: 1, cpus: 4, memoryMb: 128 };
 
 interface Subject {
@@ -112,7 +117,7 @@
 }
 
 function syncOrder(token: number, extra: Partial<workers.SyncOrder> = {}): workers.SyncOrder {
-    return { token, ttlMs: 1000, renew: [], leaseMs: 5000, acknowledged: [], waitMs: 0, sequence: -1, ...extra };
+    return { token, ttlMs: LEASE_MS, renew: [], leaseMs: 5000, acknowledged: [], waitMs: 0, sequence: -1, ...extra };
 }
 
 describe.each(subjects)("$name", ({ create }) => {
@@ -124,7 +129,7 @@
     });
     afterEach(() => subject.close());
 
-    const acquire = async (holder = "owner-1", ttlMs = 1000): Promise<number> => {
+    const acquire = async (holder = "owner-1", ttlMs = LEASE_MS): Promise<number> => {
         const lease = await worker.acquireLease(holder, ttlMs);
         if (lease.kind === "fault") {
             throw new Error(lease.fault.kind);
