Work thrown away is told by cause, and the ledger reads a leader that leaves lines out

Now the leader keeps totals by cause, tells them every 2 s in one line and as a counter, and the ledger adds up the terms. A stop for urgent work says whether the claim was urgent or guaranteed.

--- a/src/decisions/__tests__/plainPlan.ts
+++ b/src/decisions/__tests__/plainPlan.ts
@@ -54,7 +54,7 @@
         protector.choose(choice.victims);
         for (const victim of choice.victims) {
             stopped.add(victim);
-            stops.push({ group: victim, forUnit: unit.key });
+            stops.push({ group: victim, forUnit: unit.key, claim: unit.claim });
             for (const member of victim.members) {
                 const later = soon.get(member.workerId);
                 if (later) {
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -19,6 +19,7 @@
 export { paysToMove, REST_MS } from "./stopCost";
 export {
     Claim,
+    CLAIM_NAMES,
     type PlaceableWorker,
     type Plan,
     type PlanInput,
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -45,7 +45,7 @@
             continue;
         }
         site.getPreemptor().stop(needed.victims);
-        stops.push(...needed.victims.map(group => ({ group, forUnit: unit.key })));
+        stops.push(...needed.victims.map(group => ({ group, forUnit: unit.key, claim: unit.claim })));
         site.reserve(unit, needed.hosts);
     }
     return { starts, stops };
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -31,6 +31,11 @@
 } as const;
 export type Claim = typeof Claim[keyof typeof Claim];
 
+/** How lines and figures call a claim. */
+export const CLAIM_NAMES = { 0: "none", 1: "urgent", 2: "lasting", 3: "guaranteed" } as const satisfies Readonly<
+    Record<Claim, string>
+>;
+
 /** Tasks that start together: one task, or all of a gang. */
 export interface WaitingUnit {
     readonly key: string;
@@ -100,8 +105,9 @@
 
 export interface PlannedStop {
     readonly group: RunningGroup;
-    /** The unit that gets the room. */
+    /** The unit that gets the room, and its claim to it. */
     readonly forUnit: string;
+    readonly claim: Claim;
 }
 
 export interface Plan {
--- a/src/explain/__tests__/ledger.test.ts
+++ b/src/explain/__tests__/ledger.test.ts
@@ -103,6 +103,14 @@
         served: "refused",
         delays: { entry: 0 },
     },
+    {
+        // Symptom: the ledger of a heavy day cannot be read at all. Sequence: a leader beyond its budget of lines leaves
+        // out where a step was placed, and tells of a run that ended early. Cause: a step without a known unit.
+        name: "known by its lost runs alone",
+        lines: [submitted(0, "accepted"), lost(2, "0.0.0", 2_000, "preempted for bb.0.0.0"), ended(5)],
+        served: "late",
+        delays: { entry: 0, longRun: 3_000 },
+    },
     { name: "open", lines: [submitted(0, "accepted")], served: "open", delays: { entry: 0 } },
 ];
 
@@ -117,6 +125,16 @@
         expect(keep([submitted(0, "accepted"), ended(1, "cancelled")]).jobs).toEqual([]);
     });
 
+    test("adds up what each term threw away, of which every line tells the whole", () => {
+        const ledger = keep([
+            line(1, "workThrownAway", { token: 1, coreSeconds: { preempted: 5 } }),
+            line(3, "workThrownAway", { token: 1, coreSeconds: { preempted: 7, jobCancelled: 2 } }),
+            line(9, "workThrownAway", { token: 2, coreSeconds: { preempted: 4 } }),
+        ]);
+        expect(ledger.thrownAway).toEqual({ preempted: 11, jobCancelled: 2 });
+        expect(explain.renderLedger(ledger)).toContain("13 core-seconds  all");
+    });
+
     test("tells what became of the victim of a stop and of the job that it was made for", () => {
         const other = (text: string) => text.replaceAll(JOB, OTHER);
         const ledger = keep([
--- a/src/explain/ledger.ts
+++ b/src/explain/ledger.ts
@@ -47,6 +47,8 @@
 export interface Ledger {
     readonly jobs: readonly LedgerEntry[];
     readonly stops: readonly StopRecord[];
+    /** Core-seconds that all terms together threw away, by cause. */
+    readonly thrownAway: Readonly<Record<string, number>>;
 }
 
 /** A late job still earns something up to this multiple of its objective. */
@@ -77,10 +79,15 @@
 export function keepLedger(lines: readonly story.LogLine[]): Ledger {
     const tallies = new Map<string, Tally>();
     const stops: story.LogLine[] = [];
+    const thrownAwayByTerm = new Map<unknown, Readonly<Record<string, number>>>();
     for (const line of [...lines].sort((a, b) => Date.parse(a.time) - Date.parse(b.time))) {
         if (line.event === "preempting") {
             stops.push(line);
         }
+        if (line.event === "workThrownAway") {
+            // Each line tells the whole of its term so far.
+            thrownAwayByTerm.set(line.fields["token"], line.fields["coreSeconds"] as Readonly<Record<string, number>>);
+        }
         takeLine(tallies, line);
     }
     const jobs = [...tallies].filter(([, tally]) => tally.ended?.fields["state"] !== "cancelled")
@@ -88,6 +95,7 @@
     const byId = new Map(jobs.map(job => [job.jobId, job]));
     return {
         jobs,
+        thrownAway: sumByCause(thrownAwayByTerm.values()),
         stops: stops.flatMap(line => {
             const victim = byId.get(getJobId(line.fields["group"]));
             const gainer = byId.get(getJobId(line.fields["forUnit"]));
@@ -180,16 +188,15 @@
     if (!steps) {
         return undefined;
     }
-    let units = steps.get(step);
-    if (!units) {
-        units = new Map();
-        steps.set(step, units);
-    }
-    let unit = units.get(text) ?? (create ? undefined : [...units.values()].at(-1));
-    if (!unit && create) {
-        unit = { delays: new Map(), lostMs: 0, lostReason: undefined };
-        units.set(text, unit);
+    const units = steps.get(step) ?? new Map<string, Unit>();
+    const known = units.get(text) ?? (create ? undefined : [...units.values()].at(-1));
+    if (known || !create) {
+        // Of a run whose place was not told, as a busy leader leaves lines out, nothing is known.
+        return known;
     }
+    const unit = { delays: new Map<string, number>(), lostMs: 0, lostReason: undefined };
+    units.set(text, unit);
+    steps.set(step, units);
     return unit;
 }
 
@@ -250,6 +257,16 @@
     return tookMs <= LATE_MULTIPLE * objectiveMs ? Served.Late : Served.Missed;
 }
 
+function sumByCause(terms: Iterable<Readonly<Record<string, number>>>): Readonly<Record<string, number>> {
+    const totals = new Map<string, number>();
+    for (const term of terms) {
+        for (const [cause, coreSeconds] of Object.entries(term)) {
+            totals.set(cause, (totals.get(cause) ?? 0) + coreSeconds);
+        }
+    }
+    return Object.fromEntries(totals);
+}
+
 function sum(delays: ReadonlyMap<string, number>): number {
     return [...delays.values()].reduce((total, ms) => total + ms, 0);
 }
--- a/src/explain/renderLedger.ts
+++ b/src/explain/renderLedger.ts
@@ -5,7 +5,7 @@
 const NAME_WIDTH = 24;
 const WIDTH = 9;
 
-export function renderLedger({ jobs, stops }: ledgers.Ledger): string {
+export function renderLedger({ jobs, stops, thrownAway }: ledgers.Ledger): string {
     return [
         ...renderCounts("queue", groupBy(jobs, job => job.queue)),
         "",
@@ -17,6 +17,9 @@
         "work stopped for urgent work: by queue of the victim and of the urgent job, and what became of both",
         ...renderStops(stops),
         "",
+        "work that was neither done nor saved, by what it was lost to",
+        ...renderThrownAway(thrownAway),
+        "",
         "jobs that were not in time",
         ...jobs.filter(job => job.served !== ledgers.Served.InTime).sort((a, b) => a.sentAt - b.sentAt).map(renderJob),
     ].join("\n");
@@ -69,6 +72,14 @@
     });
 }
 
+function renderThrownAway(thrownAway: Readonly<Record<string, number>>): string[] {
+    const causes = Object.entries(thrownAway).sort(([, a], [, b]) => b - a);
+    const total = causes.reduce((sum, [, coreSeconds]) => sum + coreSeconds, 0);
+    return [["all", total] as const, ...causes].map(([cause, coreSeconds]) =>
+        `${String(coreSeconds).padStart(WIDTH)} core-seconds  ${cause}`
+    );
+}
+
 function renderJob(job: ledgers.LedgerEntry): string {
     const delays = Object.entries(job.delays).filter(([, ms]) => ms > 0).sort((a, b) => b[1] - a[1])
         .map(([cause, ms]) => `${cause} ${Math.round(ms)}`);
--- /dev/null
+++ b/src/leader/__tests__/thrownAway.test.ts
@@ -0,0 +1,63 @@
+import * as fixtures from "../../scheduler/__tests__/fixtures";
+import * as entries from "../entries";
+import * as thrownAways from "../thrownAway";
+
+/** Two cores and one accelerator, which counts as eight. */
+const NEEDS = { cpuMillis: 2_000, memoryMb: 1, accelerators: 1 };
+const CORES = 10;
+
+function createTasks(members: number): readonly entries.TaskEntry[] {
+    const job = fixtures.createJob(1);
+    const [queue] = fixtures.CATALOG.queues;
+    const steps = [fixtures.createStep({ count: members, gang: members > 1, needs: NEEDS })];
+    const submission = { ...job, queue: queue!, account: "office", acceptedAt: 0, spec: { ...job.spec, steps } };
+    return entries.createOccurrenceEntry(entries.createJobEntry(submission, queue!, 0), 0, 0).steps[0]!.tasks;
+}
+
+interface Case {
+    readonly name: string;
+    readonly orderedAt: number;
+    readonly runningSince: number;
+    readonly savedAt: number;
+    readonly coreSeconds: number;
+}
+
+/** All end at 9 s. */
+const cases: readonly Case[] = [
+    { name: "from its start on", orderedAt: 900, runningSince: 1_000, savedAt: 0, coreSeconds: 8 * CORES },
+    { name: "from what it saved last", orderedAt: 900, runningSince: 1_000, savedAt: 7_000, coreSeconds: 2 * CORES },
+    { name: "nothing, saved as it was stopped", orderedAt: 900, runningSince: 1_000, savedAt: 9_000, coreSeconds: 0 },
+    {
+        name: "from its order on, where that was never confirmed",
+        orderedAt: 8_000,
+        runningSince: 1_000,
+        savedAt: 0,
+        coreSeconds: CORES,
+    },
+];
+
+describe("work thrown away", () => {
+    test.each(cases)("of a run counts $name", ({ orderedAt, runningSince, savedAt, coreSeconds }) => {
+        const [task] = createTasks(1);
+        Object.assign(task!, { orderedAt, runningSince, savedAt });
+        const thrownAway = thrownAways.createThrownAway();
+        expect(thrownAway.addRun(task!, "preempted", 9_000)).toBeCloseTo(coreSeconds);
+        expect(thrownAway.getTotals()).toEqual({ preempted: coreSeconds });
+    });
+
+    test("of a gang counts what its members held until the last one had started", () => {
+        const tasks = createTasks(3);
+        [1_000, 1_500, 3_000].forEach((runningSince, index) => Object.assign(tasks[index]!, { runningSince }));
+        const thrownAway = thrownAways.createThrownAway();
+        thrownAway.addWait(tasks[0]!.step);
+        expect(thrownAway.getTotals()).toEqual({ gangWait: 3.5 * CORES });
+    });
+
+    test.each([
+        ["preempted (urgent) for 0123.0.0.0", "preempted (urgent)"],
+        ["workerLeaves", "workerLeaves"],
+        ["gang member ended: failed", "gang member ended: failed"],
+    ])("by the cause of %s", (reason, cause) => {
+        expect(thrownAways.getCause(reason)).toBe(cause);
+    });
+});
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -9,6 +9,7 @@
 import * as work from "../work/index";
 import * as entries from "./entries";
 import * as outcomes from "./outcomes";
+import * as thrownAways from "./thrownAway";
 import type * as port from "./workerPort";
 
 export interface BookListener {
@@ -28,6 +29,7 @@
     getQueue(name: string): catalog.Queue | undefined;
     getExpected(job: entries.JobEntry): outcomes.ExpectedTimes;
     readonly leftOut: ReadonlySet<decisions.Mechanism>;
+    readonly thrownAway: thrownAways.ThrownAway;
 }
 
 export interface Book {
@@ -135,9 +137,21 @@
         // What any member of a gang saved holds for the whole gang, and all must go on from the same.
         for (const member of task.step.spec.gang ? task.step.tasks : [task]) {
             member.saved = saved;
+            member.savedAt = time.now();
         }
     };
 
+    const countThrownAway = (task: entries.TaskEntry, cause: string) => {
+        const queue = task.step.occurrence.job.queue.name;
+        const coreSeconds = options.thrownAway.addRun(task, cause, time.now());
+        meter.increment("thrown_away_core_seconds_total", { queue, cause }, coreSeconds);
+    };
+    const countGangWait = (step: entries.StepEntry) => {
+        const queue = step.occurrence.job.queue.name;
+        const coreSeconds = options.thrownAway.addWait(step);
+        meter.increment("thrown_away_core_seconds_total", { queue, cause: thrownAways.WAIT_CAUSE }, coreSeconds);
+    };
+
     const book: Book = {
         jobs,
         active,
@@ -312,10 +326,16 @@
             }
             if (end.how === "done" && !task.step.spec.lasting) {
                 worker.failuresInRow = 0;
+                if (task.step.spec.gang) {
+                    countGangWait(task.step);
+                }
                 markDone(task);
                 return;
             }
             const wasStopping = task.phase === "stopping";
+            if (isCurrent && end.how !== "failed") {
+                countThrownAway(task, wasStopping ? thrownAways.getCause(task.stopReason) : end.how);
+            }
             if (wasStopping && task.stopReason.startsWith("preempted")) {
                 task.restsUntil = options.leftOut.has("rests") ? 0 : time.now() + decisions.REST_MS;
                 task.preemptions++;
@@ -358,6 +378,9 @@
             for (const task of lost) {
                 entries.unassign(task);
                 if (task.phase !== "done") {
+                    if (task.phase !== "recording") {
+                        countThrownAway(task, reason);
+                    }
                     toWaiting(task);
                 }
             }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -22,6 +22,8 @@
     failures: number;
     /** Where a stopped task goes on from; empty: from the start. */
     saved: string;
+    /** When we learned of what it saved last. */
+    savedAt: number;
     phase: TaskPhase;
     /** The worker that holds, or may hold, the task's current run. */
     worker: WorkerEntry | undefined;
@@ -183,6 +185,7 @@
         run: 0,
         failures: 0,
         saved: "",
+        savedAt: 0,
         phase: "waiting",
         worker: undefined,
         orderedAt: 0,
--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -1,5 +1,5 @@
 /** Carries out what a pass has decided: stops, and starts whose rows are stored before any order goes out. */
-import type * as decisions from "../decisions/index";
+import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as bookOfTasks from "./book";
 import type * as entries from "./entries";
@@ -35,12 +35,13 @@
 
 function stopGroup({ book, log, meter }: ExecutionOptions, { groups }: PlannedPass, stop: decisions.PlannedStop): void {
     const { group, forUnit } = stop;
+    const claim = decisions.CLAIM_NAMES[stop.claim];
     const tasks = groups.get(group.key)?.tasks ?? [];
     const queue = tasks[0]?.step.occurrence.job.queue.name ?? "";
-    log.info("preempting", { group: group.key, forUnit, lossCoreSeconds: Math.round(group.lossCoreSeconds) });
+    log.info("preempting", { group: group.key, forUnit, claim, lossCoreSeconds: Math.round(group.lossCoreSeconds) });
     meter.increment("preemptions_total", { queue });
     meter.increment("preempted_core_seconds_total", { queue }, group.lossCoreSeconds);
-    tasks.forEach(task => book.requestStop(task, `preempted for ${forUnit}`));
+    tasks.forEach(task => book.requestStop(task, `preempted (${claim}) for ${forUnit}`));
 }
 
 function placeUnit(
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -23,6 +23,7 @@
 import * as sharing from "./sharing";
 import * as slowness from "./slowness";
 import * as takeover from "./takeover";
+import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep";
 import * as watch from "./watch";
@@ -71,6 +72,7 @@
 const IDLE_PASS_MS = 250;
 /** Short beside the seconds for which an unlisted worker is waited for. */
 const DIRECTORY_CHECK_MS = 600;
+const THROWN_AWAY_LINE_MS = 2_000;
 /** The longest wait that a worker grants a look. */
 const MOST_LOOK_WAIT_MS = 2_000;
 /**
@@ -106,6 +108,7 @@
         signal,
         onDeposed: () => options.onDeposed("another leader's token stands in the store"),
     });
+    const thrownAway = thrownAways.createThrownAway();
     const book = bookOfTasks.createBook({
         clock: time,
         log,
@@ -113,6 +116,7 @@
         getQueue: name => options.catalog.getQueue(name),
         getExpected: job => units.getExpected(job, expect),
         leftOut,
+        thrownAway,
         listener: {
             occurrenceChanged: writer.markOccurrence,
             jobChanged: writer.markJob,
@@ -327,6 +331,18 @@
         });
     };
 
+    const tellThrownAway = async () => {
+        let told = "{}";
+        while (!signal.aborted) {
+            await time.sleep(THROWN_AWAY_LINE_MS, signal);
+            const coreSeconds = thrownAway.getTotals();
+            if (JSON.stringify(coreSeconds) !== told) {
+                told = JSON.stringify(coreSeconds);
+                log.info("workThrownAway", { token: leadership.token, coreSeconds });
+            }
+        }
+    };
+
     const run = async () => {
         const version = await takeover.takeOver({
             store: options.store,
@@ -343,6 +359,7 @@
         ready = true;
         meter.record("takeover_duration_ms", {}, time.now() - openedAt);
         void followDirectory();
+        void tellThrownAway();
         upkeep.runUpkeep({
             board: options.waves,
             service: options.machines,
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -49,6 +49,11 @@
     runs_ended_total: counter("leader: runs that ended", "queue", "how"),
     preemptions_total: counter("leader: units stopped for urgent work", "queue"),
     preempted_core_seconds_total: counter("leader: work that preemption threw away", "queue"),
+    thrown_away_core_seconds_total: counter(
+        "leader: work that was neither done nor saved, by what it was lost to",
+        "queue",
+        "cause",
+    ),
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
     progress_writes_total: counter("leader: transactions that store progress", "outcome"),
