A holder that goes on renewing is not gone: a cut that resets connections costs no takeover

Change: a renewal that is seen over 0.2 s after the holder was told to be gone takes that back, and the holder is watched anew. The test failed first.

--- /dev/null
+++ b/src/leader/__tests__/lease.test.ts
@@ -0,0 +1,68 @@
+import * as events from "node:events";
+import * as clocks from "../../clock/index";
+import * as emulator from "../../emulator/index";
+import * as telemetry from "../../telemetry/index";
+import * as leases from "../lease";
+
+const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
+
+/** Instances that lead or would; `isCut` cuts the one of that name off from the store. */
+function openInstances(names: readonly string[], isCut: (name: string, now: number) => boolean) {
+    const clock = clocks.createManualClock(1_000_000);
+    const store = emulator.createEmulatedStore({
+        clock,
+        latencyMs: 5,
+        faults: { decide: caller => isCut(caller, clock.now()) ? "silent" : "none", lateMs: 0 },
+    });
+    const controller = new AbortController();
+    events.setMaxListeners(0, controller.signal);
+    const terms: string[] = [];
+    const goneByWatcher = new Map<string, () => void>();
+    const open = (name: string) =>
+        leases.createLease({
+            store: store.open(name),
+            clock,
+            log: SILENT_LOG,
+            ...telemetry.createMetrics(),
+            instance: name,
+            life: `${name}-1`,
+            watchAddress: name,
+            peerAddress: "",
+            watchHolder: (_address, onGone) => {
+                goneByWatcher.set(name, onGone);
+                return { getSilentMs: () => undefined, end: () => {} };
+            },
+            power: 1,
+            signal: controller.signal,
+            getWaiting: () => undefined,
+            onRenewalLate: () => {},
+            onElected: () => terms.push(name),
+        });
+    return { clock, terms, leases: names.map(open), tellGone: (name: string) => goneByWatcher.get(name)!() };
+}
+
+describe("an instance that is cut off", () => {
+    const CUT_FROM_MS = 2_000;
+    const CUT_UNTIL_MS = 7_000;
+
+    // Symptom: a leader that is well is succeeded as soon as the cut of another zone ends, and work is lost. Sequence: the
+    // cut resets the connections between the zones and refuses new ones. Cause: to an instance behind it that looks as if
+    // the holder's process were gone, and it believed so for ever, also when it saw the holder renew.
+    test.each([
+        { name: "and told that the holder is gone leaves a holder alone that goes on", tellsGone: true },
+        { name: "and told nothing leaves it alone as well", tellsGone: false },
+    ])("$name", async ({ tellsGone }) => {
+        const site = openInstances(
+            ["first", "second"],
+            (caller, now) => caller === "second" && now >= CUT_FROM_MS && now < CUT_UNTIL_MS,
+        );
+        await site.clock.advance(CUT_FROM_MS + 100);
+        expect(site.terms).toEqual(["first"]);
+        if (tellsGone) {
+            site.tellGone("second");
+        }
+        await site.clock.advance(CUT_UNTIL_MS);
+        expect(site.terms).toEqual(["first"]);
+        expect(site.leases.map(lease => lease.isLeading())).toEqual([true, false]);
+    });
+});
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -96,6 +96,8 @@
 const SILENT_LEASE_MS = 900;
 /** Three heartbeats are missing, and a packet that is lost is sent again sooner. */
 const SILENCE_MS = 600;
+/** The last renewal of a process that has gone may be seen this much later than its end. */
+const LAST_RENEWAL_MS = 200;
 /** Without an answer for this long a renewal is late: ten times what it takes as a rule. */
 const LATE_MS = 150;
 /** After a loss of the store a follower leaves the holder this long to renew first: a takeover costs a look at all. */
@@ -123,7 +125,8 @@
     let term: heldLease.HeldLease | undefined;
     let released = false;
     let watchedHolder = "";
-    let goneHolder: string | undefined;
+    /** A holder whose process was told to be gone, and when. */
+    let gone: { readonly holder: string; readonly toldAt: number; } | undefined;
     /** Token of a term whose holder has said that it is over; the same process may lead again under another. */
     let cededToken: number | undefined;
     let watch: HolderWatch | undefined;
@@ -134,6 +137,7 @@
             return;
         }
         observed = { record: JSON.parse(row.value) as LeaseRecord, version: row.version, seenAt: time.now() };
+        forgetGone(observed.record);
         watchHolder(observed.record);
         if (observed.record.holder === "") {
             wake?.();
@@ -142,6 +146,17 @@
             endTerm(`instance ${observed.record.instance} holds token ${observed.record.token}`);
         }
     };
+    /**
+     * A cut that resets connections and refuses new ones looks from behind it as if the holder's process were gone. The
+     * holder goes on renewing; without this its lease is taken as soon as the cut ends, and work is stopped for nothing.
+     */
+    const forgetGone = (record: LeaseRecord) => {
+        if (gone?.holder === record.holder && time.now() - gone.toldAt > LAST_RENEWAL_MS) {
+            log.info("holderBack", { instance: record.instance, token: record.token });
+            gone = undefined;
+            watchedHolder = "";
+        }
+    };
     /** A holder whose process is gone is not waited for: that costs 1.6 s in which nothing starts. */
     const watchHolder = (record: LeaseRecord) => {
         if (record.holder === watchedHolder) {
@@ -155,7 +170,7 @@
         }
         watch = options.watchHolder(record.watchAddress, () => {
             log.warn("holderGone", { instance: record.instance, token: record.token });
-            goneHolder = record.holder;
+            gone = { holder: record.holder, toldAt: time.now() };
             wake?.();
         });
     };
@@ -220,7 +235,7 @@
         if (!observed) {
             return true;
         }
-        if (isHolderOver(observed) || observed.record.holder === goneHolder) {
+        if (isHolderOver(observed) || observed.record.holder === gone?.holder) {
             return true;
         }
         const now = time.now();
