Submissions lie in 16 parts of the store, so that a slow store takes them all

Ruled out: the store's rate of calls as a whole (3,200 writes a second), the instances' processors and links. Change: the part follows from a hash of the job's id; a takeover reads the parts at once.

--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -20,6 +20,8 @@
     readonly workers: readonly leader.WorkerInfo[];
     readonly catalog: catalogs.Catalog;
     readonly storeFaults?: stores.StoreFaults;
+    /** How long a transaction holds its part of the store; by default parts are never busy. */
+    readonly storePartMs?: number;
     readonly workerFaults?: workersInMemory.WorkerFaults;
     readonly adviser?: leader.Adviser;
     readonly machines?: leader.MachineService;
@@ -83,6 +85,7 @@
     const store = stores.createEmulatedStore({
         clock: time,
         latencyMs: STORE_LATENCY_MS,
+        partMs: options.storePartMs,
         faults: options.storeFaults,
     });
     const maxLeaseMs = options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS;
--- a/src/emulator/store.ts
+++ b/src/emulator/store.ts
@@ -18,12 +18,16 @@
     /** `caller` is the name under which the view of the store was opened. */
     decide(caller: string, call: "transact" | "read" | "feed"): StoreFault;
     readonly lateMs: number;
+    /** How many times slower than usual the store is; by default it is not. */
+    getSlowness?(): number;
 }
 
 export interface EmulatedStoreOptions {
     readonly clock: clock.Clock;
     /** From a call to its answer. */
     readonly latencyMs: number;
+    /** How long a transaction holds its part, which takes one after another; by default parts are never busy. */
+    readonly partMs?: number;
     readonly faults?: StoreFaults;
 }
 
@@ -40,6 +44,8 @@
 
 const NO_FAULTS: StoreFaults = { decide: () => "none", lateMs: 0 };
 const PAGE_ROWS = 500;
+/** A part for which more than this is waiting turns calls away. */
+const MOST_PART_WAIT_MS = 1_000;
 
 export function createEmulatedStore(options: EmulatedStoreOptions): EmulatedStore {
     const { clock: time } = options;
@@ -49,6 +55,9 @@
     let forgottenUpTo = 0;
     let version = 0;
     const waiters = new Set<() => void>();
+    /** When each part has carried out all that it has taken. */
+    const busyUntil = new Map<string, number>();
+    const getLatencyMs = () => options.latencyMs * (faults.getSlowness?.() ?? 1);
 
     const write = (puts: readonly rows.RowPut[], removals: readonly rows.RowKey[]) => {
         version++;
@@ -80,10 +89,11 @@
     const transact = async (caller: string, tx: rows.RowTransaction, timeoutMs: number) => {
         const fault = faults.decide(caller, "transact");
         const unknown: rows.TransactResult = { kind: "unknown", message: `emulated: ${fault}` };
-        await time.sleep(options.latencyMs);
+        if (fault === "none") {
+            return transactInTurn(tx, timeoutMs);
+        }
+        await time.sleep(getLatencyMs());
         switch (fault) {
-            case "none":
-                return apply(tx);
             case "refuse":
                 return { kind: "refused" as const, message: "emulated: refused" };
             case "loseAnswer":
@@ -99,12 +109,36 @@
                 return unknown;
         }
     };
+    /** One transaction of a part after another; a caller that gives up does not take its call back. */
+    const transactInTurn = async (tx: rows.RowTransaction, timeoutMs: number): Promise<rows.TransactResult> => {
+        const partMs = (options.partMs ?? 0) * (faults.getSlowness?.() ?? 1);
+        const [first] = [...tx.puts, ...tx.removals, ...tx.conditions];
+        const now = time.now();
+        const turnAt = Math.max(now, busyUntil.get(first?.part ?? "") ?? 0);
+        if (partMs > 0 && turnAt - now > MOST_PART_WAIT_MS) {
+            await time.sleep(getLatencyMs());
+            return { kind: "refused", message: "emulated: too many calls on this part" };
+        }
+        busyUntil.set(first?.part ?? "", turnAt + partMs);
+        const takesMs = Math.max(getLatencyMs(), turnAt + partMs - now);
+        if (takesMs > timeoutMs) {
+            time.setTimer(takesMs, () => void apply(tx));
+            await time.sleep(timeoutMs);
+            return { kind: "unknown", message: "emulated: no answer in time" };
+        }
+        await time.sleep(takesMs);
+        return apply(tx);
+    };
     const read = async (caller: string, range: rows.RowRange, timeoutMs: number): Promise<rows.ReadResult> => {
         if (faults.decide(caller, "read") !== "none") {
             await time.sleep(timeoutMs);
             return { kind: "unavailable", message: "emulated" };
         }
-        await time.sleep(options.latencyMs);
+        const latencyMs = getLatencyMs();
+        await time.sleep(Math.min(latencyMs, timeoutMs));
+        if (latencyMs > timeoutMs) {
+            return { kind: "unavailable", message: "emulated: no answer in time" };
+        }
         const limit = Math.min(PAGE_ROWS, range.limit ?? PAGE_ROWS);
         const all = list(range.table, range.part).filter(row =>
             (range.from === undefined || row.key >= range.from)
@@ -123,7 +157,7 @@
             await time.sleep(timeoutMs);
             return { kind: "unavailable", message: "emulated" };
         }
-        await time.sleep(options.latencyMs);
+        await time.sleep(getLatencyMs());
         const until = time.now() + waitMs;
         for (;;) {
             if (after < forgottenUpTo) {
--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -217,7 +217,12 @@
         for (let number = 0; number < waiting; number++) {
             const jobId = number.toString(16).padStart(16, "0");
             const submission: work.Submission = { jobId, queue: QUEUE, account: "x", acceptedAt: 0, spec: SPEC };
-            opened.store.put({ table: "jobs", part: "intake", key: jobId, value: JSON.stringify(submission) });
+            opened.store.put({
+                table: "jobs",
+                part: work.getIntakePart(jobId),
+                key: jobId,
+                value: JSON.stringify(submission),
+            });
         }
         expect(await count(opened)).toEqual({ kind: "waiting", count: waiting });
     });
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -74,8 +74,6 @@
 /** Counts older than this are taken from the rows instead. */
 const COUNTS_AGE_MS = 2_000;
 
-type ReadRange = rows.RowStore["read"];
-
 export function createIntake(options: IntakeOptions): Intake {
     const { store, clock: time, log, meter, health } = options;
 
@@ -90,8 +88,13 @@
      * Where the store is away the outcome stays open at once: nobody here learns more before the caller's deadline, and
      * another instance, or the caller's next try, may.
      */
-    const createRow = async (caller: Caller, key: string, value: string): Promise<IntakeReply> => {
-        const row = { table: work.Table.Jobs, part: work.INTAKE_PART, key };
+    const createRow = async (
+        caller: Caller,
+        jobId: string,
+        value: string,
+        key = jobId,
+    ): Promise<IntakeReply> => {
+        const row = { table: work.Table.Jobs, part: work.getIntakePart(jobId), key };
         if (isStoreAway()) {
             // Nothing is sent, so that the refusal is certain as well as immediate.
             return { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason: "the store cannot be reached" };
@@ -132,13 +135,12 @@
     /** Reads rows until it succeeds, the store is known to be away or the caller's time is over. */
     const read = async (
         caller: Caller,
-        range: rows.RowRange,
-        readRange: ReadRange = store.read,
+        readOnce: (timeoutMs: number) => Promise<rows.ReadResult>,
     ): Promise<readonly rows.Row[] | string> => {
         let reason = "the store cannot be reached";
         let failures = 0;
         while (!isStoreAway() && getLeftMs(caller) > 0 && failures < REFUSALS_BEFORE_REPLY) {
-            const result = await readRange(range, getTimeout(caller, READ_TIMEOUT_MS));
+            const result = await readOnce(getTimeout(caller, READ_TIMEOUT_MS));
             if (result.kind === "read") {
                 return result.rows;
             }
@@ -149,9 +151,10 @@
         return reason;
     };
 
+    const readRange = (caller: Caller, range: rows.RowRange) => read(caller, timeoutMs => store.read(range, timeoutMs));
     const readProgress = (caller: Caller, jobId: string) =>
         // The job's own row is the first of its rows; `!` sorts before what follows the id in the others' keys.
-        read(caller, {
+        readRange(caller, {
             table: work.Table.Progress,
             part: work.LEADER_PART,
             from: jobId,
@@ -159,9 +162,9 @@
             limit: 1,
         });
     const readSubmission = (caller: Caller, jobId: string) =>
-        read(caller, {
+        readRange(caller, {
             table: work.Table.Jobs,
-            part: work.INTAKE_PART,
+            part: work.getIntakePart(jobId),
             from: jobId,
             before: `${work.getCancelKey(jobId)}!`,
             limit: 2,
@@ -243,7 +246,7 @@
         if (submission.length === 0) {
             return { kind: "unknownJob" };
         }
-        const created = await createRow(caller, work.getCancelKey(jobId), "");
+        const created = await createRow(caller, jobId, "", work.getCancelKey(jobId));
         switch (created.kind) {
             case "accepted":
                 return { kind: "cancelled" };
@@ -256,11 +259,12 @@
 
     /** Without a leader's recent counts: jobs without a progress row have not begun. */
     const countRows = async (caller: Caller): Promise<IntakeReply> => {
-        const readPages: ReadRange = (range, timeoutMs) => rows.readAll(store, range, timeoutMs);
-        const intake = await read(caller, { table: work.Table.Jobs, part: work.INTAKE_PART }, readPages);
+        const readTable = (table: string, parts: readonly string[]) =>
+            read(caller, timeoutMs => rows.readParts(store, table, parts, timeoutMs));
+        const intake = await readTable(work.Table.Jobs, work.INTAKE_PARTS);
         const progress = typeof intake === "string"
             ? intake
-            : await read(caller, { table: work.Table.Progress, part: work.LEADER_PART }, readPages);
+            : await readTable(work.Table.Progress, [work.LEADER_PART]);
         if (typeof intake === "string" || typeof progress === "string") {
             return createUnavailable(typeof intake === "string" ? intake : String(progress));
         }
--- a/src/leader/followIntake.ts
+++ b/src/leader/followIntake.ts
@@ -35,9 +35,10 @@
                 options.onRows(changes.rows.filter(row => !row.removed));
                 break;
             case "gap": {
-                const all = await rows.readAll(
+                const all = await rows.readParts(
                     store,
-                    { table: work.Table.Jobs, part: work.INTAKE_PART },
+                    work.Table.Jobs,
+                    work.INTAKE_PARTS,
                     READ_SILENCE_MS,
                     rows.MOST_ANSWER_MS,
                 );
--- a/src/leader/retention.ts
+++ b/src/leader/retention.ts
@@ -68,7 +68,7 @@
         puts: [],
         removals: [jobId, work.getCancelKey(jobId)].map(key => ({
             table: work.Table.Jobs,
-            part: work.INTAKE_PART,
+            part: work.getIntakePart(jobId),
             key,
         })),
     }, CALL_TIMEOUT_MS);
--- a/src/leader/takeover.ts
+++ b/src/leader/takeover.ts
@@ -25,8 +25,8 @@
 export async function takeOver(options: TakeoverOptions): Promise<number | undefined> {
     const startedAt = options.clock.now();
     const [submissions, progress] = await Promise.all([
-        readUntilDone(options, { table: work.Table.Jobs, part: work.INTAKE_PART }),
-        readUntilDone(options, { table: work.Table.Progress, part: work.LEADER_PART }),
+        readUntilDone(options, work.Table.Jobs, work.INTAKE_PARTS),
+        readUntilDone(options, work.Table.Progress, [work.LEADER_PART]),
     ]);
     if (!submissions || !progress) {
         return undefined;
@@ -89,14 +89,15 @@
 
 async function readUntilDone(
     options: TakeoverOptions,
-    range: rows.RowRange,
+    table: string,
+    parts: readonly string[],
 ): Promise<Extract<rows.ReadResult, { kind: "read"; }> | undefined> {
     while (!options.signal.aborted) {
-        const all = await rows.readAll(options.store, range, READ_SILENCE_MS, rows.MOST_ANSWER_MS);
+        const all = await rows.readParts(options.store, table, parts, READ_SILENCE_MS, rows.MOST_ANSWER_MS);
         if (all.kind === "read") {
             return all;
         }
-        options.log.warn("takeoverReadFailed", { table: range.table, why: all.message });
+        options.log.warn("takeoverReadFailed", { table, why: all.message });
         await options.clock.sleep(RETRY_PAUSE_MS, options.signal);
     }
     return undefined;
--- a/src/rows/index.ts
+++ b/src/rows/index.ts
@@ -86,5 +86,5 @@
 
 export { createCountedStore } from "./countedStore";
 export { followTable, type TableFollower, type TableFollowerOptions } from "./followTable";
-export { readAll } from "./readAll";
+export { readAll, readParts } from "./readAll";
 export { createStoreHealth, type StoreHealth, type StoreHealthOptions } from "./storeHealth";
--- a/src/rows/readAll.ts
+++ b/src/rows/readAll.ts
@@ -28,3 +28,27 @@
         from = `${last.key}\u0001`;
     }
 }
+
+/**
+ * Reads several parts of a table at once, each whole. The version is the lowest of theirs: whoever follows the table
+ * from it sees some changes again, and misses none.
+ */
+export async function readParts(
+    store: rows.RowStore,
+    table: string,
+    parts: readonly string[],
+    timeoutMs: number,
+    mostMs?: number,
+): Promise<rows.ReadResult> {
+    const read = await Promise.all(parts.map(part => readAll(store, { table, part }, timeoutMs, mostMs)));
+    const all: rows.Row[] = [];
+    let version = Infinity;
+    for (const result of read) {
+        if (result.kind !== "read") {
+            return result;
+        }
+        all.push(...result.rows);
+        version = Math.min(version, result.version);
+    }
+    return { kind: "read", rows: all, hasMore: false, version };
+}
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -1,3 +1,4 @@
+import * as work from "../../work/index";
 import * as fixtures from "./fixtures";
 
 const WHOLE_WORKER = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 8 };
@@ -211,7 +212,7 @@
         const site = await fixtures.openWithJobs({}, [job]);
         await site.clock.advance(4_000);
         // A leader was lost between removing the submission and removing its progress.
-        site.store.remove({ table: "jobs", part: "intake", key: job.jobId });
+        site.store.remove({ table: "jobs", part: work.getIntakePart(job.jobId), key: job.jobId });
         const before = site.workers.starts.length;
         site.kill(site.getLeader()!);
         await site.clock.advance(3_000);
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -87,6 +87,7 @@
     /** Machines `m0`, `m1` … lie beneath the workers of these numbers. */
     readonly machines?: (time: clocks.Clock) => emulator.EmulatedMachines;
     readonly storeFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["storeFaults"];
+    readonly storePartMs?: number;
     readonly workerFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["workerFaults"];
 }): TestSite {
     const time = clocks.createManualClock(1_000_000);
@@ -110,6 +111,7 @@
         machines: machines?.service,
         waves: machines?.board,
         storeFaults: options.storeFaults?.(time),
+        storePartMs: options.storePartMs,
         workerFaults: options.workerFaults?.(time),
     });
     workers.forEach((info, number) => machines?.put(`m${number}`, info, site.workers));
--- a/src/work/index.ts
+++ b/src/work/index.ts
@@ -22,9 +22,10 @@
 export {
     getCancelKey,
     getCancelledJobId,
+    getIntakePart,
     getOccurrenceKey,
     getTaskName,
-    INTAKE_PART,
+    INTAKE_PARTS,
     LEADER_PART,
     parseOccurrenceKey,
     Table,
