A run that fails as soon as it begins sets its worker aside; a job that can never be done does not

Change: a failure within 5% of the expected duration is enough, unless the step has failed so on two workers, or a fifth of its running tasks, before: then it is held against no worker. Each failed member of a gang counts. Both tests failed first. The emulated workers were wrong: they failed at the end of a run.

--- a/src/decisions/mechanism.ts
+++ b/src/decisions/mechanism.ts
@@ -16,6 +16,7 @@
     prediction: "callers' estimates are corrected by what was seen of their queue",
     hangingTasks: "tasks without progress are stopped and their workers set aside",
     failingWorkers: "workers on which several runs fail are set aside",
+    earlyFailures: "a run that fails as soon as it begins is enough to set its worker aside",
     slowWorkers: "workers that turn slow are set aside",
     slowMoves: "tasks on slow workers are moved where that pays",
     leavingWorkers: "what cannot end before its worker leaves is stopped in time",
--- a/src/emulator/workerLife.ts
+++ b/src/emulator/workerLife.ts
@@ -27,6 +27,8 @@
     /** Work done, in milliseconds of the model's duration. */
     doneMs: number;
     stoppingAt: number | undefined;
+    /** Started on a worker on which everything fails. */
+    readonly failsSoon: boolean;
 }
 
 export interface Life {
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -23,6 +23,8 @@
     readonly lateMs: number;
     /** How many times slower than usual the worker's tasks are; `Infinity`: they stand still. */
     getSlowness(workerId: string): number;
+    /** Whether what is started there now fails a moment later; by default nothing does. */
+    isFailing?(workerId: string): boolean;
 }
 
 export interface EmulatedWorkersOptions {
@@ -148,6 +150,10 @@
                 continue;
             }
             const gang = run.model.gangSize > 1 ? findGang(run) : [{ life, run }];
+            if (run.failsSoon) {
+                gang.forEach(member => end(member.life, member.run, member.run.failsSoon ? "failed" : "broken"));
+                continue;
+            }
             if (gang.length < run.model.gangSize) {
                 if (time.now() - run.startedAt >= gangTimeoutMs) {
                     aloneEnds.push({ task: run.task, run: run.run, workerId: life.info.id, at: time.now() });
@@ -230,6 +236,7 @@
             startedAt: time.now(),
             doneMs: resumedMs,
             stoppingAt: undefined,
+            failsSoon: faults.isFailing?.(life.info.id) ?? false,
         };
         life.runs.set(order.task, run);
         starts.push({ task: order.task, run: order.run, workerId: life.info.id, at: time.now() });
--- a/src/experiment/__tests__/drawn.test.ts
+++ b/src/experiment/__tests__/drawn.test.ts
@@ -35,9 +35,10 @@
         expect(countValues(load => load.workers)).toBeGreaterThan(15);
         expect(countValues(load => load.zones)).toBe(4);
         expect(countValues(load => load.classes.length)).toBe(3);
-        expect(countValues(load => load.troubles.length)).toBe(5);
+        expect(countValues(load => load.troubles.length)).toBe(6);
         const kinds = new Set(loads.flatMap(load => load.troubles.map(trouble => trouble.kind)));
-        expect(kinds.size).toBe(9);
+        expect(kinds.size).toBe(10);
+        expect(countValues(load => load.speeds?.join() ?? "")).toBe(3);
     });
 });
 
@@ -113,16 +114,17 @@
     preemption: 30,
     sparing: 35,
     lateness: 19,
-    repeatedStops: 30,
+    repeatedStops: 21,
     rests: 30,
     rackPatience: 34,
     dataPatience: 7,
     gangData: 30,
     idlePatience: 19,
-    inTimeOrder: 20,
+    inTimeOrder: 21,
     prediction: 7,
     hangingTasks: 36,
     failingWorkers: 33,
+    earlyFailures: 33,
     slowWorkers: 36,
     slowMoves: 36,
     leavingWorkers: 36,
--- a/src/experiment/drawnLoad.ts
+++ b/src/experiment/drawnLoad.ts
@@ -38,7 +38,7 @@
     };
     const site = { workers, capacity, forMs: FOR_MS };
     const classes = drawClasses(site, source);
-    return {
+    const load = {
         about: `drawn from seed ${seed}`,
         ...site,
         workersPerRack: Math.min(workers, whole(SIZES[size].workersPerRack)),
@@ -54,6 +54,23 @@
             () => drawTrouble(classes, source),
         ),
     };
+    return {
+        ...load,
+        troubles: [...load.troubles, ...drawZoneCut(zones, source)],
+        speeds: source.pick(SPEEDS),
+    };
+}
+
+/** Workers of one speed, or of several kinds. */
+const SPEEDS: ReadonlyArray<readonly number[]> = [[1], [0.8, 1, 1.25], [0.8, 1, 1.25], [0.6, 1, 1.4]];
+const ZONE_CUT_SHARE = 0.3;
+
+function drawZoneCut(zones: number, source: random.Random): loads.Trouble[] {
+    const isCut = source.nextFloat() < ZONE_CUT_SHARE;
+    const atMs = 2_000 + source.nextInt(FOR_MS - 8_000);
+    const forMs = 3_000 + source.nextInt(6_000);
+    const zone = source.nextInt(zones);
+    return isCut ? [{ kind: "zoneCut", atMs, forMs, zone }] : [];
 }
 
 type Site = Pick<loads.Load, "workers" | "capacity">;
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -53,6 +53,8 @@
     | { readonly kind: "hang"; readonly atMs: number; readonly forMs: number; readonly share: number; }
     /** A share of the workers cannot be reached, and runs on. */
     | { readonly kind: "cut"; readonly atMs: number; readonly forMs: number; readonly share: number; }
+    /** A zone's workers cannot be reached, and run on. */
+    | { readonly kind: "zoneCut"; readonly atMs: number; readonly forMs: number; readonly zone: number; }
     /** All that a share of the workers starts fails. */
     | { readonly kind: "fail"; readonly atMs: number; readonly forMs: number; readonly share: number; }
     /** A share of the workers is lost for good. */
@@ -85,4 +87,6 @@
     /** Jobs come for this long. */
     readonly forMs: number;
     readonly troubles: readonly Trouble[];
+    /** Speeds of which each worker has one, at random; without it all have 1. */
+    readonly speeds?: readonly number[];
 }
--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -33,7 +33,11 @@
     const startAt = time.now() + LEAD_MS;
     const record = jobRecord.createRecord(planned, () => time.now() - startAt);
     const workers = Array.from({ length: load.workers }, (_, number) => siteOfLoad.createWorker(number, load));
-    const affected = troubles.createTroubles(load, workers, source, () => time.now() - startAt);
+    const affected = troubles.createTroubles(load, workers, {
+        source,
+        speeds: siteOfLoad.drawSpeeds(load, options.seed),
+        now: () => time.now() - startAt,
+    });
     const site = emulator.createSite({
         clock: time,
         log: record.log,
@@ -45,7 +49,6 @@
         storeFaults: affected.storeFaults,
         policy: options.policy,
     });
-    affected.failOn(site.workers, planned);
     const samples: outcomes.Sample[] = [];
     await time.advance(LEAD_MS);
     let next = 0;
--- a/src/experiment/siteOfLoad.ts
+++ b/src/experiment/siteOfLoad.ts
@@ -11,7 +11,7 @@
     return {
         id: `worker-${number}`,
         address: `worker-${number}`,
-        zone: `zone-${Math.floor(number / load.workersPerRack) % load.zones}`,
+        zone: getZoneName(Math.floor(number / load.workersPerRack) % load.zones),
         service: SERVICE,
         rack,
         labels: ["a", rack],
@@ -21,6 +21,19 @@
     };
 }
 
+export function getZoneName(zone: number): string {
+    return `zone-${zone}`;
+}
+
+/** How fast each worker is; drawn apart from all else, so that the load's jobs and troubles stay the same. */
+export function drawSpeeds(load: loads.Load, seed: number): readonly number[] {
+    const source = generate.createSource(seed + FIRST_SPEED_SEED);
+    return Array.from({ length: load.workers }, () => source.pick(load.speeds ?? [1]));
+}
+
+/** Far from the seeds of loads. */
+const FIRST_SPEED_SEED = 7_000_000;
+
 export function createCatalog(load: loads.Load): catalogs.Catalog {
     const total = load.workers * load.capacity.accelerators * load.guaranteed;
     const weights = Array.from({ length: load.accounts }, (_, number) => load.skew ** number);
--- a/src/experiment/troubles.ts
+++ b/src/experiment/troubles.ts
@@ -2,8 +2,8 @@
 import type * as emulator from "../emulator/index";
 import type * as leader from "../leader/index";
 import type * as random from "../random/index";
-import type * as generate from "./generate";
 import type * as loads from "./load";
+import * as siteOfLoad from "./siteOfLoad";
 
 export interface Troubles {
     readonly faults: emulator.WorkerFaults;
@@ -12,8 +12,6 @@
     readonly storeFaults: emulator.StoreFaults;
     /** Lets workers crash or drain, and leaders fall silent and return, whose time has come. */
     apply(site: emulator.Site, atMs: number): void;
-    /** Makes runs fail that were started where all fails. */
-    failOn(workers: emulator.EmulatedWorkers, planned: readonly generate.PlannedJob[]): void;
 }
 
 interface Strike {
@@ -25,12 +23,18 @@
 export function createTroubles(
     load: loads.Load,
     workers: readonly leader.WorkerInfo[],
-    source: random.Random,
-    now: () => number,
+    options: {
+        readonly source: random.Random;
+        /** How fast each worker is as a rule. */
+        readonly speeds: readonly number[];
+        now(): number;
+    },
 ): Troubles {
+    const { source, now } = options;
+    const speedById = new Map(workers.map((worker, number) => [worker.id, options.speeds[number]!]));
     const strikes = load.troubles.map((trouble): Strike => ({
         trouble,
-        workerIds: new Set("share" in trouble ? pickIds(workers, trouble.share, source) : []),
+        workerIds: new Set(findStruck(trouble, workers, source)),
         applied: false,
     }));
     let workerCalls = 0;
@@ -44,7 +48,7 @@
         faults: {
             decide: workerId => {
                 workerCalls++;
-                return isStruck("cut", workerId, now()) ? "cut" : "none";
+                return isStruck("cut", workerId, now()) || isStruck("zoneCut", workerId, now()) ? "cut" : "none";
             },
             lateMs: 0,
             getSlowness: workerId => {
@@ -52,8 +56,9 @@
                     return Infinity;
                 }
                 const slow = isStruck("slow", workerId, now())?.trouble;
-                return slow?.kind === "slow" ? slow.times : 1;
+                return (slow?.kind === "slow" ? slow.times : 1) / speedById.get(workerId)!;
             },
+            isFailing: workerId => isStruck("fail", workerId, now()) !== undefined,
         },
         countWorkerCalls: () => workerCalls,
         storeFaults: {
@@ -90,19 +95,21 @@
                 }
             }
         },
-        failOn: (emulated, planned) => {
-            for (const { job } of planned) {
-                const { fails } = job;
-                job.fails = (task, run) => {
-                    const start = emulated.starts.find(candidate => candidate.task === task && candidate.run === run);
-                    return fails?.(task, run) === true
-                        || (start !== undefined && isStruck("fail", start.workerId, now()) !== undefined);
-                };
-            }
-        },
     };
 }
 
+function findStruck(
+    trouble: loads.Trouble,
+    workers: readonly leader.WorkerInfo[],
+    source: random.Random,
+): readonly string[] {
+    if (trouble.kind === "zoneCut") {
+        const zone = siteOfLoad.getZoneName(trouble.zone);
+        return workers.filter(worker => worker.zone === zone).map(worker => worker.id);
+    }
+    return "share" in trouble ? pickIds(workers, trouble.share, source) : [];
+}
+
 function pickIds(workers: readonly leader.WorkerInfo[], share: number, source: random.Random): string[] {
     const left = workers.map(worker => worker.id);
     const picked: string[] = [];
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -28,6 +28,8 @@
     readonly listener: BookListener;
     getQueue(name: string): catalog.Queue | undefined;
     getExpected(job: entries.JobEntry): outcomes.ExpectedTimes;
+    /** How long a run of the step's tasks is expected to take. */
+    expectRun(step: entries.StepEntry): number;
     readonly leftOut: ReadonlySet<decisions.Mechanism>;
     readonly thrownAway: thrownAways.ThrownAway;
 }
@@ -96,6 +98,8 @@
         meter,
         listener,
         getExpected: options.getExpected,
+        expectRun: options.expectRun,
+        leftOut: options.leftOut,
         onOver: job => active.delete(job),
         stopAll,
     });
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -66,6 +66,8 @@
     doneCount: number;
     /** Latest run of a gang that was counted as failed: its other members' ends must not count again. */
     failedRun: number;
+    /** Workers that were set aside since the step failed there as soon as it began. */
+    readonly blamedWorkers: Set<string>;
     /** Since when the step may start: its earlier steps are done. */
     readySince: number | undefined;
     /** Tickets of the adviser by worker, each with the time until which it holds. */
@@ -128,7 +130,7 @@
     readonly used: decisions.MutableRoom;
     /** Tasks that run there without our knowledge; none is started until they are gone. */
     strangers: number;
-    /** Consecutive failed runs of different jobs without a success. */
+    /** Consecutive failed runs without a success; more for those that failed as soon as they began. */
     failuresInRow: number;
 }
 
@@ -165,6 +167,7 @@
             tasks: [],
             doneCount: 0,
             failedRun: 0,
+            blamedWorkers: new Set(),
             readySince: spec.after.length === 0 ? now : undefined,
             tickets: new Map(),
         };
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -3,6 +3,7 @@
 import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
+import * as blame from "./blame";
 import * as entries from "./entries";
 
 /** Of one occurrence, as expected now. */
@@ -22,6 +23,9 @@
         jobChanged(job: entries.JobEntry): void;
     };
     getExpected(job: entries.JobEntry): ExpectedTimes;
+    /** How long a run of the step's tasks is expected to take. */
+    expectRun(step: entries.StepEntry): number;
+    readonly leftOut: ReadonlySet<decisions.Mechanism>;
     onOver(job: entries.JobEntry): void;
     /** Stops what still runs of an occurrence that is over. */
     stopAll(occurrence: entries.OccurrenceEntry, reason: string): void;
@@ -111,6 +115,9 @@
 
     const countFailure = (task: entries.TaskEntry, run: number, worker: entries.WorkerEntry) => {
         const { step } = task;
+        if (!step.spec.lasting) {
+            blame.blameWorker(worker, task, options.expectRun(step), { now: time.now(), leftOut: options.leftOut });
+        }
         if (step.spec.gang && step.failedRun === run) {
             return;
         }
@@ -127,7 +134,6 @@
             return;
         }
         task.failedOn.add(worker.id);
-        worker.failuresInRow++;
         log.info("runFailed", {
             task: task.name,
             run,
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -2,6 +2,7 @@
 import type * as clock from "../clock/index";
 import type * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
+import * as blame from "./blame";
 import type * as book from "./book";
 import type * as entries from "./entries";
 import type * as heldLease from "./heldLease";
@@ -25,9 +26,6 @@
 const STALL_FACTOR = 2;
 /** A worker with a hanging task gets no other for this long. */
 const HANG_ASIDE_MS = 6_000;
-/** Failures in a row, on different tasks, after which a worker is set aside; 2% of sound runs fail. */
-const SUSPECT_FAILURES = 2;
-const SUSPECT_ASIDE_MS = 5_000;
 /** While fillers run beside serving tasks, their figures are needed this often. */
 const SHARING_WAIT_MS = 700;
 
@@ -68,11 +66,7 @@
 ): void {
     const { leftOut } = options;
     for (const worker of workers) {
-        if (worker.failuresInRow >= SUSPECT_FAILURES && !leftOut.has("failingWorkers")) {
-            worker.failuresInRow = 0;
-            worker.setAsideUntil = options.now + SUSPECT_ASIDE_MS;
-            options.log.warn("workerSuspect", { worker: worker.id, reason: "failures in a row" });
-        }
+        blame.judgeFailures(worker, options);
         for (const task of worker.tasks) {
             if (task.phase !== "running" || !worker.heard) {
                 continue;
--- /dev/null
+++ b/src/scheduler/__tests__/failingWorkers.test.ts
@@ -0,0 +1,51 @@
+import * as fixtures from "./fixtures";
+
+const WHOLE_WORKER = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 8 };
+const FAILING = "worker-3";
+
+describe("runs that fail as soon as they begin", () => {
+    // Symptom: urgent jobs end as failed within half a second. Sequence: a worker turns to failing all it starts; the
+    // others are full, so it is free again at once and is given one unit after the other. Cause: only a second failure
+    // spoke against a worker.
+    test("set their worker aside at the first one", async () => {
+        const filling = fixtures.createJob(1, { count: 3, needs: WHOLE_WORKER, estimateMs: 3_000 });
+        const urgent = [2, 3, 4].map(number => fixtures.createJob(number, { needs: WHOLE_WORKER }));
+        const site = await fixtures.openWithJobs({
+            workerFaults: () => ({
+                decide: () => "none",
+                lateMs: 0,
+                getSlowness: () => 1,
+                isFailing: id => id === FAILING,
+            }),
+        }, [filling]);
+        for (const job of urgent) {
+            await fixtures.settle(site.clock, site.submit(job, 1));
+            await site.clock.advance(300);
+        }
+        await site.clock.advance(2_000);
+        expect(site.workers.starts.filter(start => start.workerId === FAILING)).toHaveLength(1);
+        await site.clock.advance(12_000);
+        for (const job of urgent) {
+            const state = await fixtures.settle(site.clock, site.getState(job.jobId, 1));
+            expect(state).toEqual({ kind: "state", state: "completed" });
+        }
+        site.close();
+    });
+
+    // Symptom: nothing starts for 5 s, beside sound workers. Sequence: a job that can never be done fails with each of
+    // its tasks on another worker. Cause: every failure was held against the worker.
+    test("of a job that can never be done leave most workers in use", async () => {
+        const poisoned = fixtures.createJob(
+            1,
+            { count: 8, estimateMs: 4_000, needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 4 } },
+            { durationsMs: [50], fails: () => true },
+        );
+        const site = await fixtures.openWithJobs({}, [poisoned]);
+        await site.clock.advance(600);
+        const sound = fixtures.createJob(2, { count: 2, needs: WHOLE_WORKER, estimateMs: 1_000 });
+        await fixtures.settle(site.clock, site.submit(sound, 1));
+        await site.clock.advance(500);
+        expect(fixtures.getStarts(site, sound)).toHaveLength(2);
+        site.close();
+    });
+});
