A lost answer is not taken for a slow store

Now an open renewal counts only until a later call is answered, and writes wait by the latest answer. renewals.test.ts, 'last as usual where an answer is lost …', failed before; a table for the rest.

--- a/src/leader/renewals.ts
+++ b/src/leader/renewals.ts
@@ -76,13 +76,23 @@
     let lastSent = first;
     const open = new Set<SentRenewal>();
     let nextAt = first.sentAt.monotonic + RENEW_EVERY_MS;
-    /** How long the latest answer took. */
+    /** Of the latest call that was answered: when it was sent, and how long it took. */
+    let answeredSentAt = first.sentAt.monotonic;
     let answerMs = 0;
 
-    /** What an answer takes now, as far as is known: an open call counts for as long as it has been open. */
+    const takeAnswer = (sentAt: number, outcome: rows.TransactResult) => {
+        if ((outcome.kind === "committed" || outcome.kind === "conflict") && sentAt >= answeredSentAt) {
+            answeredSentAt = sentAt;
+            answerMs = time.now() - sentAt;
+        }
+    };
+    /**
+     * What an answer takes now, as far as is known: a renewal without one counts for as long as it has been open, unless a
+     * later call was answered; then its answer is lost, and the store is not slow.
+     */
     const getAnswerMs = () => {
-        const [oldest] = open;
-        return Math.max(answerMs, oldest ? time.now() - oldest.sentAt.monotonic : 0);
+        const openSince = [...open].map(sent => sent.sentAt.monotonic).filter(sentAt => sentAt > answeredSentAt);
+        return Math.max(answerMs, ...openSince.map(sentAt => time.now() - sentAt));
     };
     /**
      * Ends no sooner than the one before: the holder counts on the latest that it knows of, a successor on the latest that
@@ -107,6 +117,7 @@
             settle: (outcome: rows.TransactResult) => {
                 cancelLate();
                 open.delete(sent);
+                takeAnswer(sent.sentAt.monotonic, outcome);
                 settle(sent, row, outcome);
             },
         };
@@ -114,7 +125,6 @@
     const settle = (sent: SentRenewal, row: rows.RowPut, outcome: rows.TransactResult) => {
         switch (outcome.kind) {
             case "committed":
-                answerMs = time.now() - sent.sentAt.monotonic;
                 if (sent.sentAt.monotonic >= renewed.sentAt.monotonic) {
                     renewed = sent;
                 }
@@ -140,11 +150,13 @@
             const guarded = [options.guard, ...conditions];
             const mayRenew = guarded.length + puts.length + removals.length < MOST_ENTRIES;
             const renewal = mayRenew && renewals.getDueMs() <= 0 ? begin() : undefined;
+            const sentAt = time.now();
             const outcome = await store.transact({
                 conditions: guarded,
                 puts: renewal ? [...puts, renewal.row] : puts,
                 removals,
-            }, timeoutMs + ANSWERS_IN_LEASE * getAnswerMs());
+            }, timeoutMs + ANSWERS_IN_LEASE * answerMs);
+            takeAnswer(sentAt, outcome);
             renewal?.settle(outcome);
             return outcome;
         },
