--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -1,7 +1,7 @@
 /**
  * The workers of one pass, indexed by the room that is left on them.
  *
- * Looking at every worker for every waiting unit costs 200 to 500 us a unit at 4,800 workers. The index finds the
+ * Looking at every worker for every waiting unit takes most of a leader's time on a large site. The index finds the
  * fullest worker that fits by two binary searches, and skips a rack that cannot hold a gang by one comparison.
  */
 import type * as work from "../work/index";
--- a/src/decisions/sparing.ts
+++ b/src/decisions/sparing.ts
@@ -3,8 +3,7 @@
  *
  * What goes wrong without it: victims are chosen worker by worker, the cheapest room first, and a larger worker that is
  * chosen last may hold the whole unit by itself; a gang that is stopped for one worker gives room on its others too.
- * One notices work that is stopped on workers on which the unit is never placed: a quarter of all stops for urgent
- * work on a heavy day with a zone cut off.
+ * One notices work that is stopped on workers on which the unit is never placed.
  */
 import type * as fleets from "./fleet";
 import * as place from "./place";
--- a/src/decisions/speed.ts
+++ b/src/decisions/speed.ts
@@ -22,7 +22,7 @@
 const LEAST_SAMPLE_MS = 400;
 /** Slower by less than this is what tasks do to each other on a shared worker. */
 const SLOW_FACTOR = 2.5;
-/** How long a slow spell still lasts when it is noticed; known ones took 5 to 8 s in all. */
+/** How long a slow spell still lasts when it is noticed. */
 const SPELL_MS = 4_000;
 /** Placing a task anew and, where it goes on from what it saved, restoring that. */
 const RESTART_MS = 600;
--- a/src/decisions/stopCost.ts
+++ b/src/decisions/stopCost.ts
@@ -2,9 +2,8 @@
  * What it costs to stop running work for urgent work, in core-seconds of work thrown away.
  *
  * What goes wrong when only the thrown away work counts: the work that has just begun is the cheapest, so a job that was
- * stopped is the first to be stopped again as soon as it runs (95 of the 212 groups that a heavy day stopped were
- * stopped two to four times); and work is stopped that ends late for it, beside work that has time. One notices large
- * jobs that never end.
+ * stopped is the first to be stopped again as soon as it runs; and work is stopped that ends late for it, beside work
+ * that has time. One notices large jobs that never end.
  */
 import * as order from "./order";
 import type * as speed from "./speed";
@@ -25,12 +24,9 @@
 
 /** Work that was stopped for urgent work rests for what urgent jobs take on average: the next one takes its room. */
 export const REST_MS = 2_000;
-/**
- * Of a job that ends late for the stop, by priority, in core-seconds of thrown away work. The worth of 40 random
- * deployments hardly depends on them: 0.004 more at half, standard error 0.004, and 0.000 at double.
- */
+/** Of a job that ends late for the stop, by priority, in core-seconds of thrown away work. */
 const LATENESS_CORE_SECONDS: readonly number[] = [1_500, 1_000, 330];
-/** Of each earlier stop, beside counting all else once more. Chosen, not measured: the first value tried. */
+/** Of each earlier stop, beside counting all else once more. */
 const PREEMPTION_CORE_SECONDS = 100;
 
 export function getStopCost(input: StopCostInput): number {
@@ -48,8 +44,8 @@
 /**
  * Whether a move saves more than the work that it throws away: the job is then in time, or at least not past all worth.
  *
- * Without this condition every urgent task that would end sooner elsewhere is moved: over 60 random deployments with slow
- * workers that changed nothing of what was served (-0.000, standard error 0.004) and threw away more work (0.010, 0.003).
+ * Without this condition every urgent task that would end sooner elsewhere is moved, which serves nobody better and throws
+ * away more work.
  */
 export function paysToMove(urgency: order.Urgency, times: speed.MoveTimes, lossCoreSeconds: number): boolean {
     const stays = order.getProspect({ ...urgency, remainingMs: times.stayMs });
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -213,8 +213,7 @@
     };
     /**
      * A leader on a weak machine is succeeded by a strong one: it falls behind under load, takes its own backlog for
-     * unanswered orders and stops sound work. Reading all jobs at a takeover took strong machines
-     * 0.05 to 0.17 s on the grown sites.
+     * unanswered orders and stops sound work, which costs more than a takeover.
      */
     const isMuchStronger = (): boolean =>
         observed !== undefined && contactSince !== undefined
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -41,7 +41,7 @@
 const STOP_RETRY_MS = 200;
 /**
  * More starts at once only wait for our own processor, and their timeouts run meanwhile: a leader on a third of a core
- * placed up to 348 units within 0.1 s, and over a day of 58 s stopped 712 runs whose answers it had not read in time.
+ * stops sound runs whose answers it has not read in time.
  */
 const MAX_STARTS_IN_FLIGHT = 32;
 /** For a look that is lost as well; members of a gang wait 3 s for each other. */
--- a/src/leader/upkeepRows.ts
+++ b/src/leader/upkeepRows.ts
@@ -20,7 +20,7 @@
 
 const TABLE = "upkeep";
 /**
- * With all orders of a wave in one row, a wave of more than 877 machines stood still: 56 bytes each, and the store
+ * With all orders of a wave in one row, a wave of more than 877 machines stands still: 56 bytes each, and the store
  * refuses a row of more than 49,152 bytes before it is encoded. So many take 11 kB, which leaves room for longer names;
  * the 99 rows that a transaction has room for beside its guard hold 19,800 machines.
  */
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -99,9 +99,7 @@
 
 /**
  * Members of a gang end together, so one on a fast worker stands at 100 percent until the slowest is there, as long as
- * all of them run.
- * Taken to hang after 1.5 s, they brought a heavy day's worth from 0.721 down to 0.560 (cedarflue-hq scale-1, means of
- * three runs).
+ * all of them run. Taken to hang, gangs are stopped again and again on sound workers.
  */
 function waitsForOthers(task: entries.TaskEntry): boolean {
     const { step } = task;
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -285,8 +285,7 @@
 
 /**
  * While ends are not recorded, as when the store is away, a look prolongs the leases and brings nothing new: this
- * often is enough for the shortest lease of 6 s. Without the bound looks follow each other without a pause (24,000 in
- * a minute with a store that was away for 4 s).
+ * often is enough for the shortest lease of 6 s. Without the bound looks follow each other without a pause.
  */
 const UNRECORDED_LOOK_MS = 1_000;
 /** The loop of an idle worker is woken by its next order; this only bounds a missed call. */
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -6,9 +6,8 @@
  * that finds nothing ends within a second, so that a silent connection is given up a moment later.
  *
  * What goes wrong where a poll that finds something is given up as soon: a table that has grown never arrives over a
- * weak link. With 1.2 s for the whole answer a link of 7 Mbit/s carried some 3,600 to 3,960 queues of 264 bytes and
- * not one more; 32 of 40 instances never heard of the 4,245 of the next version. Here only silence ends an answer that
- * has begun.
+ * weak link: each poll is given up while the answer is coming, and the next one begins anew. One notices a configuration
+ * that some instances never hear of. Here only silence ends an answer that has begun.
  */
 import * as clock from "../clock/index";
 import type * as observe from "../observe/index";
--- a/src/rows/storeHealth.ts
+++ b/src/rows/storeHealth.ts
@@ -89,7 +89,7 @@
     };
     /**
      * One failed poll may be a connection that fell silent by itself, or a limit on calls; a call of its own decides.
-     * Without it an instance that asks for nothing else needed three polls, some 5 s, to notice that it is cut off,
+     * Without it an instance that asks for nothing else needs three polls, some 5 s, to notice that it is cut off,
      * and the balancer sent it callers all the while.
      */
     const check = async () => {
--- a/src/telemetry/lineLog.ts
+++ b/src/telemetry/lineLog.ts
@@ -16,10 +16,7 @@
     readonly output: { write(text: string): boolean; readonly writableLength: number; };
 }
 
-/**
- * The leader of 33 workers wrote 595 lines on a calm day of under a minute, that of 245 workers 17,953 (3.7 MB) on the
- * heaviest day of about a minute, with lines dropped 1,041 times in seconds of up to 900.
- */
+/** Room for the leader of some hundred workers on a calm day; on a heavy one it leaves single runs out. */
 const LINES_PER_SECOND = 400;
 const BURST_LINES = 1_200;
 /** Text that waits for a reader; beyond it lines are dropped. */
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -2,8 +2,7 @@
  * Counters, gauges and histograms, served as text on the instance's metrics address.
  *
  * The histograms are fixed buckets rather than the library that the benchmarks use: loading that takes 65 ms of
- * processor time and 13 MB (Node.js 20, one run on an idle machine), which a restarted instance of two thirds of a
- * core pays before it is ready.
+ * processor time and 13 MB, which a restarted instance of two thirds of a core pays before it is ready.
  */
 import * as observe from "../observe/index";
 
