The leader stays when the store comes back to all, and writes that went out in silence are given up

Ruled out: the time that the leader's own probe takes (each 0.2 s). Change: a leader without the store reads it at the same time as it asks the others, and stays where that succeeds; when the store is found to be back, writes that went out well before are told to have an open outcome, which repeats them.

--- a/src/leader/handover.ts
+++ b/src/leader/handover.ts
@@ -98,8 +98,9 @@
             if (!offer || (!options.isStoreAway() && await canRead())) {
                 return;
             }
-            const successor = await findSuccessor(offer);
-            if (successor !== undefined && isDoubtful() && held.getOffer()?.token === offer.token) {
+            // A read of our own at the same time: when the store comes back to all, some instance notices first.
+            const [successor, reads] = await Promise.all([findSuccessor(offer), canRead()]);
+            if (!reads && successor !== undefined && isDoubtful() && held.getOffer()?.token === offer.token) {
                 log.info("leadHandedOver", { token: offer.token, to: successor });
                 held.cede();
                 await port.tell(successor, offer, ASK_TIMEOUT_MS);
--- a/src/rows/__tests__/storeHealth.test.ts
+++ b/src/rows/__tests__/storeHealth.test.ts
@@ -63,6 +63,24 @@
         expect(events).toHaveLength(2);
     });
 
+    test("a call that went out in silence is given up when the store is back", async () => {
+        // Symptom: after an outage nothing is stored for up to a second more. Sequence: a write goes out in the last moment
+        // of the silence; the store comes back, and the write waits for its timeout. Cause: nobody told it.
+        const { time, health, setReachable } = open();
+        setReachable(false);
+        void health.store.transact(TX, 300);
+        await time.advance(1_000);
+        let outcome: rows.TransactResult | undefined;
+        void health.store.transact(TX, 10_000).then(result => {
+            outcome = result;
+        });
+        await time.advance(500);
+        setReachable(true);
+        await time.advance(1_000);
+        expect(outcome?.kind).toBe("unknown");
+        expect(health.getAwayMs()).toBeUndefined();
+    });
+
     test("a silent poll is checked by a call of its own", async () => {
         // Symptom: callers are sent for 5 s to an instance that is cut off. Sequence: it only polls, and three polls
         // have to fail. Cause: a poll says little, and nothing else was asked.
--- a/src/rows/storeHealth.ts
+++ b/src/rows/storeHealth.ts
@@ -17,7 +17,7 @@
     getAwayMs(): number | undefined;
     /** Milliseconds since the store last answered; `Infinity` before its first answer. */
     getSilenceMs(): number;
-    /** How long the latest read or transaction that was answered took. */
+    /** How long the latest call that was answered took, but for polls that wait for a change. */
     getAnswerMs(): number;
 }
 
@@ -38,12 +38,16 @@
 const CHECK_PAUSE_MS = 100;
 /** An answer takes 5 ms, of a store that is 60 times slower 300 ms. */
 const PROBE_TIMEOUT_MS = 500;
+/** Beside twice what the store takes to answer: a write without an answer for longer went out in silence. */
+const WRITE_SLACK_MS = 100;
 
 export function createStoreHealth(options: StoreHealthOptions): StoreHealth {
     const { store, clock: time } = options;
     let failures = 0;
     let awaySince: number | undefined;
     let checking = false;
+    /** Writes without an answer yet: when each was sent, and what gives it up. */
+    const openWrites = new Map<() => void, number>();
 
     const succeed = () => {
         failures = 0;
@@ -51,6 +55,7 @@
             const awayMs = time.now() - awaySince;
             awaySince = undefined;
             options.onBack(awayMs);
+            giveUpSilentWrites();
         }
     };
     const fail = (weight: number, why: string, sentAt: number) => {
@@ -73,6 +78,18 @@
             answerMs = time.now() - sentAt;
         }
     };
+    /**
+     * A write that went out while the store was silent is not answered any more, as a rule; waiting for it holds up what
+     * its caller has to write next by most of a second. One at a store that is slow is given its time.
+     */
+    const giveUpSilentWrites = () => {
+        const sentBefore = time.now() - WRITE_SLACK_MS - 2 * answerMs;
+        for (const [giveUp, sentAt] of [...openWrites]) {
+            if (sentAt < sentBefore) {
+                giveUp();
+            }
+        }
+    };
     const takeNote = (kind: "answered" | "refused" | "silent", why: string, sentAt: number) => {
         switch (kind) {
             case "answered":
@@ -116,6 +133,17 @@
         }
     };
 
+    /** Resolves with nothing when the write is given up first. */
+    const awaitWrite = <T>(write: Promise<T>, sentAt: number): Promise<T | undefined> =>
+        new Promise(resolve => {
+            const finish = (outcome?: T) => {
+                openWrites.delete(finish);
+                resolve(outcome);
+            };
+            openWrites.set(finish, sentAt);
+            void write.then(finish);
+        });
+
     const health: StoreHealth = {
         getAwayMs: () => awaySince === undefined ? undefined : time.now() - awaySince,
         getSilenceMs: () => time.now() - lastSuccessAt,
@@ -123,15 +151,18 @@
         store: {
             transact: async (tx, timeoutMs) => {
                 const sentAt = time.now();
-                const outcome = await store.transact(tx, timeoutMs);
+                const outcome = await awaitWrite(store.transact(tx, timeoutMs), sentAt);
+                if (!outcome) {
+                    return { kind: "unknown", message: "no answer before the store came back" };
+                }
                 const why = outcome.kind === "refused" || outcome.kind === "unknown" ? outcome.message : "";
                 const kind = outcome.kind === "refused"
                     ? "refused"
                     : outcome.kind === "unknown"
                     ? "silent"
                     : "answered";
-                takeNote(kind, why, sentAt);
                 takeAnswerTime(kind, sentAt);
+                takeNote(kind, why, sentAt);
                 return outcome;
             },
             read: async (...call) => {
@@ -146,6 +177,10 @@
                 const sentAt = time.now();
                 const outcome = await store.feed(...call);
                 const failed = outcome.kind === "unavailable";
+                const [, , waitMs] = call;
+                if (waitMs === 0) {
+                    takeAnswerTime(failed ? "refused" : "answered", sentAt);
+                }
                 // A poll may have waited on a connection that fell silent by itself, so it weighs as one refusal.
                 takeNote(failed ? "refused" : "answered", failed ? outcome.message : "", sentAt);
                 return outcome;
--- a/src/scheduler/__tests__/failover.test.ts
+++ b/src/scheduler/__tests__/failover.test.ts
@@ -87,6 +87,29 @@
     });
 });
 
+describe("a store that comes back to all", () => {
+    // Symptom: after each outage of the store nothing starts for most of a second. Sequence: another instance notices the
+    // return first, and says so to the leader, which gives its term up; whoever leads then reads all jobs and looks at all
+    // workers. Cause: the leader knew of the store's absence from its own last probe only.
+    const AWAY_FROM_MS = 3_000;
+    const cases = [0, 40, 80, 120, 160].flatMap(laterMs =>
+        (["refuse", "silent"] as const).map(fault => ({ fault, awayMs: 4_000 + laterMs }))
+    );
+    test.each(cases)("keeps its leader, away for $awayMs ms ($fault)", async ({ fault, awayMs }) => {
+        const site = fixtures.openSite({
+            instances: 9,
+            storeFaults: time => ({
+                decide: () => time.now() >= AWAY_FROM_MS && time.now() < AWAY_FROM_MS + awayMs ? fault : "none",
+                lateMs: 0,
+            }),
+        });
+        await site.clock.advance(AWAY_FROM_MS + awayMs - 300);
+        await site.clock.advance(3_000);
+        site.close();
+        expect(site.lines.filter(line => line["event"] === "leadershipTaken")).toHaveLength(1);
+    });
+});
+
 describe("work on a worker that is lost while leaders change", () => {
     // Symptom: a job stands still for 17 s although most workers are idle. Sequence: its worker goes for good, and at the
     // same time all instances are killed; one comes back and leads. Cause: the new leader allows for a predecessor that
