--- a/src/leader/__tests__/waitingCounts.test.ts
+++ b/src/leader/__tests__/waitingCounts.test.ts
@@ -2,6 +2,7 @@
 import * as emulator from "../../emulator/index";
 import * as telemetry from "../../telemetry/index";
 import * as lease from "../lease";
+import type * as leaseRecord from "../leaseRecord";
 import * as renewals from "../renewals";
 import * as waitingCounts from "../waitingCounts";
 
@@ -62,7 +63,7 @@
         await time.advance(renewals.LEASE_MS + 3_000);
         stopping.abort();
         const row = store.getRows("lead").find(({ key }) => key === "lease");
-        const record = JSON.parse(row?.value ?? "{}") as lease.LeaseRecord;
+        const record = JSON.parse(row?.value ?? "{}") as leaseRecord.LeaseRecord;
         expect(Object.keys(record.waiting ?? {}).length).toBeGreaterThan(0);
         expect(Buffer.byteLength(row!.value)).toBeLessThan(ROW_BYTES);
     });
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -4,7 +4,9 @@
 export { type Candidacy, createHandover, type Handover, type HandoverPort, type Offer } from "./handover";
 export { createHandoverPort, createHandoverRoutes } from "./handoverCalls";
 export type { Leadership } from "./heldLease";
-export { createLease, type HolderWatch, type Lease, type LeaseObservation, type LeaseRecord } from "./lease";
+export { type HolderWatch } from "./holderWatch";
+export { createLease, type Lease, type LeaseObservation } from "./lease";
+export { type LeaseRecord } from "./leaseRecord";
 export type { Machine, MachineService, MachinesResult, UpkeepAnswer, UpkeepOrder, Wave, WaveBoard } from "./machines";
 export { createTerm, type Term, type TermOptions } from "./term";
 export type {
--- a/src/leader/lease.ts
+++ b/src/leader/lease.ts
@@ -11,48 +11,18 @@
 import * as rows from "../rows/index";
 import * as work from "../work/index";
 import * as heldLease from "./heldLease";
+import * as holderWatch from "./holderWatch";
+import * as leaseRecord from "./leaseRecord";
 import * as renewals from "./renewals";
 import * as waitingCounts from "./waitingCounts";
 
-export interface LeaseRecord {
-    /** Id of the holder's life; empty: given back. */
-    readonly holder: string;
-    /** The holder's name, the same in each of its lives. */
-    readonly instance: string;
-    readonly token: number;
-    /** Where other instances watch the holder's process; empty where it offers no watch. */
-    readonly watchAddress: string;
-    /** Where the holder takes requests that other instances pass on; empty where it takes none. */
-    readonly peerAddress: string;
-    /** How strong the holder's machine is: the processor time that it gets, in cores. */
-    readonly power: number;
-    /** How long the lease lasts from when this version is first seen, in milliseconds. */
-    readonly leaseMs: number;
-    /**
-     * For how many milliseconds more, counted from the write, a leader before the holder may prolong work on workers that
-     * have not heard of the holder; absent: none does.
-     */
-    readonly othersProlongMs?: number;
-    /** Jobs of each queue of which no task has started; absent while the holder does not know yet. */
-    readonly waiting?: Readonly<Record<string, number>>;
-    /** True where other queues have waiting jobs as well, whose counts had no room. */
-    readonly othersWait?: boolean;
-}
-
 export interface LeaseObservation {
-    readonly record: LeaseRecord;
+    readonly record: leaseRecord.LeaseRecord;
     readonly version: number;
     /** Monotonic time at which this version was first seen. */
     readonly seenAt: number;
 }
 
-/** What is known of the holder's process without the store. */
-export interface HolderWatch {
-    /** Milliseconds since its latest heartbeat; `undefined`: it sends none, or has not yet. */
-    getSilentMs(): number | undefined;
-    end(): void;
-}
-
 export interface LeaseOptions {
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
@@ -66,7 +36,7 @@
     /** Where this instance takes requests that others pass on; empty: nowhere. */
     readonly peerAddress: string;
     /** Watches the holder's process; `onGone`: it is gone for certain. */
-    watchHolder(address: string, onGone: () => void): HolderWatch;
+    watchHolder(address: string, onGone: () => void): holderWatch.HolderWatch;
     /** Processor time that this instance gets, in cores. */
     readonly power: number;
     readonly signal: AbortSignal;
@@ -95,10 +65,6 @@
 
 /** Of a holder whose heartbeats have ended as well: one renewal is missing. */
 const SILENT_LEASE_MS = 900;
-/** Three heartbeats are missing, and a packet that is lost is sent again sooner. */
-const SILENCE_MS = 600;
-/** The last renewal of a process that has gone may be seen this much later than its end. */
-const LAST_RENEWAL_MS = 200;
 /** After a loss of the store a follower leaves the holder this long to renew first: a takeover costs a look at all. */
 const RETURN_MS = 1_200;
 /** A machine with this many times the holder's processor time takes the lead over. */
@@ -111,10 +77,6 @@
 const CALL_TIMEOUT_MS = 700;
 const TICK_MS = 100;
 
-const LEASE_RANGE: rows.RowRange = { table: work.Table.Lead, part: work.LEADER_PART, from: "lease", before: "lease!" };
-const LEASE_KEY: rows.RowKey = { table: work.Table.Lead, part: work.LEADER_PART, key: "lease" };
-const TOKEN_KEY: rows.RowKey = { table: work.Table.Lead, part: work.LEADER_PART, key: "token" };
-
 /** Follows the lease's row, takes the lease when it is free, and renews it while this instance leads. */
 export function createLease(options: LeaseOptions): Lease {
     const { clock: time, log } = options;
@@ -123,21 +85,23 @@
     let contactSince: number | undefined;
     let term: heldLease.HeldLease | undefined;
     let released = false;
-    let watchedHolder = "";
-    /** A holder whose process was told to be gone, and when. */
-    let gone: { readonly holder: string; readonly toldAt: number; } | undefined;
     /** Token of a term whose holder has said that it is over; the same process may lead again under another. */
     let cededToken: number | undefined;
-    let watch: HolderWatch | undefined;
     let wake: (() => void) | undefined;
+    const holder = holderWatch.createHolderWatcher({
+        clock: time,
+        log,
+        life: options.life,
+        watchHolder: options.watchHolder,
+        onGone: () => wake?.(),
+    });
 
     const observe = (row: rows.Row) => {
-        if (row.key !== LEASE_KEY.key || row.version <= (observed?.version ?? 0)) {
+        if (row.key !== leaseRecord.LEASE_KEY.key || row.version <= (observed?.version ?? 0)) {
             return;
         }
-        observed = { record: decodeRecord(row.value), version: row.version, seenAt: time.now() };
-        forgetGone(observed.record);
-        watchHolder(observed.record);
+        observed = { record: leaseRecord.decodeRecord(row.value), version: row.version, seenAt: time.now() };
+        holder.follow(observed.record);
         if (observed.record.holder === "") {
             wake?.();
         }
@@ -145,34 +109,6 @@
             endTerm(`instance ${observed.record.instance} holds token ${observed.record.token}`);
         }
     };
-    /**
-     * A cut that resets connections and refuses new ones looks from behind it as if the holder's process were gone. The
-     * holder goes on renewing; without this its lease is taken as soon as the cut ends, and work is stopped for nothing.
-     */
-    const forgetGone = (record: LeaseRecord) => {
-        if (gone?.holder === record.holder && time.now() - gone.toldAt > LAST_RENEWAL_MS) {
-            log.info("holderBack", { instance: record.instance, token: record.token });
-            gone = undefined;
-            watchedHolder = "";
-        }
-    };
-    /** A holder whose process is gone is not waited for: that costs 1.6 s in which nothing starts. */
-    const watchHolder = (record: LeaseRecord) => {
-        if (record.holder === watchedHolder) {
-            return;
-        }
-        watch?.end();
-        watch = undefined;
-        watchedHolder = record.holder;
-        if (record.watchAddress === "" || record.holder === options.life) {
-            return;
-        }
-        watch = options.watchHolder(record.watchAddress, () => {
-            log.warn("holderGone", { instance: record.instance, token: record.token });
-            gone = { holder: record.holder, toldAt: time.now() };
-            wake?.();
-        });
-    };
     const endTerm = (reason: string) => {
         if (term) {
             log.warn("leadershipLost", { token: term.leadership.token, reason });
@@ -228,19 +164,17 @@
      * A machine that loses power, or a cut, ends both the renewals and the heartbeats; a slow store delays the renewals
      * only. The fencing token makes a takeover safe at any time, so that both together are enough to be sooner.
      */
-    const isHolderSilent = () => (watch?.getSilentMs() ?? 0) >= SILENCE_MS;
+    const getShortenedMs = () => holder.isSilent() ? renewals.LEASE_MS - SILENT_LEASE_MS : 0;
     const isFree = (): boolean => {
         if (!observed) {
             return true;
         }
-        if (isHolderOver(observed) || observed.record.holder === gone?.holder) {
+        if (isHolderOver(observed) || holder.isGone(observed.record)) {
             return true;
         }
         const now = time.now();
         const { leaseMs } = observed.record;
-        // Longer at a store that answers late, which delays what is seen of a holder's renewals.
-        const shortenedMs = isHolderSilent() ? renewals.LEASE_MS - SILENT_LEASE_MS : 0;
-        return now - observed.seenAt >= leaseMs - shortenedMs && contactSince !== undefined
+        return now - observed.seenAt >= leaseMs - getShortenedMs() && contactSince !== undefined
             && now - contactSince >= RETURN_MS;
     };
     const createRecord = (
@@ -248,7 +182,7 @@
         othersSilentAt: number,
         leaseMs = renewals.LEASE_MS,
         waiting?: Readonly<Record<string, number>>,
-    ): LeaseRecord => {
+    ): leaseRecord.LeaseRecord => {
         const fitted = waiting && waitingCounts.fitCounts(waiting);
         return {
             holder: options.life,
@@ -283,7 +217,7 @@
      */
     const isStillUnchanged = async () => {
         const before = observed?.version;
-        const outcome = await options.store.read({ ...LEASE_RANGE, limit: 1 }, CALL_TIMEOUT_MS);
+        const outcome = await options.store.read(leaseRecord.LEASE_RANGE, CALL_TIMEOUT_MS);
         if (outcome.kind === "read") {
             outcome.rows.forEach(observe);
         }
@@ -299,8 +233,8 @@
         const record = createRecord(token, othersSilentAt);
         const wasReleased = observed?.record.holder === "";
         const outcome = await options.store.transact({
-            conditions: [{ ...LEASE_KEY, version: observed?.version ?? 0 }],
-            puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }, { ...TOKEN_KEY, value: String(token) }],
+            conditions: [{ ...leaseRecord.LEASE_KEY, version: observed?.version ?? 0 }],
+            puts: [leaseRecord.encodeRecord(record), { ...leaseRecord.TOKEN_KEY, value: String(token) }],
             removals: [],
         }, CALL_TIMEOUT_MS);
         if (outcome.kind !== "committed") {
@@ -318,16 +252,21 @@
         const held: heldLease.HeldLease = heldLease.createHeldLease(time, {
             log,
             token,
-            guard: { ...TOKEN_KEY, version },
+            guard: { ...leaseRecord.TOKEN_KEY, version },
             sentAt,
             othersSilentAt,
             createRow: leaseMs => {
-                const record = createRecord(token, othersSilentAt, leaseMs, options.getWaiting());
-                return { ...LEASE_KEY, value: JSON.stringify(record) };
+                return leaseRecord.encodeRecord(
+                    createRecord(token, othersSilentAt, leaseMs, options.getWaiting()),
+                );
             },
             onRenewed: (row, renewedVersion) => {
                 if (term === held && renewedVersion > (observed?.version ?? 0)) {
-                    observed = { record: decodeRecord(row.value), version: renewedVersion, seenAt: time.now() };
+                    observed = {
+                        record: leaseRecord.decodeRecord(row.value),
+                        version: renewedVersion,
+                        seenAt: time.now(),
+                    };
                 }
             },
             onDeposed: reason => {
@@ -368,7 +307,7 @@
     void run();
     // Whatever ends the instance ends its term: nothing may be ordered by a process that is about to be gone.
     options.signal.addEventListener("abort", () => {
-        watch?.end();
+        holder.end();
         endTerm("this instance ends");
     });
 
@@ -401,7 +340,7 @@
             const outcome = await options.store.transact({
                 conditions: [current.leadership.guard],
                 // The token's row changes as well: a renewal that is still under way must not take the lease back.
-                puts: [{ ...LEASE_KEY, value: JSON.stringify(record) }, { ...TOKEN_KEY, value: String(token) }],
+                puts: [leaseRecord.encodeRecord(record), { ...leaseRecord.TOKEN_KEY, value: String(token) }],
                 removals: [],
             }, CALL_TIMEOUT_MS);
             log.info("leaseGivenBack", { outcome: outcome.kind });
@@ -409,12 +348,6 @@
     };
 }
 
-/** An instance of an earlier version says nothing of the lease's length. */
-function decodeRecord(value: string): LeaseRecord {
-    const record = JSON.parse(value) as Omit<LeaseRecord, "leaseMs"> & Partial<LeaseRecord>;
-    return { ...record, leaseMs: record.leaseMs ?? renewals.LEASE_MS };
-}
-
 function getYieldMs(power: number): number {
     return Math.max(0, 1 - power / STRONG_CORES) * MOST_YIELD_MS;
 }
