--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -17,6 +17,8 @@
     readonly log: observe.Log;
     readonly meter: observe.Meter;
     readonly instances: number;
+    /** Processor time of each instance, in cores; by default one. */
+    getPower?(instance: number): number;
     readonly workers: readonly leader.WorkerInfo[];
     readonly catalog: catalogs.Catalog;
     readonly storeFaults?: stores.StoreFaults;
@@ -114,7 +116,7 @@
         const scheduler = schedulers.createScheduler({
             instance: getInstanceName(number),
             life: `life-${++lives}`,
-            power: 1,
+            power: options.getPower?.(number) ?? 1,
             watchAddress: getInstanceName(number),
             peerAddress: getInstanceName(number),
             watchProcess: (address, onGone) => {
--- a/src/experiment/drawnLoad.ts
+++ b/src/experiment/drawnLoad.ts
@@ -10,13 +10,14 @@
 import type * as loads from "./load";
 
 /** How large the drawn sites are. */
-export const Size = { Small: "small", Grown: "grown" } as const;
+export const Size = { Small: "small", Grown: "grown", Large: "large" } as const;
 export type Size = typeof Size[keyof typeof Size];
 
 /** Workers and instances, from and to. */
 const SIZES = {
     small: { workers: [12, 64], instances: [3, 9], workersPerRack: [4, 12] },
     grown: { workers: [150, 400], instances: [20, 60], workersPerRack: [10, 40] },
+    large: { workers: [300, 600], instances: [60, 120], workersPerRack: [6, 12] },
 } as const satisfies Readonly<Record<Size, Readonly<Record<string, readonly [number, number]>>>>;
 
 const FOR_MS = 34_000;
@@ -58,12 +59,15 @@
         ...load,
         troubles: [...load.troubles, ...drawZoneCut(zones, source)],
         speeds: source.pick(SPEEDS),
+        strongShare: size === Size.Large ? STRONG_SHARE : undefined,
     };
 }
 
 /** Workers of one speed, or of several kinds. */
 const SPEEDS: ReadonlyArray<readonly number[]> = [[1], [0.8, 1, 1.25], [0.8, 1, 1.25], [0.6, 1, 1.4]];
 const ZONE_CUT_SHARE = 0.3;
+/** Of the instances of a large site; the others have a fourth of their processor time. */
+const STRONG_SHARE = 0.15;
 
 function drawZoneCut(zones: number, source: random.Random): loads.Trouble[] {
     const isCut = source.nextFloat() < ZONE_CUT_SHARE;
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -89,4 +89,6 @@
     readonly troubles: readonly Trouble[];
     /** Speeds of which each worker has one, at random; without it all have 1. */
     readonly speeds?: readonly number[];
+    /** Share of the instances that are strong, the first of each zone; without it all are alike. */
+    readonly strongShare?: number;
 }
--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -43,6 +43,7 @@
         log: record.log,
         ...telemetry.createMetrics(),
         instances: load.instances,
+        getPower: number => siteOfLoad.getPower(number, load),
         workers,
         catalog: siteOfLoad.createCatalog(load),
         workerFaults: affected.faults,
