A run that is lost with its worker has a line and a counter

Cause: tasksLost tells how many tasks a lost worker had, not which, nor whether they had been at work for long.

Now: runLost names task, run, worker, reason, phase, for how long the worker had told of the run, and whether an earlier leader had ordered it; runs_lost_total counts them by queue and reason. No decision is changed.

--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -150,6 +150,18 @@
         const coreSeconds = options.thrownAway.addRun(task, cause, time.now());
         meter.increment("thrown_away_core_seconds_total", { queue, cause }, coreSeconds);
     };
+    const tellRunLost = (task: entries.TaskEntry, worker: entries.WorkerEntry, reason: string) => {
+        meter.increment("runs_lost_total", { queue: task.step.occurrence.job.queue.name, reason });
+        log.info("runLost", {
+            task: task.name,
+            run: task.run,
+            worker: worker.id,
+            reason,
+            phase: task.phase,
+            inherited: task.inherited,
+            seenMs: Math.round(entries.getSeenMs(task)),
+        });
+    };
     const countGangWait = (step: entries.StepEntry) => {
         const queue = step.occurrence.job.queue.name;
         const coreSeconds = options.thrownAway.addWait(step);
@@ -210,6 +222,7 @@
                         task.orderedAt = time.now();
                         task.runningSince = time.now();
                         task.progressAt = time.now();
+                        task.inherited = true;
                     }
                 });
             });
@@ -263,6 +276,7 @@
                 task.phase = "recording";
                 task.stopAcceptedAt = undefined;
                 task.percent = 0;
+                task.inherited = false;
                 task.speed = decisions.createSpeedTrack();
                 task.pacePercent = 100;
                 entries.assign(task, workers[index]!);
@@ -384,6 +398,7 @@
                 if (task.phase !== "done") {
                     if (task.phase !== "recording") {
                         countThrownAway(task, reason);
+                        tellRunLost(task, worker, reason);
                     }
                     toWaiting(task);
                 }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -40,6 +40,8 @@
     progressAt: number;
     /** When its worker last told of its progress. */
     toldAt: number;
+    /** An earlier leader ordered the current run: when it began is not known. */
+    inherited: boolean;
     /** How fast the current run goes. */
     speed: decisions.SpeedTrack;
     /** How often it was stopped because it made no progress. */
@@ -199,6 +201,7 @@
         percent: 0,
         progressAt: 0,
         toldAt: 0,
+        inherited: false,
         speed: decisions.createSpeedTrack(),
         stalls: 0,
         preemptions: 0,
@@ -274,3 +277,13 @@
 export function countAway(step: StepEntry): number {
     return step.tasks.filter(task => !isAtWork(task)).length;
 }
+
+/** When the current run began, for what is known: a start without an answer may have been carried out when ordered. */
+export function getStartedAt(task: TaskEntry): number {
+    return Math.max(task.orderedAt, task.runningSince);
+}
+
+/** For how long, from the start of the current run, its worker has told of it; 0: it never did. */
+export function getSeenMs(task: TaskEntry): number {
+    return Math.max(0, task.toldAt - getStartedAt(task));
+}
--- a/src/leader/thrownAway.ts
+++ b/src/leader/thrownAway.ts
@@ -5,7 +5,7 @@
  * work is lost, so that nobody can say what it was lost to. The totals are a few numbers however many runs end.
  */
 import * as decisions from "../decisions/index";
-import type * as entries from "./entries";
+import * as entries from "./entries";
 
 export interface ThrownAway {
     /** A run that was at work has ended otherwise than done; `cause` is what it was stopped for, or how it ended. */
@@ -37,17 +37,12 @@
 }
 
 function getUnsavedCoreSeconds(task: entries.TaskEntry, now: number): number {
-    const since = Math.max(getStartedAt(task), task.savedAt);
+    const since = Math.max(entries.getStartedAt(task), task.savedAt);
     return decisions.getCoreEquivalents(task.step.spec.needs) * Math.max(0, now - since) / 1_000;
 }
 
-/** A start without an answer may have been carried out when it was ordered. */
-function getStartedAt(task: entries.TaskEntry): number {
-    return Math.max(task.orderedAt, task.runningSince);
-}
-
 function getWaitCoreSeconds({ spec, tasks }: entries.StepEntry): number {
-    const begunAt = Math.max(...tasks.map(getStartedAt));
-    const waitedMs = tasks.reduce((sum, task) => sum + begunAt - getStartedAt(task), 0);
+    const begunAt = Math.max(...tasks.map(entries.getStartedAt));
+    const waitedMs = tasks.reduce((sum, task) => sum + begunAt - entries.getStartedAt(task), 0);
     return decisions.getCoreEquivalents(spec.needs) * waitedMs / 1_000;
 }
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -47,6 +47,7 @@
     stop_orders_total: counter("leader: orders to stop", "answer"),
     pace_orders_total: counter("leader: orders on the pace of fillers", "answer"),
     runs_ended_total: counter("leader: runs that ended", "queue", "how"),
+    runs_lost_total: counter("leader: runs that were lost with their worker", "queue", "reason"),
     preemptions_total: counter("leader: units stopped for urgent work", "queue"),
     preempted_core_seconds_total: counter("leader: work that preemption threw away", "queue"),
     thrown_away_core_seconds_total: counter(
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -36,6 +36,8 @@
     await site.clock.advance(4_000);
     site.kill(site.getLeader()!);
     await site.clock.advance(10_000);
+    site.workers.kill("worker-1", false);
+    await site.clock.advance(10_000);
     const log = telemetry.createLineLog({
         clock: site.clock,
         instance: "a",
