Tasks that crash their workers in the emulator, and tests that fail for it

The emulated workers know tasks that take their worker down some time after the start; the worker is back as another life after some seconds, and says so to whoever calls the old one. They count the starts after three crashes, and know capacities that shrink while a worker runs. What they check of a start is a file of its own, which the workers' file had outgrown.

crashes.test.ts: eleven cases.

--- a/src/emulator/jobModel.ts
+++ b/src/emulator/jobModel.ts
@@ -14,6 +14,8 @@
     readonly getUnevenness?: (step: number, index: number) => number;
     /** Whether a run of a task fails at its end; by default none does. */
     fails?: (task: string, run: number) => boolean;
+    /** How long after its start a task takes its worker down; by default none does. */
+    getCrashAfterMs?: (task: string) => number | undefined;
 }
 
 /** What the task of that name does; its job must be known. */
@@ -33,6 +35,7 @@
         checkpoints: step.checkpoints,
         sameRack: step.gang && step.sameRack,
         dataRack: step.dataRack,
+        crashesAfterMs: job.getCrashAfterMs?.(task),
         fails: run => job.fails?.(task, run) ?? false,
     };
 }
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -33,6 +33,8 @@
     readonly maxLeaseMs?: number;
     /** How long rows of ended jobs stay. */
     readonly retentionMs?: number;
+    /** How long a worker is down that a task has taken down. */
+    readonly workerRestartMs?: number;
 }
 
 export interface Site {
@@ -51,6 +53,8 @@
     isAlive(instance: number): boolean;
     /** Ends an instance without a word. */
     kill(instance: number): void;
+    /** Ends a worker's life; another one begins at its address some seconds later. */
+    crashWorker(id: string): void;
     /** Ends an instance as a loss of power does: nobody is told. */
     silence(instance: number): void;
     /** Lets an instance stand still, and wake up in the middle of what it was doing. */
@@ -64,6 +68,7 @@
 
 const STORE_LATENCY_MS = 5;
 const WORKER_LATENCY_MS = 1;
+const WORKER_RESTART_MS = 3_000;
 const DEFAULT_MAX_LEASE_MS = 6_000;
 const STOP_MS = 200;
 const HEARTBEAT_MS = 200;
@@ -98,8 +103,18 @@
         stopMs: STOP_MS,
         faults: options.workerFaults,
         getModel: task => jobModel.createModel(jobs, task),
+        onCrash: id => crashWorker(id),
     });
     options.workers.forEach(workers.add);
+    /** The worker is silent for some seconds, and then another life of it begins at its address. */
+    const crashWorker = (id: string) => {
+        const info = { ...workers.getInfo(id), id: `${id}-again`, draining: false, remainingMs: 0 };
+        workers.kill(id, true);
+        time.setTimer(options.workerRestartMs ?? WORKER_RESTART_MS, () => {
+            workers.kill(id, false);
+            workers.succeed(id, info);
+        });
+    };
 
     interface Instance {
         readonly scheduler: schedulers.Scheduler;
@@ -221,6 +236,7 @@
         },
         isAlive: number => !instances[number]!.controller.signal.aborted,
         kill: number => instances[number]!.controller.abort(),
+        crashWorker,
         freeze: (number, ms, suspended) => instances[number]!.freezer.freeze(ms, suspended),
         silence: number => {
             silenced.add(getInstanceName(number));
--- /dev/null
+++ b/src/emulator/startChecks.ts
@@ -0,0 +1,119 @@
+/** What a scheduler must never start, as the emulated workers see it. */
+import type * as work from "../work/index";
+import * as workerLife from "./workerLife";
+
+export interface StartRecord {
+    readonly task: string;
+    readonly run: number;
+    readonly workerId: string;
+    readonly at: number;
+}
+
+export interface StartChecks {
+    /** Breaches of promises, in words; empty when all were kept. */
+    readonly breaches: readonly string[];
+    /** Starts that were sent over a capacity that had shrunk long before; they are breaches, too. */
+    readonly shrunkStarts: readonly StartRecord[];
+    /** How many workers each task has taken down. */
+    readonly crashCounts: ReadonlyMap<string, number>;
+    checkStart(life: workerLife.Life, model: workerLife.TaskModel, start: StartRecord, sentAt: number): void;
+    noteDone(life: workerLife.Life, run: workerLife.Run, number: number): void;
+    /** Ends up to this number are recorded. */
+    noteRecorded(life: workerLife.Life, upTo: number): void;
+    noteCrash(task: string): void;
+}
+
+/** A run that ended well, and what became of it. */
+interface DoneRun {
+    readonly task: string;
+    readonly run: number;
+    readonly life: workerLife.Life;
+    readonly number: number;
+    recorded: boolean;
+    startedAgain: boolean;
+}
+
+/** A capacity that has shrunk binds the starts that are sent this much later: contact and one heartbeat. */
+const SHRINK_GRACE_MS = 4_500;
+/** A task that takes its workers down is started fewer than `MOST_STARTS_AFTER` times more after so many crashes. */
+const CRASH_BUDGET = 3;
+const MOST_STARTS_AFTER = 3;
+
+export function createStartChecks(lives: ReadonlyMap<string, workerLife.Life>): StartChecks {
+    const breaches: string[] = [];
+    const shrunkStarts: StartRecord[] = [];
+    const crashCounts = new Map<string, number>();
+    const startsAfterCrashes = new Map<string, number>();
+    const dones: DoneRun[] = [];
+
+    const noteBreachOf = (done: DoneRun) => {
+        if (done.recorded && done.startedAgain) {
+            breaches.push(`${done.task} is started again after run ${done.run} ended well`);
+        }
+    };
+    const checkDone = (task: string) => {
+        for (const done of dones) {
+            if (done.task === task) {
+                // A breach only if that end counts: it is, or will be, recorded before its worker's lease lapses.
+                done.startedAgain = true;
+                noteBreachOf(done);
+            }
+        }
+    };
+    const checkTwice = (life: workerLife.Life, { task, run }: StartRecord) => {
+        for (const other of lives.values()) {
+            if (other.alive && other !== life && other.runs.has(task)) {
+                breaches.push(`${task} run ${run} is started on ${life.info.id} while it runs on ${other.info.id}`);
+            }
+        }
+    };
+    const checkCapacity = (life: workerLife.Life, start: StartRecord, sentAt: number) => {
+        const sum: work.Room = workerLife.sumNeeds(life);
+        if (workerLife.isWithin(sum, workerLife.getCapacitySince(life, sentAt - SHRINK_GRACE_MS))) {
+            return;
+        }
+        const fitted = life.earlierCapacities.some(({ capacity }) => workerLife.isWithin(sum, capacity));
+        if (fitted) {
+            shrunkStarts.push(start);
+        }
+        breaches.push(`${start.task} brings ${life.info.id} over its capacity${fitted ? ", which had shrunk" : ""}`);
+    };
+    const checkBudget = (task: string) => {
+        if ((crashCounts.get(task) ?? 0) < CRASH_BUDGET) {
+            return;
+        }
+        const count = (startsAfterCrashes.get(task) ?? 0) + 1;
+        startsAfterCrashes.set(task, count);
+        if (count === MOST_STARTS_AFTER) {
+            breaches.push(`${task} is started ${count} times more after ${CRASH_BUDGET} workers crashed under it`);
+        }
+    };
+    return {
+        breaches,
+        shrunkStarts,
+        crashCounts,
+        checkStart: (life, model, start, sentAt) => {
+            checkDone(start.task);
+            checkTwice(life, start);
+            checkCapacity(life, start, sentAt);
+            if (model.crashesAfterMs !== undefined) {
+                checkBudget(start.task);
+            }
+        },
+        noteDone: (life, run, number) => {
+            dones.push({ task: run.task, run: run.run, life, number, recorded: false, startedAgain: false });
+        },
+        noteRecorded: (life, upTo) => {
+            for (const done of dones) {
+                const counts = done.life === life && done.number <= upTo && !(life.lapsedEnd >= done.number);
+                if (counts && !done.recorded) {
+                    done.recorded = true;
+                    noteBreachOf(done);
+                }
+            }
+        },
+        noteCrash: task => {
+            crashCounts.set(task, (crashCounts.get(task) ?? 0) + 1);
+        },
+    };
+}
--- a/src/emulator/workerLife.ts
+++ b/src/emulator/workerLife.ts
@@ -15,6 +15,8 @@
     readonly sameRack: boolean;
     /** Work is several times slower on another rack. */
     readonly dataRack: string | undefined;
+    /** Takes its worker down this long after it starts there; `undefined`: does not. */
+    readonly crashesAfterMs: number | undefined;
     /** Whether the run fails at its end. */
     fails(run: number): boolean;
 }
@@ -45,6 +47,20 @@
     readonly waiters: Set<() => void>;
     /** Ends up to this number were listed when the worker's lease lapsed last. */
     lapsedEnd: number;
+    /** Capacities that it had before, each with the time at which it was changed. */
+    readonly earlierCapacities: Array<{ readonly capacity: work.Room; readonly until: number; }>;
+    /** Another life has begun at its address. */
+    succeeded: boolean;
+}
+
+/** The capacity that starts may still count on: the largest since that time, in each dimension. */
+export function getCapacitySince(life: Life, since: number): work.Room {
+    const counted = life.earlierCapacities.filter(entry => entry.until >= since).map(entry => entry.capacity);
+    return [life.info.capacity, ...counted].reduce((largest, capacity) => ({
+        cpuMillis: Math.max(largest.cpuMillis, capacity.cpuMillis),
+        memoryMb: Math.max(largest.memoryMb, capacity.memoryMb),
+        accelerators: Math.max(largest.accelerators, capacity.accelerators),
+    }));
 }
 
 /** What its tasks take of a worker's capacity. */
@@ -58,6 +74,11 @@
     return sum;
 }
 
+export function isWithin(sum: work.Room, capacity: work.Room): boolean {
+    return sum.cpuMillis <= capacity.cpuMillis && sum.memoryMb <= capacity.memoryMb
+        && sum.accelerators <= capacity.accelerators;
+}
+
 /** How many times slower a run is for being far from its data, or its gang for lying on more than one rack. */
 export function getFarFactor(run: Run, life: Life, gang: readonly Life[]): number {
     const racks = new Set(gang.map(member => member.info.rack));
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -5,6 +5,7 @@
 import type * as clock from "../clock/index";
 import * as leader from "../leader/index";
 import type * as work from "../work/index";
+import * as startChecks from "./startChecks";
 import * as workerLife from "./workerLife";
 
 export type OrderFault =
@@ -36,22 +37,25 @@
     readonly gangTimeoutMs?: number;
     readonly faults?: WorkerFaults;
     getModel(task: string): workerLife.TaskModel;
-}
-
-export interface StartRecord {
-    readonly task: string;
-    readonly run: number;
-    readonly workerId: string;
-    readonly at: number;
+    /** A task has taken the worker down, which is up to `kill` and `succeed`. */
+    onCrash?(workerId: string): void;
 }
 
 export interface EmulatedWorkers {
     readonly port: leader.WorkerPort;
     readonly directory: leader.WorkerDirectory;
     add(info: leader.WorkerInfo): void;
+    /** Begins another life at the address of one that is over, which then says so to whoever calls the old one. */
+    succeed(id: string, info: leader.WorkerInfo): void;
+    /** Changes the worker's capacity; the directory tells of it later. */
+    resize(id: string, capacity: work.Room): void;
     /** Ends the worker's life; `listed` says whether the directory still shows it. */
     kill(id: string, listed: boolean): void;
     drain(id: string, remainingMs: number): void;
+    /** What the worker says of itself, or said last. */
+    getInfo(id: string): leader.WorkerInfo;
+    /** Whether a worker of that id lives, or has lived. */
+    isKnown(id: string): boolean;
     /** How many tasks run there. */
     getRunning(id: string): number;
     /** Names of all tasks that run, or are being stopped, anywhere. */
@@ -60,23 +64,17 @@
     getUsed(id: string): work.Room | undefined;
     /** Breaches of promises, in words; empty when all were kept. */
     readonly breaches: readonly string[];
-    readonly starts: readonly StartRecord[];
+    readonly starts: readonly startChecks.StartRecord[];
     /** Members of gangs that waited in vain for the others. */
-    readonly aloneEnds: readonly StartRecord[];
+    readonly aloneEnds: readonly startChecks.StartRecord[];
+    /** Starts that were sent over a capacity that had shrunk long before. */
+    readonly shrunkStarts: readonly startChecks.StartRecord[];
+    /** How many workers each task has taken down. */
+    readonly crashCounts: ReadonlyMap<string, number>;
     /** Names of tasks that ended well, with how often. */
     readonly doneCounts: ReadonlyMap<string, number>;
 }
 
-/** A run that ended well, and what became of it. */
-interface DoneRun {
-    readonly task: string;
-    readonly run: number;
-    readonly life: workerLife.Life;
-    readonly number: number;
-    recorded: boolean;
-    startedAgain: boolean;
-}
-
 /** Granularity of the emulated work. */
 const TICK_MS = 50;
 const SAVE_EVERY_MS = 1_000;
@@ -89,11 +87,10 @@
     const { clock: time } = options;
     const faults = options.faults ?? NO_FAULTS;
     const lives = new Map<string, workerLife.Life>();
-    const breaches: string[] = [];
-    const starts: StartRecord[] = [];
+    const starts: startChecks.StartRecord[] = [];
     const doneCounts = new Map<string, number>();
-    const dones: DoneRun[] = [];
-    const aloneEnds: StartRecord[] = [];
+    const aloneEnds: startChecks.StartRecord[] = [];
+    const checks = startChecks.createStartChecks(lives);
     const gangTimeoutMs = options.gangTimeoutMs ?? Infinity;
 
     const end = (life: workerLife.Life, run: workerLife.Run, how: leader.EndKind) => {
@@ -110,14 +107,7 @@
             saved: savedMs > 0 ? String(savedMs) : "",
         });
         if (how === "done") {
-            dones.push({
-                task: run.task,
-                run: run.run,
-                life,
-                number: life.nextEnd - 1,
-                recorded: false,
-                startedAgain: false,
-            });
+            checks.noteDone(life, run, life.nextEnd - 1);
             doneCounts.set(run.task, (doneCounts.get(run.task) ?? 0) + 1);
         }
         [...life.waiters].forEach(wake => wake());
@@ -184,34 +174,13 @@
     };
     time.setTimer(TICK_MS, tick);
 
-    const noteBreachOf = (done: DoneRun) => {
-        if (done.recorded && done.startedAgain) {
-            breaches.push(`${done.task} is started again after run ${done.run} ended well`);
+    const crash = (life: workerLife.Life, run: workerLife.Run) => {
+        if (life.alive && life.runs.get(run.task) === run) {
+            checks.noteCrash(run.task);
+            options.onCrash?.(life.info.id);
         }
     };
-    const checkStart = (life: workerLife.Life, task: string, run: number) => {
-        for (const done of dones) {
-            if (done.task === task) {
-                // A breach only if that end counts: it is, or will be, recorded before its worker's lease lapses.
-                done.startedAgain = true;
-                noteBreachOf(done);
-            }
-        }
-        for (const other of lives.values()) {
-            if (other.alive && other !== life && other.runs.has(task)) {
-                breaches.push(`${task} run ${run} is started on ${life.info.id} while it runs on ${other.info.id}`);
-            }
-        }
-        const sum = workerLife.sumNeeds(life);
-        const { capacity } = life.info;
-        if (
-            sum.cpuMillis > capacity.cpuMillis || sum.memoryMb > capacity.memoryMb
-            || sum.accelerators > capacity.accelerators
-        ) {
-            breaches.push(`${task} brings ${life.info.id} over its capacity`);
-        }
-    };
-    const start = (life: workerLife.Life, order: leader.StartOrder): leader.OrderAnswer => {
+    const start = (life: workerLife.Life, order: leader.StartOrder, sentAt: number): leader.OrderAnswer => {
         const refusal = checkFence(life, order.fencingToken);
         if (refusal) {
             return refusal;
@@ -239,8 +208,12 @@
             failsSoon: faults.isFailing?.(life.info.id) ?? false,
         };
         life.runs.set(order.task, run);
-        starts.push({ task: order.task, run: order.run, workerId: life.info.id, at: time.now() });
-        checkStart(life, order.task, order.run);
+        const record = { task: order.task, run: order.run, workerId: life.info.id, at: time.now() };
+        starts.push(record);
+        checks.checkStart(life, model, record, sentAt);
+        if (model.crashesAfterMs !== undefined) {
+            time.setTimer(model.crashesAfterMs, () => crash(life, run));
+        }
         return { kind: "accepted", workerClock: time.now() };
     };
     const stop = (life: workerLife.Life, order: leader.RunOrder): leader.OrderAnswer => {
@@ -273,13 +246,7 @@
         if (order.deadline !== undefined) {
             prolong(life, order.deadline);
         }
-        for (const done of dones) {
-            const counts = done.life === life && done.number <= order.recordedUpTo && !(life.lapsedEnd >= done.number);
-            if (counts && !done.recorded) {
-                done.recorded = true;
-                noteBreachOf(done);
-            }
-        }
+        checks.noteRecorded(life, order.recordedUpTo);
         life.ends = life.ends.filter(entry => entry.number > order.recordedUpTo);
         if (life.ends.length === 0 && order.waitMs > 0) {
             await waitForEnd(life, order.waitMs);
@@ -319,6 +286,9 @@
         const fault = faults.decide(worker.id, kind);
         await time.sleep(options.latencyMs);
         const life = lives.get(worker.id);
+        if (life?.succeeded && fault !== "cut") {
+            return { kind: "otherLife" };
+        }
         if (!life?.alive || fault === "cut") {
             await time.sleep(timeoutMs);
             return { kind: "unknown", message: "emulated: silent" };
@@ -339,25 +309,39 @@
         }
     };
 
+    const add = (info: leader.WorkerInfo) => {
+        lives.set(info.id, {
+            info,
+            alive: true,
+            listed: true,
+            fence: 0,
+            deadline: 0,
+            runs: new Map(),
+            closedRuns: new Map(),
+            ends: [],
+            nextEnd: 1,
+            waiters: new Set(),
+            lapsedEnd: 0,
+            earlierCapacities: [],
+            succeeded: false,
+        });
+    };
     return {
-        breaches,
+        breaches: checks.breaches,
         starts,
         aloneEnds,
+        shrunkStarts: checks.shrunkStarts,
+        crashCounts: checks.crashCounts,
         doneCounts,
-        add: info => {
-            lives.set(info.id, {
-                info,
-                alive: true,
-                listed: true,
-                fence: 0,
-                deadline: 0,
-                runs: new Map(),
-                closedRuns: new Map(),
-                ends: [],
-                nextEnd: 1,
-                waiters: new Set(),
-                lapsedEnd: 0,
-            });
+        add,
+        succeed: (id, info) => {
+            lives.get(id)!.succeeded = true;
+            add(info);
+        },
+        resize: (id, capacity) => {
+            const life = lives.get(id)!;
+            life.earlierCapacities.push({ capacity: life.info.capacity, until: time.now() });
+            life.info = { ...life.info, capacity };
         },
         kill: (id, listed) => {
             const life = lives.get(id)!;
@@ -366,6 +350,8 @@
             life.runs.clear();
         },
         getRunningTasks: () => [...lives.values()].flatMap(life => [...life.runs.keys()]),
+        isKnown: id => lives.has(id),
+        getInfo: id => lives.get(id)!.info,
         getRunning: id => lives.get(id)!.runs.size,
         getUsed: id => {
             const life = lives.get(id)!;
@@ -387,7 +373,10 @@
             },
         },
         port: {
-            start: (worker, order, timeoutMs) => call(worker, "start", timeoutMs, life => start(life, order)),
+            start: (worker, order, timeoutMs) => {
+                const sentAt = time.now();
+                return call(worker, "start", timeoutMs, life => start(life, order, sentAt));
+            },
             stop: (worker, order, timeoutMs) => call(worker, "stop", timeoutMs, life => stop(life, order)),
             pace: (worker, _order, timeoutMs) =>
                 call(worker, "pace", timeoutMs, () => ({ kind: "accepted" as const, workerClock: time.now() })),
--- /dev/null
+++ b/src/scheduler/__tests__/crashes.test.ts
@@ -0,0 +1,153 @@
+import type * as emulator from "../../emulator/index";
+import * as fixtures from "./fixtures";
+
+const AT_ONCE_MS = 10;
+const GANG = { count: 3, gang: true };
+/** As long as the longest lease, and longer. */
+const LONG_RESTART_MS = 9_000;
+
+interface Case {
+    readonly name: string;
+    readonly job: emulator.EmulatedJob;
+    /** Beside it; all of them can be done. */
+    readonly others?: readonly emulator.EmulatedJob[];
+    readonly workers?: number;
+    readonly workerRestartMs?: number;
+    readonly events?: ReadonlyArray<readonly [atMs: number, act: (site: fixtures.TestSite) => void]>;
+    readonly runMs?: number;
+    readonly state: string;
+}
+
+const crashing = (afterMs: number, isCrashing = (_task: string) => true): Partial<emulator.EmulatedJob> => ({
+    getCrashAfterMs: task => isCrashing(task) ? afterMs : undefined,
+});
+const isFirst = (task: string) => task.endsWith(".0");
+const killLeader = (site: fixtures.TestSite) => {
+    const leader = site.getLeader();
+    if (leader !== undefined) {
+        site.kill(leader);
+        site.restart(leader);
+    }
+};
+const range = (count: number) => Array.from({ length: count }, (_, number) => number);
+
+const cases: readonly Case[] = [
+    {
+        name: "as soon as it starts",
+        job: fixtures.createJob(1, {}, crashing(AT_ONCE_MS)),
+        state: "failed",
+    },
+    {
+        name: "after working for two seconds",
+        job: fixtures.createJob(1, { estimateMs: 5_000 }, crashing(2_000)),
+        state: "failed",
+    },
+    {
+        name: "for longer than the longest lease",
+        job: fixtures.createJob(1, {}, crashing(AT_ONCE_MS)),
+        workerRestartMs: LONG_RESTART_MS,
+        runMs: 90_000,
+        state: "failed",
+    },
+    {
+        name: "after working, for longer than the longest lease",
+        job: fixtures.createJob(1, { estimateMs: 5_000 }, crashing(2_000)),
+        workerRestartMs: LONG_RESTART_MS,
+        runMs: 120_000,
+        state: "failed",
+    },
+    {
+        name: "beside a leader that is lost after each crash",
+        job: fixtures.createJob(1, {}, crashing(AT_ONCE_MS)),
+        events: range(15).map(number => [1_500 + 3_300 * number, killLeader]),
+        runMs: 90_000,
+        state: "failed",
+    },
+    {
+        name: "as a member of a gang",
+        job: fixtures.createJob(1, GANG, crashing(AT_ONCE_MS, isFirst)),
+        workers: 8,
+        state: "failed",
+    },
+    {
+        name: "with all tasks of a wide step",
+        job: fixtures.createJob(1, { count: 6, needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 8 } }, {
+            ...crashing(AT_ONCE_MS),
+        }),
+        workers: 8,
+        runMs: 60_000,
+        state: "failed",
+    },
+    {
+        name: "although it lasts",
+        job: fixtures.createJob(1, { lasting: true }, crashing(AT_ONCE_MS)),
+        state: "failed",
+    },
+    {
+        name: "beside sound tasks, which all come to their end",
+        job: fixtures.createJob(1, {}, crashing(AT_ONCE_MS)),
+        others: range(6).map(number => fixtures.createJob(2 + number, { count: 4, estimateMs: 4_000 })),
+        runMs: 60_000,
+        state: "failed",
+    },
+    {
+        name: "not at all, but meets workers that crash in groups",
+        job: fixtures.createJob(1, { count: 12, estimateMs: 9_000 }),
+        workers: 12,
+        events: range(6).map(number => [
+            500 + 5_000 * number,
+            site => range(4).forEach(worker => crash(site, (number * 4 + worker) % 12)),
+        ]),
+        runMs: 90_000,
+        state: "completed",
+    },
+    {
+        name: "not at all, but its worker crashes twice",
+        job: fixtures.createJob(1, { estimateMs: 6_000 }),
+        events: [
+            [3_000, site => crashWorkerOf(site, 1)],
+            [9_500, site => crashWorkerOf(site, 1)],
+        ],
+        runMs: 40_000,
+        state: "completed",
+    },
+];
+
+/** Takes down the worker of that number, in whichever life it is. */
+function crash(site: fixtures.TestSite, number: number): void {
+    let id = `worker-${number}`;
+    while (site.workers.getUsed(id) === undefined && site.workers.isKnown(`${id}-again`)) {
+        id = `${id}-again`;
+    }
+    if (site.workers.getUsed(id) !== undefined) {
+        site.crashWorker(id);
+    }
+}
+
+/** Takes down the worker that runs the job's task. */
+function crashWorkerOf(site: fixtures.TestSite, jobNumber: number): void {
+    const latest = fixtures.getStarts(site, fixtures.createJob(jobNumber)).at(-1)!;
+    expect(site.workers.getRunning(latest.workerId)).toBe(1);
+    site.crashWorker(latest.workerId);
+}
+
+// A task that crashes each worker that starts it was started again without end.
+describe("a task that takes its worker down", () => {
+    test.each(cases)("$name", async ({ job, others = [], events = [], runMs = 40_000, ...testCase }) => {
+        const site = await fixtures.openWithJobs({ workers: 4, ...testCase }, [job, ...others]);
+        const startedAt = site.clock.now();
+        for (const [atMs, act] of events) {
+            await site.clock.advance(Math.max(0, startedAt + atMs - site.clock.now()));
+            act(site);
+        }
+        await site.clock.advance(startedAt + runMs - site.clock.now());
+        const states: unknown[] = [];
+        for (const { jobId } of [job, ...others]) {
+            const reply = await fixtures.settle(site.clock, site.getState(jobId, site.getLeader() ?? 1));
+            states.push(reply.kind === "state" ? reply.state : reply.kind);
+        }
+        site.close();
+        expect(site.workers.breaches).toEqual([]);
+        expect(states).toEqual([testCase.state, ...others.map(() => "completed")]);
+    });
+});
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -82,6 +82,7 @@
     readonly workers?: number;
     readonly catalog?: catalogs.Catalog;
     readonly retentionMs?: number;
+    readonly workerRestartMs?: number;
     readonly policy?: decisions.Policy;
     readonly adviser?: leader.Adviser;
     /** Machines `m0`, `m1` … lie beneath the workers of these numbers. */
@@ -106,6 +107,7 @@
         workers,
         catalog: options.catalog ?? CATALOG,
         retentionMs: options.retentionMs,
+        workerRestartMs: options.workerRestartMs,
         policy: options.policy,
         adviser: options.adviser,
         machines: machines?.service,
