A task under which workers crash is given up

Cause: when a worker was lost, its tasks went back to waiting and nothing was counted; only ends that a worker lists as failed raise a task's failures. Class: a retry without a bound, since the event that should bound it ends the process that would report it.

Ruled out: a count that is lost with its leader (one leader, one term); two instances in turns (one starter, each run number once); crashes of another cause (10 ms after each start, no other worker crashed).

Now: the loss of a worker is weighed against each run on it: had it just begun, is the worker known to have restarted, were others lost with it. Two strong weights or four weak ones give the task up, and its job ends as failed. The weight is stored in the task's row before its next run, so a successor goes on from it; a run that it finds on a worker that is gone is weighed anew. A loss is weighed again after 2 s, when the directory has told of idle workers that restarted with it, and when a silent worker answers or is replaced.

Same class looked for elsewhere: a leader lost between the last counted failure and the end of the job left its successor to start one attempt more; a job that is read with its attempts used up ends now.

explain tells jobs that were given up, and time lost with workers.

--- a/src/explain/__tests__/story.test.ts
+++ b/src/explain/__tests__/story.test.ts
@@ -48,6 +48,19 @@
         verdict: { kind: "failed", runs: 2, workers: ["w1", "w2"] },
         text: "Failed after 2 failed runs, on w1, w2.",
     },
+    {
+        name: "failed since workers crashed under one of its tasks",
+        lines: [
+            submitted(0, "accepted"),
+            line(1, "runLost", { task: `${JOB}.0.0.1`, worker: "w0" }, "b"),
+            line(2, "runLost", { task: `${JOB}.0.0.0`, worker: "w1" }, "b"),
+            line(4, "runLost", { task: `${JOB}.0.0.0`, worker: "w2" }, "b"),
+            line(4, "taskGivenUp", { task: `${JOB}.0.0.0` }, "b"),
+            line(4, "jobEnded", { job: JOB, state: "failed", ageMs: 4_000 }, "b"),
+        ],
+        verdict: { kind: "givenUp", task: `${JOB}.0.0.0`, workers: ["w1", "w2"] },
+        text: `Failed: workers crashed under task ${JOB}.0.0.0, w1, w2.`,
+    },
     {
         name: "cancelled",
         lines: [submitted(0, "accepted"), line(4, "jobEnded", { job: JOB, state: "cancelled" }, "b")],
--- a/src/explain/ledger.ts
+++ b/src/explain/ledger.ts
@@ -4,6 +4,7 @@
  * Of a step the unit counts whose waits and lost runs took longest, since the step's end had to wait for it; the steps
  * of a job add up. What is left of a job's time is work that was done once.
  */
+import * as runEnds from "./runEnds";
 import type * as story from "./story";
 
 export const Served = { InTime: "inTime", Late: "late", Missed: "missed", Refused: "refused", Open: "open" } as const;
@@ -130,11 +131,12 @@
             break;
         }
         case "runEnded":
-        case "runFailed": {
+        case "runFailed":
+        case "runLost": {
             const unit = findUnit(tallies, fields["task"], false);
             if (unit) {
-                unit.lostMs = Math.max(unit.lostMs, Number(fields["ranMs"] ?? 0));
-                unit.lostReason ??= line.event === "runFailed" ? "failed" : getReason(fields);
+                unit.lostMs = Math.max(unit.lostMs, Number(fields["ranMs"] ?? fields["seenMs"] ?? 0));
+                unit.lostReason ??= runEnds.getEndReason(line);
             }
             break;
         }
@@ -204,10 +206,6 @@
     unit.delays.set(reason, (unit.delays.get(reason) ?? 0) + ms);
 }
 
-function getReason(fields: Readonly<Record<string, unknown>>): string {
-    return String(fields["reason"] ?? fields["how"]).replace(/ for .*/, "").replace(/^gang member ended: /, "");
-}
-
 function getJobId(name: unknown): string {
     return String(name).split(".", 1)[0]!;
 }
--- a/src/explain/render.ts
+++ b/src/explain/render.ts
@@ -21,6 +21,8 @@
             return `No answer of the store decided it: ${verdict.reason}.`;
         case "failed":
             return `Failed after ${verdict.runs} failed runs, on ${verdict.workers.join(", ")}.`;
+        case "givenUp":
+            return `Failed: workers crashed under task ${verdict.task}, ${verdict.workers.join(", ")}.`;
         case "cancelled":
             return "Cancelled by its caller.";
         case "completed": {
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -1,4 +1,5 @@
 /** A request's story, from the log lines of any number of instances. */
+import * as runEnds from "./runEnds";
 
 export interface LogLine {
     readonly time: string;
@@ -19,6 +20,8 @@
     | { readonly kind: "refused"; readonly reason: string; }
     | { readonly kind: "undecided"; readonly reason: string; }
     | { readonly kind: "failed"; readonly runs: number; readonly workers: readonly string[]; }
+    /** Its workers crashed under one of its tasks. */
+    | { readonly kind: "givenUp"; readonly task: string; readonly workers: readonly string[]; }
     | { readonly kind: "cancelled"; }
     | {
         readonly kind: "completed";
@@ -111,11 +114,16 @@
                 setbacks: countSetbacks(own),
             };
         case "failed": {
+            const givenUp = own.find(line => line.event === "taskGivenUp")?.fields["task"];
+            if (givenUp !== undefined) {
+                const losses = own.filter(line => line.event === "runLost" && line.fields["task"] === givenUp);
+                return { kind: "givenUp", task: String(givenUp), workers: listWorkers(losses) };
+            }
             const failures = own.filter(line => line.event === "runFailed");
             return {
                 kind: "failed",
                 runs: failures.length,
-                workers: [...new Set(failures.map(line => String(line.fields["worker"])))],
+                workers: listWorkers(failures),
             };
         }
         case "cancelled":
@@ -134,6 +142,10 @@
     return { kind: "open", last: own.at(-1)!.event };
 }
 
+function listWorkers(lines: readonly LogLine[]): string[] {
+    return [...new Set(lines.map(line => String(line.fields["worker"])))];
+}
+
 function getWait(own: readonly LogLine[]): number | undefined {
     const accepted = own.find(line => line.event === "request" && line.fields["outcome"] === "accepted");
     const placed = own.find(line => line.event === "placed");
@@ -143,11 +155,7 @@
 function countSetbacks(own: readonly LogLine[]): Record<string, number> {
     const setbacks: Record<string, number> = {};
     for (const line of own) {
-        const reason = line.event === "runFailed"
-            ? "failed"
-            : line.event === "runEnded"
-            ? String(line.fields["reason"] ?? line.fields["how"]).replace(/ for .*/, "")
-            : undefined;
+        const reason = runEnds.getEndReason(line);
         if (reason !== undefined) {
             setbacks[reason] = (setbacks[reason] ?? 0) + 1;
         }
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -7,7 +7,9 @@
 import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
+import type * as crashes from "./crashes";
 import * as entries from "./entries";
+import * as lossesOfWorkers from "./losses";
 import * as outcomes from "./outcomes";
 import * as thrownAways from "./thrownAway";
 import type * as port from "./workerPort";
@@ -30,6 +32,8 @@
     getExpected(job: entries.JobEntry): outcomes.ExpectedTimes;
     /** How long a run of the step's tasks is expected to take. */
     expectRun(step: entries.StepEntry): number;
+    /** All that the leader knows. */
+    getWorkers(): Iterable<entries.WorkerEntry>;
     readonly leftOut: ReadonlySet<decisions.Mechanism>;
     readonly thrownAway: thrownAways.ThrownAway;
 }
@@ -62,7 +66,9 @@
     /** Takes note of a task's progress, as its worker tells it. */
     takeProgress(task: entries.TaskEntry, told: port.RunningTask): void;
     /** The worker's life is over, or all that ran there has lapsed. */
-    loseTasksOf(worker: entries.WorkerEntry, reason: string): void;
+    loseTasksOf(worker: entries.WorkerEntry, reason: lossesOfWorkers.LossReason): void;
+    /** Learns whether workers that were lost have crashed. */
+    readonly crashJudge: crashes.CrashJudge;
     /** Drops a job that is over and that nothing runs for. */
     forgetJob(job: entries.JobEntry): void;
 }
@@ -92,7 +98,7 @@
         }
     };
 
-    const { endJob, markDone, markStepDone, countFailure } = outcomes.createOutcomes({
+    const { endJob, markDone, markStepDone, countFailure, endFailed } = outcomes.createOutcomes({
         clock: time,
         log,
         meter,
@@ -134,6 +140,15 @@
         }
     };
 
+    /** The leader that counted its last attempt may have been lost before it stored the end of the job. */
+    const judgeRestored = (task: entries.TaskEntry) => {
+        losses.judge(task);
+        const { step } = task;
+        if (!step.spec.lasting && task.failures >= step.occurrence.job.queue.maxAttempts) {
+            endFailed(step.occurrence);
+        }
+    };
+
     const keepSaved = (task: entries.TaskEntry, saved: string) => {
         if (saved === "" || saved === task.saved) {
             return;
@@ -150,24 +165,24 @@
         const coreSeconds = options.thrownAway.addRun(task, cause, time.now());
         meter.increment("thrown_away_core_seconds_total", { queue, cause }, coreSeconds);
     };
-    const tellRunLost = (task: entries.TaskEntry, worker: entries.WorkerEntry, reason: string) => {
-        meter.increment("runs_lost_total", { queue: task.step.occurrence.job.queue.name, reason });
-        log.info("runLost", {
-            task: task.name,
-            run: task.run,
-            worker: worker.id,
-            reason,
-            phase: task.phase,
-            inherited: task.inherited,
-            seenMs: Math.round(entries.getSeenMs(task)),
-        });
-    };
     const countGangWait = (step: entries.StepEntry) => {
         const queue = step.occurrence.job.queue.name;
         const coreSeconds = options.thrownAway.addWait(step);
         meter.increment("thrown_away_core_seconds_total", { queue, cause: thrownAways.WAIT_CAUSE }, coreSeconds);
     };
 
+    const losses = lossesOfWorkers.createLosses({
+        clock: time,
+        log,
+        meter,
+        getWorkers: options.getWorkers,
+        countThrownAway,
+        toWaiting,
+        breakGang,
+        giveUp: task => endFailed(task.step.occurrence),
+        occurrenceChanged: listener.occurrenceChanged,
+    });
+
     const book: Book = {
         jobs,
         active,
@@ -213,6 +228,7 @@
                         return;
                     }
                     task.failures = stored.failures;
+                    task.crashWeight = stored.crashWeight;
                     task.saved = stored.saved;
                     if (stored.kind === "placed") {
                         entries.assign(task, getWorker(stored.workerId));
@@ -232,6 +248,9 @@
                 }
                 stopIncompleteGang(step);
             }
+            for (const step of occurrence.steps) {
+                step.tasks.forEach(judgeRestored);
+            }
             if (occurrence.over) {
                 stopAll(occurrence, "jobOver");
             }
@@ -388,25 +407,8 @@
                 task.progressAt = time.now();
             }
         },
-        loseTasksOf: (worker, reason) => {
-            const lost = [...worker.tasks];
-            if (lost.length > 0) {
-                log.warn("tasksLost", { worker: worker.id, reason, tasks: lost.length });
-            }
-            for (const task of lost) {
-                entries.unassign(task);
-                if (task.phase !== "done") {
-                    if (task.phase !== "recording") {
-                        countThrownAway(task, reason);
-                        tellRunLost(task, worker, reason);
-                    }
-                    toWaiting(task);
-                }
-            }
-            for (const task of lost) {
-                breakGang(task, "gang member lost");
-            }
-        },
+        loseTasksOf: losses.loseTasksOf,
+        crashJudge: losses.crashJudge,
         forgetJob: job => {
             jobs.delete(job.submission.jobId);
             for (const occurrence of job.occurrences.values()) {
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -20,6 +20,8 @@
     run: number;
     /** Runs that ended as failed; for a gang, the gang's. */
     failures: number;
+    /** How much the losses of its workers speak against it, see `crashes.ts`. */
+    crashWeight: number;
     /** Where a stopped task goes on from; empty: from the start. */
     saved: string;
     /** When we learned of what it saved last. */
@@ -122,6 +124,9 @@
     listed: boolean;
     /** Whether it answered the latest look, and under our fencing token. */
     heard: boolean;
+    /** When it answered last, if it has not answered since; `undefined` while it answers or has not been asked. */
+    silentSince: number | undefined;
+    heardAt: number | undefined;
     /** No new task before this time. */
     setAsideUntil: number;
     /** To be emptied for its machine's upkeep. */
@@ -189,6 +194,7 @@
         index,
         run: 0,
         failures: 0,
+        crashWeight: 0,
         saved: "",
         savedAt: 0,
         phase: "waiting",
@@ -219,6 +225,8 @@
         info,
         listed: true,
         heard: false,
+        silentSince: undefined,
+        heardAt: undefined,
         setAsideUntil: 0,
         reserved: false,
         drainingSince: undefined,
@@ -287,3 +295,15 @@
 export function getSeenMs(task: TaskEntry): number {
     return Math.max(0, task.toldAt - getStartedAt(task));
 }
+
+/** Takes note of whether the worker has answered a look. */
+export function noteHeard(worker: WorkerEntry, heard: boolean, now: number): void {
+    worker.heard = heard;
+    if (heard) {
+        worker.heardAt = now;
+        worker.silentSince = undefined;
+    }
+    else {
+        worker.silentSince ??= worker.heardAt ?? now;
+    }
+}
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -38,6 +38,8 @@
     /** All tasks of the step are done: later steps may begin. */
     markStepDone(step: entries.StepEntry): void;
     countFailure(task: entries.TaskEntry, run: number, worker: entries.WorkerEntry): void;
+    /** One of its tasks is not tried again. */
+    endFailed(occurrence: entries.OccurrenceEntry): void;
 }
 
 export function createOutcomes(options: OutcomesOptions): Outcomes {
@@ -142,12 +144,18 @@
             of: job.queue.maxAttempts,
             ranMs: Math.round(time.now() - task.runningSince),
         });
-        if (failures >= job.queue.maxAttempts && !step.occurrence.over) {
-            endOccurrence(step.occurrence, true);
+        if (failures >= job.queue.maxAttempts) {
+            endFailed(step.occurrence);
         }
     };
 
-    return { endJob, markDone, markStepDone, countFailure };
+    const endFailed = (occurrence: entries.OccurrenceEntry) => {
+        if (!occurrence.over) {
+            endOccurrence(occurrence, true);
+        }
+    };
+
+    return { endJob, markDone, markStepDone, countFailure, endFailed };
 }
 
 /** Work of one occurrence, as its caller estimates it. */
--- a/src/leader/rowsOf.ts
+++ b/src/leader/rowsOf.ts
@@ -21,11 +21,11 @@
 }
 
 function toProgress(task: entries.TaskEntry): work.TaskProgress {
-    const { run, failures, saved } = task;
+    const { run, failures, crashWeight, saved } = task;
     if (task.phase === "done") {
         return { kind: "done", run };
     }
     return task.worker
-        ? { kind: "placed", run, failures, saved, workerId: task.worker.id }
-        : { kind: "waiting", run, failures, saved };
+        ? { kind: "placed", run, failures, crashWeight, saved, workerId: task.worker.id }
+        : { kind: "waiting", run, failures, crashWeight, saved };
 }
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -115,6 +115,7 @@
         getQueue: name => options.catalog.getQueue(name),
         getExpected: job => units.getExpected(job, expect),
         expectRun: step => expect(step),
+        getWorkers: () => workers.values(),
         leftOut,
         thrownAway,
         listener: {
@@ -187,8 +188,9 @@
             },
             onHeard: heard => {
                 const before = worker.heard;
-                worker.heard = heard;
+                entries.noteHeard(worker, heard, time.now());
                 if (heard && !before) {
+                    book.crashJudge.noteWorker(worker.info);
                     planPass(PASS_DELAY_MS);
                 }
             },
@@ -230,6 +232,7 @@
                 log.info("workerDraining", { worker: info.id, remainingMs: info.remainingMs });
             }
             if (!sessions.has(info.id)) {
+                book.crashJudge.noteWorker(info);
                 openSession(worker);
             }
         }
--- a/src/work/__tests__/limits.test.ts
+++ b/src/work/__tests__/limits.test.ts
@@ -28,6 +28,7 @@
             kind: "placed",
             run: 99_999,
             failures: 99,
+            crashWeight: 9,
             saved: "00000bb87a21d94b",
             workerId: `i-${(0xffffffffff - index).toString(16)}`,
         }));
--- a/src/work/limits.ts
+++ b/src/work/limits.ts
@@ -11,7 +11,7 @@
 const MOST_TASKS = 96_000;
 /** Those that are over are listed in the job's row, with four digits and a comma each. */
 const MOST_OCCURRENCES = 10_000;
-/** A task in its occurrence's row: run, failures, what it saved, its worker's number and, at worst, its worker's name. */
+/** A task in its occurrence's row: run, failures, what it saved, its worker's number, the weight of crashes and, at worst, its worker's name. */
 const TASK_BYTES = 52;
 
 /** What is too much about the job, in words; `undefined`: nothing. `rowBytes`: the longest value of a row. */
--- a/src/work/progress.ts
+++ b/src/work/progress.ts
@@ -18,22 +18,28 @@
     readonly endedAt: number;
 }
 
+/** What is kept of a task from run to run. */
+interface Attempts {
+    readonly run: number;
+    /** Runs that ended as failed. */
+    readonly failures: number;
+    /** How much the losses of its workers speak against it. */
+    readonly crashWeight: number;
+    readonly saved: string;
+}
+
 export type TaskProgress =
-    | { readonly kind: "waiting"; readonly run: number; readonly failures: number; readonly saved: string; }
+    | { readonly kind: "waiting"; } & Attempts
     /** Ordered or running on that worker under that run. */
-    | {
-        readonly kind: "placed";
-        readonly run: number;
-        readonly failures: number;
-        readonly saved: string;
-        readonly workerId: string;
-    }
+    | { readonly kind: "placed"; readonly workerId: string; } & Attempts
     | { readonly kind: "done"; readonly run: number; };
 
 /** The tasks of each step. */
 export type OccurrenceProgress = ReadonlyArray<readonly TaskProgress[]>;
 
-type EncodedTask = readonly [run: number] | readonly [run: number, failures: number, saved: string, worker: number];
+type EncodedTask =
+    | readonly [run: number]
+    | readonly [run: number, failures: number, saved: string, worker: number, crashWeight?: number];
 
 interface EncodedOccurrence {
     readonly workers: readonly string[];
@@ -51,11 +57,11 @@
             case "done":
                 return [task.run];
             case "waiting":
-                return [task.run, task.failures, task.saved, NO_WORKER];
+                return encodeAttempts(task, NO_WORKER);
             case "placed": {
                 const index = workers.get(task.workerId) ?? workers.size;
                 workers.set(task.workerId, index);
-                return [task.run, task.failures, task.saved, index];
+                return encodeAttempts(task, index);
             }
         }
     };
@@ -64,17 +70,22 @@
     return JSON.stringify(encoded);
 }
 
+function encodeAttempts({ run, failures, saved, crashWeight }: Attempts, worker: number): EncodedTask {
+    return crashWeight > 0 ? [run, failures, saved, worker, crashWeight] : [run, failures, saved, worker];
+}
+
 export function decodeOccurrence(text: string): OccurrenceProgress {
     const encoded = JSON.parse(text) as EncodedOccurrence;
     const decodeTask = (task: EncodedTask): TaskProgress => {
         if (task.length === 1) {
             return { kind: "done", run: task[0] };
         }
-        const [run, failures, saved, worker] = task;
+        const [run, failures, saved, worker, crashWeight = 0] = task;
+        const attempts = { run, failures, crashWeight, saved };
         const workerId = encoded.workers[worker];
         return workerId === undefined
-            ? { kind: "waiting", run, failures, saved }
-            : { kind: "placed", run, failures, saved, workerId };
+            ? { kind: "waiting", ...attempts }
+            : { kind: "placed", ...attempts, workerId };
     };
     return encoded.steps.map(tasks => tasks.map(decodeTask));
 }
