What may take its worker down is started apart from other work

What callers saw: nothing yet; read in the trace of crashes.test.ts. The second run of a task that had crashed a worker was placed on the fullest worker that fits, beside the very tasks that it had taken down before: with seven sound tasks beside it 18 of their runs were started in place of 14. Tasks that begin in one pass on one worker also cannot be told apart when it crashes.

Now a task with a strong weight against it goes to a worker without tasks, else to one whose tasks have all settled in, for up to 2 s; nothing else starts there until its worker has told of it for a second, for which the worker is looked at every 0.3 s.

Room: a worker that is over its capacity in one kind takes nothing, also nothing that needs none of that kind. The test of it (LIMIT, a capacity that has shrunk below what is taken) failed without that line.

Before: 18 starts of the sound tasks. The indexed plan decides as the plain one on 400 random sites with such tasks.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -28,6 +28,7 @@
         freeing: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
         serving: 0,
         filling: 0,
+        company: decisions.Company.None,
     }));
     const groups = workers.flatMap(worker =>
         Array.from({ length: RUNNING }, (_, number): decisions.RunningGroup => ({
@@ -53,6 +54,7 @@
             claim: number % URGENT_EVERY === 0 ? decisions.Claim.Urgent : decisions.Claim.None,
             serves: false,
             fills: false,
+            suspect: false,
             avoided: new Set(),
             waitedMs: 0,
             expectedMs: 5_000,
--- a/src/decisions/__tests__/fixtures.ts
+++ b/src/decisions/__tests__/fixtures.ts
@@ -12,6 +12,7 @@
         freeing: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
         serving: 0,
         filling: 0,
+        company: types.Company.None,
         ...fields,
     };
 }
@@ -31,6 +32,7 @@
         claim: types.Claim.None,
         serves: false,
         fills: false,
+        suspect: false,
         avoided: new Set(),
         waitedMs: 0,
         expectedMs: 5_000,
--- a/src/decisions/__tests__/indexedPlan.test.ts
+++ b/src/decisions/__tests__/indexedPlan.test.ts
@@ -46,6 +46,7 @@
             freeing: source.nextInt(4) === 0 ? used : { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
             serving: source.nextInt(3),
             filling: source.nextInt(3),
+            company: source.pick(Object.values(types.Company)),
         });
         return worker;
     });
@@ -89,6 +90,7 @@
             claim: source.pick([types.Claim.None, types.Claim.Urgent, types.Claim.Lasting, types.Claim.Guaranteed]),
             serves: source.nextInt(6) === 0,
             fills: source.nextInt(6) === 0,
+            suspect: source.nextInt(8) === 0,
             avoided: source.nextInt(5) === 0 ? pickWorkers() : new Set(),
             allowed: source.nextInt(6) === 0 ? pickWorkers() : undefined,
             waitedMs: source.nextInt(8_000),
--- a/src/decisions/__tests__/plainPlan.ts
+++ b/src/decisions/__tests__/plainPlan.ts
@@ -66,20 +66,33 @@
         return true;
     };
 
+    const begun = new Set<string>();
+    const avoid = (unit: types.WaitingUnit, company: types.Company): types.WaitingUnit => {
+        const near = input.workers.filter(worker => worker.company >= company || begun.has(worker.id));
+        return unit.suspect
+            ? { ...unit, avoided: new Set([...unit.avoided, ...near.map(worker => worker.id)]) }
+            : unit;
+    };
     const hopeless = new Set<string>();
     const stepTasks = createStepTasks();
     for (const waiting of input.units) {
         if (hopeless.has(waiting.family)) {
             continue;
         }
-        const unit = stepTasks.withPlaced(waiting);
-        const now = plainPlace.place(unit, input.workers, freeOf);
+        const unit = avoid(stepTasks.withPlaced(waiting), types.Company.Unsettled);
+        const now = plainPlace.place(avoid(unit, types.Company.Settled), input.workers, freeOf)
+            ?? plainPlace.place(unit, input.workers, freeOf);
         if (now) {
             starts.push({ unit, workerIds: now });
             stepTasks.add(unit, now);
             for (const workerId of now) {
                 rooms.takeRoom(free.get(workerId)!, unit.needs);
                 rooms.takeRoom(soon.get(workerId)!, unit.needs);
+                begun.add(workerId);
+            }
+            for (const workerId of unit.suspect ? now : []) {
+                free.set(workerId, { cpuMillis: -1, memoryMb: -1, accelerators: -1 });
+                soon.set(workerId, { cpuMillis: -1, memoryMb: -1, accelerators: -1 });
             }
             continue;
         }
--- a/src/decisions/__tests__/plan.test.ts
+++ b/src/decisions/__tests__/plan.test.ts
@@ -286,6 +286,37 @@
         units: [fixtures.createUnit("s", { serves: true })],
         starts: { s: ["empty"] },
     },
+    {
+        name: "a task that may take its worker down goes to a worker without tasks, and nothing joins it",
+        workers: [
+            fixtures.createWorker("settled", {
+                company: types.Company.Settled,
+                used: { cpuMillis: 0, memoryMb: 0, accelerators: 6 },
+            }),
+            fixtures.createWorker("idle"),
+        ],
+        units: [fixtures.createUnit("s", { suspect: true }), ...["a", "b", "c"].map(key => fixtures.createUnit(key))],
+        starts: { s: ["idle"], a: ["settled"], b: ["settled"] },
+    },
+    {
+        name: "a task that may take its worker down joins only tasks that have settled in",
+        workers: [
+            fixtures.createWorker("unsettled", { company: types.Company.Unsettled }),
+            fixtures.createWorker("settled", { company: types.Company.Settled }),
+        ],
+        units: [fixtures.createUnit("s", { suspect: true }), fixtures.createUnit("t", { suspect: true })],
+        starts: { s: ["settled"] },
+    },
+    {
+        // A task that needs no accelerator was started on a worker whose accelerators had become fewer than were taken.
+        name: "nothing starts on a worker that is over its capacity, whatever it needs",
+        workers: [fixtures.createWorker("shrunk", {
+            capacity: { ...FULL, accelerators: 4 },
+            used: { cpuMillis: 0, memoryMb: 0, accelerators: 6 },
+        })],
+        units: [fixtures.createUnit("t", { needs: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 } })],
+        starts: {},
+    },
     {
         name: "only workers with the label, the service and a ticket, and without an earlier failure",
         workers: [
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -20,6 +20,7 @@
 export {
     Claim,
     CLAIM_NAMES,
+    Company,
     type PlaceableWorker,
     type Plan,
     type PlanInput,
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -5,6 +5,7 @@
  * it takes the room first and more work is stopped in the next pass, which shows as work thrown away without an end.
  */
 import * as fleets from "./fleet";
+import * as isolation from "./isolation";
 import * as mechanism from "./mechanism";
 import * as place from "./place";
 import * as preempt from "./preempt";
@@ -18,17 +19,23 @@
     const site = createSite(input);
     const leftOut = input.leftOut ?? mechanism.NOTHING;
     const stepTasks = createStepTasks();
+    const apart = isolation.createIsolation(input.workers);
     const hopeless = new Set<string>();
     for (const waiting of input.units) {
         if (hopeless.has(waiting.family)) {
             continue;
         }
-        const unit = stepTasks.withPlaced(waiting);
-        const now = place.place(unit, site.free, leftOut);
+        const unit = apart.withApart(stepTasks.withPlaced(waiting));
+        const idle = apart.withIdle(unit);
+        const now = (idle && place.place(idle, site.free, leftOut)) ?? place.place(unit, site.free, leftOut);
         if (now) {
             starts.push({ unit, workerIds: getIds(now) });
             stepTasks.add(unit, now);
+            apart.note(getIds(now));
             site.take(unit, now);
+            if (unit.suspect) {
+                site.close(now);
+            }
             continue;
         }
         const later = place.place(unit, site.getSoon(), leftOut);
@@ -84,6 +91,13 @@
                 soon?.change(soon.hosts[host.order]!, room => rooms.takeRoom(room, unit.needs, members));
             }
         },
+        /** Nothing else starts on these in this pass; `hosts` are of `free`. */
+        close: (hosts: readonly fleets.Host[]) => {
+            for (const host of new Set(hosts)) {
+                free.change(host, rooms.closeRoom);
+                getSoon().change(getSoon().hosts[host.order]!, rooms.closeRoom);
+            }
+        },
         /** `hosts` are of `getSoon()`, one for each member. */
         reserve: (unit: types.WaitingUnit, hosts: readonly fleets.Host[]) => {
             for (const [host, members] of countEach(hosts)) {
--- a/src/decisions/room.ts
+++ b/src/decisions/room.ts
@@ -28,6 +28,13 @@
     room.accelerators = Math.min(room.accelerators, bound.accelerators);
 }
 
+/** Leaves no room for anything, also not for what needs none of one kind. */
+export function closeRoom(room: MutableRoom): void {
+    room.cpuMillis = Math.min(room.cpuMillis, -1);
+    room.memoryMb = Math.min(room.memoryMb, -1);
+    room.accelerators = Math.min(room.accelerators, -1);
+}
+
 /** Equal for equal amounts. */
 export function getRoomKey(room: work.Room): string {
     let key = keys.get(room);
@@ -53,7 +60,11 @@
     );
 }
 
+/** A worker that is over its capacity in one kind takes nothing, whatever the task needs of it. */
 function countDimension(available: number, needed: number): number {
+    if (available < 0) {
+        return 0;
+    }
     return needed > 0 ? Math.floor(available / needed) : Number.MAX_SAFE_INTEGER;
 }
 
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -2,6 +2,16 @@
 import type * as work from "../work/index";
 import type * as mechanism from "./mechanism";
 
+/** The tasks of a worker, by how long they have run. */
+export const Company = {
+    None: 0,
+    /** All have been at work for a while. */
+    Settled: 1,
+    /** One has just begun. */
+    Unsettled: 2,
+} as const;
+export type Company = typeof Company[keyof typeof Company];
+
 /** A worker on which tasks may be started now. */
 export interface PlaceableWorker {
     readonly id: string;
@@ -16,6 +26,7 @@
     /** Tasks there that serve users of their own, and tasks that fill what the others leave over. */
     readonly serving: number;
     readonly filling: number;
+    readonly company: Company;
 }
 
 /** How strong a claim to room is: a stronger one may stop what runs on a weaker one. */
@@ -59,6 +70,8 @@
     readonly serves: boolean;
     /** Takes only processor time that others leave over. */
     readonly fills: boolean;
+    /** Has taken a worker down, as far as is known: it is kept apart from other work. */
+    readonly suspect: boolean;
     /** Workers on which the unit failed before. */
     readonly avoided: ReadonlySet<string>;
     /** Where set, only these workers may run the unit. */
--- a/src/leader/crashes.ts
+++ b/src/leader/crashes.ts
@@ -179,6 +179,11 @@
     return isUnderWay(task) && entries.getSeenMs(task) < SETTLED_MS;
 }
 
+/** Whether something has just begun there that may take the worker down. */
+export function hasUnsettledSuspect(worker: entries.WorkerEntry): boolean {
+    return [...worker.tasks].some(task => isSuspect(task) && isUnsettled(task));
+}
+
 function listRuns(worker: entries.WorkerEntry): LostRun[] {
     return [...worker.tasks].filter(mayHaveRun).map(task => ({
         task,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -6,6 +6,7 @@
 import type * as rows from "../rows/index";
 import * as advice from "./advice";
 import * as bookOfTasks from "./book";
+import * as crashes from "./crashes";
 import type * as directory from "./directory";
 import * as entries from "./entries";
 import * as execution from "./execution";
@@ -281,7 +282,7 @@
 
     const isPlaceable = (worker: entries.WorkerEntry, now: number) =>
         worker.listed && worker.heard && !worker.info.draining && !worker.reserved && worker.strangers === 0
-        && worker.setAsideUntil <= now && sessions.has(worker.id);
+        && worker.setAsideUntil <= now && sessions.has(worker.id) && !crashes.hasUnsettledSuspect(worker);
 
     const runPass = () => {
         passPlanned = false;
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -1,6 +1,7 @@
 /** The book as the placement decisions see it. */
 import * as decisions from "../decisions/index";
 import * as work from "../work/index";
+import * as crashes from "./crashes";
 import * as entries from "./entries";
 import type * as outcomes from "./outcomes";
 
@@ -71,9 +72,10 @@
     const { job } = step.occurrence;
     const waitedMs = options.now - Math.max(step.readySince ?? options.now, first.waitingSince);
     const stepName = getStepName(step);
+    const suspect = waitedMs < ISOLATION_PATIENCE_MS && tasks.some(crashes.isSuspect);
     return {
         key: first.name,
-        family: first.failures > 0 ? first.name : stepName,
+        family: first.failures > 0 || suspect ? first.name : stepName,
         step: stepName,
         service: job.queue.service,
         needs: step.needs,
@@ -87,6 +89,7 @@
         claim: urgency.claim,
         serves: spec.targetMs > 0,
         fills: spec.fills,
+        suspect,
         avoided: unionFailedOn(tasks),
         allowed: job.queue.advice ? getTicketed(step, options.now) : undefined,
         waitedMs,
@@ -94,6 +97,9 @@
     };
 }
 
+/** Beyond it a task that may take its worker down starts wherever there is room. */
+const ISOLATION_PATIENCE_MS = 2_000;
+
 function unionFailedOn(tasks: readonly entries.TaskEntry[]): ReadonlySet<string> {
     if (tasks.length === 1) {
         return tasks[0]!.failedOn;
@@ -277,5 +283,13 @@
         freeing,
         serving,
         filling,
+        company: getCompany(worker),
     };
 }
+
+function getCompany(worker: entries.WorkerEntry): decisions.Company {
+    if (worker.tasks.size === 0) {
+        return decisions.Company.None;
+    }
+    return [...worker.tasks].some(crashes.isUnsettled) ? decisions.Company.Unsettled : decisions.Company.Settled;
+}
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -4,6 +4,7 @@
 import type * as observe from "../observe/index";
 import * as blame from "./blame";
 import type * as book from "./book";
+import * as crashes from "./crashes";
 import type * as entries from "./entries";
 import type * as heldLease from "./heldLease";
 import * as lapse from "./lapse";
@@ -29,6 +30,9 @@
 /** While fillers run beside serving tasks, their figures are needed this often. */
 const SHARING_WAIT_MS = 700;
 
+/** Nothing else starts on a worker until what may take it down has settled in there. */
+const SETTLING_WAIT_MS = 300;
+
 export function getLookWaitMs(worker: entries.WorkerEntry, longestMs: number): number {
     let serving = false;
     let filling = false;
@@ -36,6 +40,9 @@
         serving ||= task.step.spec.targetMs > 0;
         filling ||= task.step.spec.fills;
     }
+    if (crashes.hasUnsettledSuspect(worker)) {
+        return SETTLING_WAIT_MS;
+    }
     return serving && filling ? SHARING_WAIT_MS : longestMs;
 }
 
--- a/src/scheduler/__tests__/crashes.test.ts
+++ b/src/scheduler/__tests__/crashes.test.ts
@@ -151,3 +151,22 @@
         expect(states).toEqual([testCase.state, ...others.map(() => "completed")]);
     });
 });
+
+// The second start of a task that had crashed a worker took sound work down with it, which was placed beside it.
+test("a task that has taken its worker down is started apart from others", async () => {
+    const sound = fixtures.createJob(1, { count: 7, estimateMs: 6_000 });
+    const poison = fixtures.createJob(2, {}, crashing(AT_ONCE_MS));
+    const site = await fixtures.openWithJobs({ workers: 4 }, [sound]);
+    await site.clock.advance(2_000);
+    await fixtures.settle(site.clock, site.submit(poison, 1));
+    // Arrives as the second run of the task that crashes its workers has begun.
+    await site.clock.advance(3_200);
+    const later = fixtures.createJob(3, { count: 3 });
+    await fixtures.settle(site.clock, site.submit(later, 1));
+    await site.clock.advance(15_000);
+    site.close();
+    expect(site.workers.breaches).toEqual([]);
+    expect(fixtures.getStarts(site, poison)).toHaveLength(2);
+    expect(fixtures.getStarts(site, sound)).toHaveLength(14);
+    expect(fixtures.getStarts(site, later)).toHaveLength(3);
+});
