Nothing starts by what a worker said of its capacity too long ago

Cause, read in the code and shown by tests: the leader placed by the directory's last word, however old. With a directory that is away, or has just come back, a worker that shrank 5 s before got a task for its former capacity (two cases of capacity.test.ts failed); a start whose row took 2 s to store went out to a worker that had shrunk or begun to drain meanwhile (two cases failed).

Now the directory tells when each worker wrote its entry, as the time of the answer before the one that brought it. A worker takes tasks while that is no longer ago than a start may count on, less the way of an order; and the same, its capacity and whether it drains are looked at once more when the order goes out. Services that refuse overload themselves are left out.

The emulated workers report to the directory every 1.5 s, and the soak's write their entry that often.

What keeps a worker from being given tasks is a file of its own now.

Ruled out: waiting for a fixed time after the store is back (costs the same where nothing has changed, and does not cover one table that is away).

Before: 4 of 7 cases fail.

--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -43,6 +43,8 @@
 const GRACE_S = 6;
 const UPKEEP_S = 2;
 const STATUS_S = 120;
+const CONTACT_MS = 3_000;
+const REPORT_MS = 1_500;
 const CONFIGURATION_MS = 2_000;
 
 /** A soak that is ended early leaves no process behind. */
@@ -71,6 +73,8 @@
                 upkeepSeconds: UPKEEP_S,
                 statusSeconds: STATUS_S,
                 configurationMs: CONFIGURATION_MS,
+                contactMs: CONTACT_MS,
+                reportMs: REPORT_MS,
             },
         }),
     );
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -136,6 +136,14 @@
             },
         };
         place.revive();
+        const report = () => {
+            if (info) {
+                info = workers.getInfo(info.id);
+                store.put(standin.encodeWorkerRow(info));
+            }
+        };
+        const reporting = setInterval(report, REPORT_EVERY_MS);
+        closers.push(() => clearInterval(reporting));
         return place;
     };
     const places = await Promise.all(range(options.workers).map(openPlace));
@@ -194,6 +202,8 @@
     });
 }
 
+/** A worker tells of itself so often; a capacity that has changed shows then. */
+const REPORT_EVERY_MS = 1_500;
 /** A worker that falls silent leaves the directory after three of its heartbeats. */
 const DIRECTORY_SILENCE_MS = 4_500;
 
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -5,7 +5,7 @@
 export { plan } from "./plan";
 export { leaveOut, POLICIES, type Policy, type PolicyName } from "./policy";
 export { createPredictor, type Predictor } from "./prediction";
-export { addRoom, copyRoom, countFits, getCoreEquivalents, type MutableRoom, takeRoom } from "./room";
+export { addRoom, copyRoom, countFits, getCoreEquivalents, isWithin, type MutableRoom, takeRoom } from "./room";
 export {
     createSpeedTrack,
     getMoveTimes,
--- a/src/decisions/room.ts
+++ b/src/decisions/room.ts
@@ -28,6 +28,12 @@
     room.accelerators = Math.min(room.accelerators, bound.accelerators);
 }
 
+/** Whether that much is no more than the capacity, in each kind. */
+export function isWithin(used: work.Room, capacity: work.Room): boolean {
+    return used.cpuMillis <= capacity.cpuMillis && used.memoryMb <= capacity.memoryMb
+        && used.accelerators <= capacity.accelerators;
+}
+
 /** Leaves no room for anything, also not for what needs none of one kind. */
 export function closeRoom(room: MutableRoom): void {
     room.cpuMillis = Math.min(room.cpuMillis, -1);
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -33,6 +33,8 @@
     readonly maxLeaseMs?: number;
     /** How long rows of ended jobs stay. */
     readonly retentionMs?: number;
+    /** Whether nobody reaches the directory, neither workers nor instances. */
+    isDirectoryAway?(): boolean;
     /** How long a worker is down that a task has taken down. */
     readonly workerRestartMs?: number;
 }
@@ -75,6 +77,7 @@
 const CALLER_PATIENCE_MS = 3_000;
 const UPKEEP_MS = 2_000;
 const CONFIGURATION_MS = 2_000;
+const CAPACITY_MS = 4_500;
 const ROW_BYTES = 65_536;
 const DEFAULT_RETENTION_MS = 600_000;
 const NO_ADVISER: leader.Adviser = {
@@ -104,6 +107,7 @@
         faults: options.workerFaults,
         getModel: task => jobModel.createModel(jobs, task),
         onCrash: id => crashWorker(id),
+        canReport: () => !options.isDirectoryAway?.(),
     });
     options.workers.forEach(workers.add);
     /** The worker is silent for some seconds, and then another life of it begins at its address. */
@@ -159,7 +163,10 @@
                 },
             },
             store: freezer.wrapStore(store.open(getInstanceName(number))),
-            directory: workers.directory,
+            directory: {
+                follow: (signal, onWorkers) =>
+                    workers.directory.follow(signal, listed => options.isDirectoryAway?.() || onWorkers(listed)),
+            },
             workers: freezer.wrapWorkers(workers.port),
             adviser: options.adviser ?? NO_ADVISER,
             machines: options.machines ?? NO_MACHINES,
@@ -171,6 +178,7 @@
                 retentionMs: options.retentionMs ?? DEFAULT_RETENTION_MS,
                 rowBytes: ROW_BYTES,
                 configurationMs: CONFIGURATION_MS,
+                capacityMs: CAPACITY_MS,
             }),
             // Its instances are told of each configuration without the store.
             getConfigurationAgeMs: () => 0,
--- a/src/emulator/startChecks.ts
+++ b/src/emulator/startChecks.ts
@@ -1,4 +1,5 @@
 /** What a scheduler must never start, as the emulated workers see it. */
+import * as decisions from "../decisions/index";
 import type * as work from "../work/index";
 import * as workerLife from "./workerLife";
 
@@ -69,10 +70,10 @@
     };
     const checkCapacity = (life: workerLife.Life, start: StartRecord, sentAt: number) => {
         const sum: work.Room = workerLife.sumNeeds(life);
-        if (workerLife.isWithin(sum, workerLife.getCapacitySince(life, sentAt - SHRINK_GRACE_MS))) {
+        if (decisions.isWithin(sum, workerLife.getCapacitySince(life, sentAt - SHRINK_GRACE_MS))) {
             return;
         }
-        const fitted = life.earlierCapacities.some(({ capacity }) => workerLife.isWithin(sum, capacity));
+        const fitted = life.earlierCapacities.some(({ capacity }) => decisions.isWithin(sum, capacity));
         if (fitted) {
             shrunkStarts.push(start);
         }
--- a/src/emulator/workerLife.ts
+++ b/src/emulator/workerLife.ts
@@ -35,6 +35,8 @@
 
 export interface Life {
     info: leader.WorkerInfo;
+    /** What the directory has of it, and since when. */
+    report: { readonly info: leader.WorkerInfo; readonly at: number; };
     alive: boolean;
     listed: boolean;
     fence: number;
@@ -74,11 +76,6 @@
     return sum;
 }
 
-export function isWithin(sum: work.Room, capacity: work.Room): boolean {
-    return sum.cpuMillis <= capacity.cpuMillis && sum.memoryMb <= capacity.memoryMb
-        && sum.accelerators <= capacity.accelerators;
-}
-
 /** How many times slower a run is for being far from its data, or its gang for lying on more than one rack. */
 export function getFarFactor(run: Run, life: Life, gang: readonly Life[]): number {
     const racks = new Set(gang.map(member => member.info.rack));
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -37,6 +37,8 @@
     readonly gangTimeoutMs?: number;
     readonly faults?: WorkerFaults;
     getModel(task: string): workerLife.TaskModel;
+    /** Whether workers reach the directory now; by default they always do. */
+    canReport?(): boolean;
     /** A task has taken the worker down, which is up to `kill` and `succeed`. */
     onCrash?(workerId: string): void;
 }
@@ -77,6 +79,7 @@
 
 /** Granularity of the emulated work. */
 const TICK_MS = 50;
+const REPORT_EVERY_MS = 1_500;
 const SAVE_EVERY_MS = 1_000;
 /** The directory tells of a change up to this much later. */
 const DIRECTORY_LAG_MS = 600;
@@ -161,8 +164,16 @@
             }
         }
     };
+    const report = (life: workerLife.Life) => {
+        if (options.canReport?.() !== false) {
+            life.report = { info: life.info, at: time.now() };
+        }
+    };
     const tick = () => {
         for (const life of lives.values()) {
+            if (life.alive && time.now() - life.report.at >= REPORT_EVERY_MS) {
+                report(life);
+            }
             if (time.now() >= life.deadline) {
                 life.lapsedEnd = life.nextEnd - 1;
             }
@@ -312,6 +323,7 @@
     const add = (info: leader.WorkerInfo) => {
         lives.set(info.id, {
             info,
+            report: { info, at: time.now() },
             alive: true,
             listed: true,
             fence: 0,
@@ -360,12 +372,13 @@
         drain: (id, remainingMs) => {
             const life = lives.get(id)!;
             life.info = { ...life.info, draining: true, remainingMs };
+            report(life);
         },
         directory: {
             follow: (signal, onWorkers) => {
                 const tell = () => {
                     if (!signal.aborted) {
-                        onWorkers([...lives.values()].filter(life => life.listed).map(life => life.info));
+                        onWorkers([...lives.values()].filter(life => life.listed).map(toListed));
                         time.setTimer(DIRECTORY_LAG_MS, tell);
                     }
                 };
@@ -385,3 +398,7 @@
         },
     };
 }
+
+function toListed({ report }: workerLife.Life): leader.ListedWorker {
+    return { ...report.info, reportedAt: report.at };
+}
--- a/src/leader/directory.ts
+++ b/src/leader/directory.ts
@@ -3,7 +3,12 @@
 
 export interface WorkerDirectory {
     /** Tells of all workers that are listed, at first and after each change, until the signal. */
-    follow(signal: AbortSignal, onWorkers: (listed: readonly entries.WorkerInfo[]) => void): void;
+    follow(signal: AbortSignal, onWorkers: (listed: readonly ListedWorker[]) => void): void;
+}
+
+export interface ListedWorker extends entries.WorkerInfo {
+    /** Monotonic time after which the worker said so of itself. */
+    readonly reportedAt: number;
 }
 
 /** Port to the service that knows which workers may run a step of a queue with advice. */
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -120,6 +120,8 @@
 export interface WorkerEntry {
     readonly id: string;
     info: WorkerInfo;
+    /** After this time it said of itself what `info` says; `undefined`: it is not listed. */
+    reportedAt: number | undefined;
     /** Whether the directory still lists it. */
     listed: boolean;
     /** Whether it answered the latest look, and under our fencing token. */
@@ -223,6 +225,7 @@
     return {
         id: info.id,
         info,
+        reportedAt: undefined,
         listed: true,
         heard: false,
         silentSince: undefined,
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -1,5 +1,5 @@
 /** The leader: who it is, what it believes of jobs and workers, and the orders it gives. */
-export type { AdviceResult, Adviser, WorkerDirectory } from "./directory";
+export type { AdviceResult, Adviser, ListedWorker, WorkerDirectory } from "./directory";
 export type { WorkerInfo } from "./entries";
 export { type Candidacy, createHandover, type Handover, type HandoverPort, type Offer } from "./handover";
 export { createHandoverPort, createHandoverRoutes } from "./handoverCalls";
--- a/src/leader/knownServices.ts
+++ b/src/leader/knownServices.ts
@@ -6,6 +6,7 @@
  */
 import type * as catalogs from "../catalog/index";
 import type * as observe from "../observe/index";
+import type * as directory from "./directory";
 import type * as entries from "./entries";
 
 export interface KnownServicesOptions {
@@ -19,7 +20,7 @@
 /** Returns those of the listed workers that a queue may use. Before there is a configuration these are all. */
 export function createServiceFilter(
     { catalog, log, meter, isInUse }: KnownServicesOptions,
-): (listed: readonly entries.WorkerInfo[]) => readonly entries.WorkerInfo[] {
+): (listed: readonly directory.ListedWorker[]) => readonly directory.ListedWorker[] {
     let told: ReadonlySet<string> = new Set();
     return listed => {
         const services = catalog.get()?.services.map(service => service.name);
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -15,6 +15,8 @@
     readonly signal: AbortSignal;
     getSession(worker: entries.WorkerEntry): workerSession.WorkerSession | undefined;
     mayOrder(): boolean;
+    /** Whether what was placed on the worker may still be started there. */
+    mayStart(worker: entries.WorkerEntry): boolean;
     readonly leftOut: ReadonlySet<decisions.Mechanism>;
 }
 
@@ -71,8 +73,10 @@
         }
         const worker = task.worker;
         const session = worker && options.getSession(worker);
-        if (!worker || !session || task.phase !== "recording" || !options.mayOrder()) {
+        const mayStart = worker && session && options.mayOrder() && options.mayStart(worker);
+        if (!mayStart || task.phase !== "recording") {
             if (worker && task.phase === "recording") {
+                log.info("startWithdrawn", { task: task.name, run, worker: worker.id });
                 taskBook.takeBack(task);
             }
             return;
--- /dev/null
+++ b/src/leader/placeable.ts
@@ -0,0 +1,43 @@
+/** Which workers may be given tasks now. */
+import type * as catalogs from "../catalog/index";
+import * as decisions from "../decisions/index";
+import * as crashes from "./crashes";
+import type * as entries from "./entries";
+
+export interface PlaceableOptions {
+    readonly catalog: Pick<catalogs.CurrentCatalog, "get">;
+    /** How long after a worker's capacity has shrunk a start may count on what it was. */
+    readonly capacityMs: number;
+    hasSession(worker: entries.WorkerEntry): boolean;
+}
+
+/** From the decision until a start reaches its worker. */
+const ORDER_WAY_MS = 600;
+
+export interface Placeable {
+    /** Whether tasks may be placed there. */
+    isPlaceable(worker: entries.WorkerEntry, now: number): boolean;
+    /** Whether what was placed there before may still be sent: storing its row may have taken seconds. */
+    mayStart(worker: entries.WorkerEntry, now: number): boolean;
+}
+
+export function createPlaceable(options: PlaceableOptions): Placeable {
+    const refusesOverload = ({ info }: entries.WorkerEntry) =>
+        options.catalog.get()?.services.some(service => service.name === info.service && service.refusesOverload)
+            ?? false;
+    /** Its capacity may have shrunk since its last report, which an unreachable directory does not pass on. */
+    const isReported = (worker: entries.WorkerEntry, now: number, lastsMs: number) =>
+        worker.reportedAt !== undefined && now - worker.reportedAt <= lastsMs;
+    return {
+        isPlaceable: (worker, now) =>
+            worker.listed && worker.heard && !worker.info.draining && !worker.reserved && worker.strangers === 0
+            && worker.setAsideUntil <= now && options.hasSession(worker)
+            && (isReported(worker, now, options.capacityMs - ORDER_WAY_MS) || refusesOverload(worker))
+            && !crashes.hasUnsettledSuspect(worker),
+        mayStart: (worker, now) =>
+            !worker.info.draining
+            && (refusesOverload(worker)
+                || (decisions.isWithin(worker.used, worker.info.capacity)
+                    && isReported(worker, now, options.capacityMs))),
+    };
+}
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -6,7 +6,6 @@
 import type * as rows from "../rows/index";
 import * as advice from "./advice";
 import * as bookOfTasks from "./book";
-import * as crashes from "./crashes";
 import type * as directory from "./directory";
 import * as entries from "./entries";
 import * as execution from "./execution";
@@ -18,6 +17,7 @@
 import * as knownServices from "./knownServices";
 import type * as machines from "./machines";
 import * as ordersOfTerm from "./orders";
+import * as placeable from "./placeable";
 import * as progressWriter from "./progressWriter";
 import * as reconcile from "./reconcile";
 import * as retention from "./retention";
@@ -48,6 +48,8 @@
     readonly life: string;
     /** Longest lease of what runs on a worker. */
     readonly maxLeaseMs: number;
+    /** How long after a worker's capacity has shrunk a start may count on what it was. */
+    readonly capacityMs: number;
     /** How long a machine is down for its upkeep. */
     readonly upkeepMs: number;
     /** How long the state of an ended job can be asked for. */
@@ -134,6 +136,7 @@
         signal,
         getSession: worker => sessions.get(worker.id),
         mayOrder: leadership.mayOrder,
+        mayStart: worker => mayStart(worker, time.now()),
         leftOut,
     });
     const adviceDesk = advice.createAdviceDesk({
@@ -221,12 +224,13 @@
         meter,
         isInUse: id => (workers.get(id)?.tasks.size ?? 0) > 0,
     });
-    const takeDirectory = (all: readonly entries.WorkerInfo[]) => {
+    const takeDirectory = (all: readonly directory.ListedWorker[]) => {
         const listed = leaveOutUnknown(all);
         const present = new Set(listed.map(info => info.id));
         for (const info of listed) {
             const worker = getWorker(info.id);
             worker.info = info;
+            worker.reportedAt = info.reportedAt;
             worker.listed = true;
             if (info.draining && worker.drainingSince === undefined) {
                 worker.drainingSince = time.now();
@@ -256,7 +260,7 @@
         planPass(PASS_DELAY_MS);
     };
     const followDirectory = async () => {
-        let listed: readonly entries.WorkerInfo[] | undefined;
+        let listed: readonly directory.ListedWorker[] | undefined;
         options.directory.follow(signal, workersListed => {
             listed = workersListed;
             takeDirectory(listed);
@@ -280,9 +284,11 @@
         isGuaranteed: job => guaranteed.has(job),
     });
 
-    const isPlaceable = (worker: entries.WorkerEntry, now: number) =>
-        worker.listed && worker.heard && !worker.info.draining && !worker.reserved && worker.strangers === 0
-        && worker.setAsideUntil <= now && sessions.has(worker.id) && !crashes.hasUnsettledSuspect(worker);
+    const { isPlaceable, mayStart } = placeable.createPlaceable({
+        catalog: options.catalog,
+        capacityMs: options.capacityMs,
+        hasSession: worker => sessions.has(worker.id),
+    });
 
     const runPass = () => {
         passPlanned = false;
@@ -301,13 +307,13 @@
         if (waiting.length === 0) {
             return;
         }
-        const placeable = [...workers.values()].filter(worker => isPlaceable(worker, now));
-        adviceDesk.ask(waiting, placeable);
+        const usable = [...workers.values()].filter(worker => isPlaceable(worker, now));
+        adviceDesk.ask(waiting, usable);
         let groups: ReadonlyMap<string, units.GroupOfTasks> = new Map();
         const plan = decisions.plan({
             now,
             leftOut,
-            workers: placeable.map(units.toPlaceable),
+            workers: usable.map(units.toPlaceable),
             units: waiting.map(item => item.unit),
             getGroups: () => {
                 groups = units.collectGroups(book.active, view);
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -83,6 +83,7 @@
     readonly catalog?: catalogs.Catalog;
     readonly retentionMs?: number;
     readonly workerRestartMs?: number;
+    readonly isDirectoryAway?: (time: clocks.Clock) => boolean;
     readonly policy?: decisions.Policy;
     readonly adviser?: leader.Adviser;
     /** Machines `m0`, `m1` … lie beneath the workers of these numbers. */
@@ -108,6 +109,7 @@
         catalog: options.catalog ?? CATALOG,
         retentionMs: options.retentionMs,
         workerRestartMs: options.workerRestartMs,
+        isDirectoryAway: () => options.isDirectoryAway?.(time) ?? false,
         policy: options.policy,
         adviser: options.adviser,
         machines: machines?.service,
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -49,6 +49,8 @@
     readonly rowBytes: number;
     /** How long after its confirmation a configuration may take to be in force everywhere. */
     readonly configurationMs: number;
+    /** How long after a worker's capacity has shrunk a start may count on what it was. */
+    readonly capacityMs: number;
 }
 
 export interface Scheduler {
