The directory is asked often for a while after it was away

Cause: after a failed call the list of workers was asked again only 0.75 s later, and a worker that had written just before that first answer counted as stale until its next report.

Now a table that is asked now and then is asked every 0.15 s until 3 s after the last failed call.

Ruled out: taking a report in the first answer for fresh (a worker that wrote just before the store went away and then shrank would get tasks).

The test failed before.

--- a/src/rows/__tests__/followTable.test.ts
+++ b/src/rows/__tests__/followTable.test.ts
@@ -126,6 +126,24 @@
         opened.stop();
     });
 
+    // Workers that had told of themselves since the store was back were known of up to 1.4 s later.
+    test("that was away and is asked now and then is asked often for a while, and then as before", async () => {
+        let calls = 0;
+        const { time, store, known, stop } = open((now, call) => {
+            calls += call === "feed" ? 1 : 0;
+            return now >= 2_000 && now < 6_000 ? "refuse" : "none";
+        }, 600);
+        await time.advance(7_000);
+        store.put({ table: TABLE, part: "", key: "k", value: "new" });
+        await time.advance(200);
+        expect(known.get("k")?.value).toBe("new");
+        await time.advance(10_000);
+        calls = 0;
+        await time.advance(6_000);
+        expect(calls).toBeLessThanOrEqual(10);
+        stop();
+    });
+
     test("tells nothing after its end, also when an answer is on its way", async () => {
         // Symptom: a leader that has lost its lease opens connections to workers that nobody closes. Sequence: the
         // term ends while the store answers. Cause: the answer was still passed on.
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -52,6 +52,8 @@
 const READ_SILENCE_MS = 1_200;
 /** Pause after a failed call: long enough not to overrun a store that returns, short beside a second. */
 const RETRY_PAUSE_MS = 150;
+/** After a failed call a table that is asked for its changes is asked as often as after a failure, for this long. */
+const CATCH_UP_MS = 3_000;
 
 export function followTable(options: TableFollowerOptions): TableFollower {
     const contact = tableContact.createTableContact(options);
@@ -69,6 +71,9 @@
      * on workers that have drained for seconds, on sites of more than a thousand.
      */
     let isBehind = false;
+    let lostAt = -Infinity;
+    /** What others could not write while the store was away they write when it is back, and it is waited for. */
+    const getPauseMs = () => time.now() - lostAt < CATCH_UP_MS ? Math.min(everyMs, RETRY_PAUSE_MS) : everyMs;
     const keep = (askedAt: clock.Moment, asOf = askedAt) => {
         contact.keep(askedAt, asOf);
         // An answer that took long counts from its call; the next one, at once, tells whether more has changed since.
@@ -78,6 +83,7 @@
     const lose = async (message: string) => {
         // The next answer comes at once, so that what is known is not taken for old for longer than need be.
         waitMs = 0;
+        lostAt = time.now();
         contact.lose(message);
         options.onLoss?.(message);
         await time.sleep(RETRY_PAUSE_MS, signal);
@@ -133,7 +139,7 @@
             continue;
         }
         if (everyMs > 0 && !isBehind) {
-            await time.sleep(everyMs, signal);
+            await time.sleep(getPauseMs(), signal);
         }
         isBehind = false;
         after = await poll(after);
