Random deployments with hazards of workers; what isolation is worth

Keeping suspect tasks apart is a mechanism with a name, isolation.

Tests: eight such deployments keep every promise.

--- a/src/cli/drawnExperiment.ts
+++ b/src/cli/drawnExperiment.ts
@@ -13,6 +13,8 @@
     readonly without: readonly decisions.Mechanism[];
     readonly seed: number;
     readonly holdout?: boolean;
+    /** With workers that crash and come back, capacities that shrink, and jobs that take their workers down. */
+    readonly hazards?: boolean;
     readonly threads: number;
     readonly json?: boolean;
 }
@@ -29,7 +31,9 @@
     ];
     const first = options.holdout ? HOLDOUT_SEED : options.seed;
     const seeds = Array.from({ length: options.drawn }, (_, number) => first + number);
-    const tasks = variants.flatMap(variant => seeds.map(seed => ({ seed, size: options.size, variant })));
+    const tasks = variants.flatMap(variant =>
+        seeds.map(seed => ({ seed, size: options.size, variant, hazards: options.hazards }))
+    );
     const results = await experiment.playBatch(tasks, options.threads);
     const byVariant = variants.map((_, number) => results.slice(number * seeds.length, (number + 1) * seeds.length));
     const measured = byVariant.map(list => list.map(item => item.measures));
--- a/src/cli/experimentCommand.ts
+++ b/src/cli/experimentCommand.ts
@@ -13,6 +13,7 @@
     readonly json?: boolean;
     readonly report?: string;
     readonly drawn?: number;
+    readonly hazards?: boolean;
     readonly size: experiment.Size;
     readonly without: Array<decisions.Mechanism | typeof ALL>;
     readonly holdout?: boolean;
@@ -47,6 +48,7 @@
                 .default([]),
         )
         .option("--holdout", "random deployments of seeds that are kept for the end")
+        .option("--hazards", "random deployments with workers that crash and come back, shrink, or are taken down")
         .option("--threads <n>", "threads that play random deployments", Number, DEFAULT_THREADS)
         .action(async (names: string[], options: ExperimentOptions) => {
             if (options.drawn === undefined) {
--- a/src/decisions/mechanism.ts
+++ b/src/decisions/mechanism.ts
@@ -20,6 +20,7 @@
     slowWorkers: "workers that turn slow are set aside",
     slowMoves: "tasks on slow workers are moved where that pays",
     leavingWorkers: "what cannot end before its worker leaves is stopped in time",
+    isolation: "a task that may take its worker down is started apart from other work",
     unansweredLooks: "a start without an answer is looked for before it is stopped",
     relay: "requests that an instance cannot serve are passed on",
     handover: "a leader that loses the store hands its term over",
--- a/src/experiment/__tests__/bound.test.ts
+++ b/src/experiment/__tests__/bound.test.ts
@@ -18,6 +18,7 @@
         arrivesAt: 0,
         cancelAfterMs: undefined,
         poisoned: false,
+        crashing: false,
         objectiveMs: 5_000,
     }));
 }
--- a/src/experiment/__tests__/drawn.test.ts
+++ b/src/experiment/__tests__/drawn.test.ts
@@ -50,6 +50,7 @@
             arrivesAt,
             cancelAfterMs: undefined,
             poisoned: false,
+            crashing: false,
             objectiveMs: 1_000,
             coreSeconds: 10,
         },
@@ -110,7 +111,9 @@
 jest.setTimeout(60_000);
 
 /** Each with a deployment on which it matters; the others show in tests of their own. */
-const SHOWN_ON: Readonly<Record<Exclude<decisions.Mechanism, "unansweredLooks" | "relay" | "firstLooks">, number>> = {
+const SHOWN_ON: Readonly<
+    Record<Exclude<decisions.Mechanism, "unansweredLooks" | "relay" | "firstLooks" | "isolation">, number>
+> = {
     preemption: 30,
     sparing: 35,
     lateness: 21,
@@ -140,6 +143,16 @@
         return result!;
     };
 
+    test.each([1, 3, 4, 5, 6, 7, 8, 9])(
+        "keeps every promise with hazards on seed %i, and decides otherwise",
+        async seed => {
+            const variant = { policy: "worth", leftOut: [] } as const;
+            const [result] = await experiment.playBatch([{ seed, size: "small", variant, hazards: true }], 0);
+            expect(result!.breaches).toEqual([]);
+            expect(result!.measures).not.toEqual((await playOne(seed)).measures);
+        },
+    );
+
     test("gives the results in the order of its tasks", async () => {
         const tasks = [24, 34].map((seed): experiment.BatchTask => ({
             seed,
--- a/src/experiment/__tests__/experiment.test.ts
+++ b/src/experiment/__tests__/experiment.test.ts
@@ -72,7 +72,7 @@
 describe("what callers got", () => {
     const [planned] = generate.generateJobs(SHORT, generate.createSource(5));
     const createOutcome = (fields: Partial<outcomes.JobOutcome>): outcomes.JobOutcome => ({
-        planned: { ...planned!, cancelAfterMs: undefined, poisoned: false, objectiveMs: 10_000 },
+        planned: { ...planned!, cancelAfterMs: undefined, poisoned: false, crashing: false, objectiveMs: 10_000 },
         zone: "zone-0",
         accepted: true,
         firstStartMs: 100,
--- a/src/experiment/batch.ts
+++ b/src/experiment/batch.ts
@@ -15,6 +15,8 @@
     readonly seed: number;
     readonly size: drawnLoad.Size;
     readonly variant: Variant;
+    /** With workers that crash and come back, capacities that shrink, and jobs that take their workers down. */
+    readonly hazards?: boolean;
 }
 
 export interface BatchResult {
@@ -23,9 +25,11 @@
     readonly breaches: readonly string[];
 }
 
-export async function playTask({ seed, size, variant }: BatchTask): Promise<BatchResult> {
+export async function playTask({ seed, size, variant, hazards }: BatchTask): Promise<BatchResult> {
     const policy = decisions.leaveOut(decisions.POLICIES[variant.policy], variant.leftOut);
-    const played = await play.play({ load: drawnLoad.drawLoad(seed, size), seed, policy });
+    const drawn = drawnLoad.drawLoad(seed, size);
+    const load = hazards ? drawnLoad.addHazards(drawn, seed) : drawn;
+    const played = await play.play({ load, seed, policy });
     return { measures: measures.measure(played), breaches: played.breaches };
 }
 
--- a/src/experiment/drawnLoad.ts
+++ b/src/experiment/drawnLoad.ts
@@ -63,6 +63,32 @@
     };
 }
 
+/**
+ * The load with workers that crash and come back, capacities that shrink, and jobs that take their workers down; drawn
+ * apart, so that all else stays as it was.
+ */
+export function addHazards(load: loads.Load, seed: number): loads.Load {
+    const source = generate.createSource(seed + FIRST_HAZARD_SEED);
+    const crashing = source.pick([0, 0.02, 0.05]);
+    const hazards = Array.from({ length: 1 + source.nextInt(MOST_HAZARDS) }, (): loads.Trouble => {
+        const atMs = 2_000 + source.nextInt(FOR_MS - 8_000);
+        const share = 0.05 + 0.3 * source.nextFloat();
+        const racks = source.nextInt(2) === 0;
+        return source.nextInt(2) === 0
+            ? { kind: "restart", atMs, share, racks }
+            : { kind: "shrink", atMs, forMs: 3_000 + source.nextInt(6_000), share, left: source.pick([0, 0.25, 0.5]) };
+    });
+    return {
+        ...load,
+        classes: load.classes.map(item => ({ ...item, crashing })),
+        troubles: [...load.troubles, ...hazards],
+    };
+}
+
+/** Far from the seeds of loads, and of what else is drawn apart. */
+const FIRST_HAZARD_SEED = 11_000_000;
+const MOST_HAZARDS = 4;
+
 /** Workers of one speed, or of several kinds. */
 const SPEEDS: ReadonlyArray<readonly number[]> = [[1], [0.8, 1, 1.25], [0.8, 1, 1.25], [0.6, 1, 1.4]];
 const ZONE_CUT_SHARE = 0.3;
--- a/src/experiment/generate.ts
+++ b/src/experiment/generate.ts
@@ -14,6 +14,8 @@
     readonly cancelAfterMs: number | undefined;
     /** Whether it fails however often it is tried. */
     readonly poisoned: boolean;
+    /** Whether one of its tasks takes each of its workers down: it earns nothing and is not missed. */
+    readonly crashing: boolean;
     /** Time within which it is in time, from its arrival. */
     readonly objectiveMs: number;
     readonly coreSeconds: number;
@@ -94,18 +96,21 @@
     const zone = load.zoneShares ? pickShare(load.zoneShares, source) : jobNumber % load.instances;
     const poisoned = has(item.poison);
     const failures = source.nextInt(FAILURE_PATTERNS);
+    const jobId = jobNumber.toString(16).padStart(16, "0");
+    const crashing = isUnlucky(jobId, 1, failures, item.crashing ?? 0);
     const sumSteps = (getFactor: (factors: readonly number[]) => number) =>
         durationsMs.reduce((sum, durationMs, step) => sum + durationMs * getFactor(unevenness[step]!), 0);
     const chainMs = sumSteps(factors => Math.max(...factors));
     const workMs = sumSteps(factors => factors.reduce((sum, factor) => sum + factor, 0));
     return {
         job: {
-            jobId: jobNumber.toString(16).padStart(16, "0"),
+            jobId,
             queue: item.name,
             account: getAccountName(pickAccount(load, source)),
             spec: { payload: "", steps, repeats: 0, firstDueAt: 0, periodMs: 0 },
             durationsMs,
             getUnevenness: (step, index) => unevenness[step]![index]!,
+            getCrashAfterMs: task => crashing && task.endsWith(".0.0") ? CRASH_AFTER_MS : undefined,
             fails: (task, run) => poisoned || isUnlucky(task, run, failures, item.fails),
         },
         class: item,
@@ -113,11 +118,13 @@
         arrivesAt,
         cancelAfterMs: has(item.cancelled) ? source.nextFloat() * CANCEL_WITHIN_MS : undefined,
         poisoned,
+        crashing,
         objectiveMs: item.stretch * chainMs + item.objectiveMs,
         coreSeconds: workMs / 1_000 * (needs.cpuMillis / 1_000 + CORES_PER_ACCELERATOR * needs.accelerators),
     };
 }
 
+const CRASH_AFTER_MS = 10;
 const FAILURE_PATTERNS = 1_000_003;
 /** As the users price them. */
 export const CORES_PER_ACCELERATOR = 8;
--- a/src/experiment/index.ts
+++ b/src/experiment/index.ts
@@ -2,7 +2,7 @@
 export { type BatchResult, type BatchTask, playBatch, type Variant } from "./batch";
 export { getUpperBound } from "./bound";
 export { compare, type Difference, getRankCorrelation } from "./compare";
-export { drawLoad, Size } from "./drawnLoad";
+export { addHazards, drawLoad, Size } from "./drawnLoad";
 export { type Load } from "./load";
 export { LOADS } from "./loads";
 export { type Measure, MEASURES, type Measures } from "./measures";
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -33,6 +33,8 @@
     readonly cancelled: number;
     /** Share of the jobs that fail each time. */
     readonly poison: number;
+    /** Share of the jobs with a task that takes each of its workers down; without it none. */
+    readonly crashing?: number;
     /** Share of the runs that fail. */
     readonly fails: number;
     /** Estimates are off by up to this factor, either way; 1: exact. */
@@ -61,6 +63,10 @@
     | { readonly kind: "crash"; readonly atMs: number; readonly share: number; }
     /** A share of the workers drains, and leaves `leftMs` later. */
     | { readonly kind: "leave"; readonly atMs: number; readonly share: number; readonly leftMs: number; }
+    /** Racks with about a share of the workers, or that share of any workers, crash and are back some seconds later. */
+    | { readonly kind: "restart"; readonly atMs: number; readonly share: number; readonly racks: boolean; }
+    /** The capacity of a share of the workers shrinks to `left` of what it was. */
+    | { readonly kind: "shrink"; readonly atMs: number; readonly forMs: number; readonly share: number; left: number; }
     /** The store turns every call away. */
     | { readonly kind: "storeAway"; readonly atMs: number; readonly forMs: number; }
     /** The leader falls silent, and starts again `forMs` later. */
--- a/src/experiment/summary.ts
+++ b/src/experiment/summary.ts
@@ -71,6 +71,9 @@
     if (planned.cancelAfterMs !== undefined && end?.state === "cancelled") {
         return "cancelled";
     }
+    if (planned.crashing && end?.state === "failed") {
+        return "cancelled";
+    }
     if (!end || (end.state === "failed" && !planned.poisoned)) {
         return "missed";
     }
--- a/src/experiment/troubles.ts
+++ b/src/experiment/troubles.ts
@@ -2,6 +2,7 @@
 import type * as emulator from "../emulator/index";
 import type * as leader from "../leader/index";
 import type * as random from "../random/index";
+import type * as work from "../work/index";
 import type * as loads from "./load";
 import * as siteOfLoad from "./siteOfLoad";
 
@@ -40,6 +41,10 @@
     let workerCalls = 0;
     /** Instances that fell silent, and when each returns. */
     const silenced = new Map<number, number>();
+    /** Workers that have shrunk, and until when. */
+    const shrunk: Array<{ readonly addresses: readonly string[]; readonly untilMs: number; }> = [];
+    const addresses = (ids: ReadonlySet<string>) =>
+        workers.filter(worker => ids.has(worker.id)).map(worker => worker.address);
     const isStruck = (kind: loads.Trouble["kind"], workerId: string, at: number) =>
         strikes.find(({ trouble, workerIds }) =>
             trouble.kind === kind && workerIds.has(workerId) && "forMs" in trouble && isDuring(trouble, at)
@@ -76,12 +81,30 @@
                     site.restart(instance);
                 }
             }
+            for (const item of shrunk.splice(0)) {
+                if (item.untilMs > atMs) {
+                    shrunk.push(item);
+                    continue;
+                }
+                item.addresses.forEach(address =>
+                    withWorkerAt(emulated, address, id => emulated.resize(id, load.capacity))
+                );
+            }
             for (const strike of strikes) {
                 const { trouble, workerIds } = strike;
                 if (strike.applied || trouble.atMs > atMs) {
                     continue;
                 }
                 strike.applied = true;
+                if (trouble.kind === "restart") {
+                    addresses(workerIds).forEach(address => withWorkerAt(emulated, address, site.crashWorker));
+                }
+                if (trouble.kind === "shrink") {
+                    addresses(workerIds).forEach(address =>
+                        withWorkerAt(emulated, address, id => emulated.resize(id, shrink(load.capacity, trouble.left)))
+                    );
+                    shrunk.push({ addresses: addresses(workerIds), untilMs: atMs + trouble.forMs });
+                }
                 if (trouble.kind === "crash") {
                     workerIds.forEach(id => emulated.kill(id, false));
                 }
@@ -107,9 +130,31 @@
         const zone = siteOfLoad.getZoneName(trouble.zone);
         return workers.filter(worker => worker.zone === zone).map(worker => worker.id);
     }
+    if (trouble.kind === "restart" && trouble.racks) {
+        const racks = [...new Set(workers.map(worker => worker.rack))];
+        const struck = new Set(
+            Array.from({ length: Math.max(1, Math.round(racks.length * trouble.share)) }, () => source.pick(racks)),
+        );
+        return workers.filter(worker => struck.has(worker.rack)).map(worker => worker.id);
+    }
     return "share" in trouble ? pickIds(workers, trouble.share, source) : [];
 }
 
+function withWorkerAt(emulated: emulator.EmulatedWorkers, address: string, act: (id: string) => void): void {
+    const id = emulated.findAt(address);
+    if (id !== undefined) {
+        act(id);
+    }
+}
+
+function shrink(capacity: work.Room, left: number): work.Room {
+    return {
+        cpuMillis: Math.floor(capacity.cpuMillis * left),
+        memoryMb: Math.floor(capacity.memoryMb * left),
+        accelerators: Math.floor(capacity.accelerators * left),
+    };
+}
+
 function pickIds(workers: readonly leader.WorkerInfo[], share: number, source: random.Random): string[] {
     const left = workers.map(worker => worker.id);
     const picked: string[] = [];
--- a/src/leader/placeable.ts
+++ b/src/leader/placeable.ts
@@ -8,6 +8,7 @@
     readonly catalog: Pick<catalogs.CurrentCatalog, "get">;
     /** How long after a worker's capacity has shrunk a start may count on what it was. */
     readonly capacityMs: number;
+    readonly leftOut: ReadonlySet<decisions.Mechanism>;
     hasSession(worker: entries.WorkerEntry): boolean;
 }
 
@@ -33,7 +34,7 @@
             worker.listed && worker.heard && !worker.info.draining && !worker.reserved && worker.strangers === 0
             && worker.setAsideUntil <= now && options.hasSession(worker)
             && (isReported(worker, now, options.capacityMs - ORDER_WAY_MS) || refusesOverload(worker))
-            && !crashes.hasUnsettledSuspect(worker),
+            && (options.leftOut.has("isolation") || !crashes.hasUnsettledSuspect(worker)),
         mayStart: (worker, now) =>
             !worker.info.draining
             && (refusesOverload(worker)
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -287,6 +287,7 @@
     const { isPlaceable, mayStart } = placeable.createPlaceable({
         catalog: options.catalog,
         capacityMs: options.capacityMs,
+        leftOut,
         hasSession: worker => sessions.has(worker.id),
     });
 
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -72,7 +72,8 @@
     const { job } = step.occurrence;
     const waitedMs = options.now - Math.max(step.readySince ?? options.now, first.waitingSince);
     const stepName = getStepName(step);
-    const suspect = waitedMs < ISOLATION_PATIENCE_MS && tasks.some(crashes.isSuspect);
+    const suspect = waitedMs < ISOLATION_PATIENCE_MS && !options.policy.leftOut.has("isolation")
+        && tasks.some(crashes.isSuspect);
     return {
         key: first.name,
         family: first.failures > 0 || suspect ? first.name : stepName,
