--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -13,6 +13,8 @@
     readonly source: random.Random;
     /** For what is handed in and when, so that a seed always brings the same. */
     readonly jobSource: random.Random;
+    /** For which jobs have tasks that take their workers down. */
+    readonly poisonSource: random.Random;
     readonly balancer: balancers.Balancer;
     readonly workers: emulator.EmulatedWorkers;
     readonly queues: readonly catalogs.Queue[];
@@ -110,7 +112,8 @@
         breaches,
         run: async (perSecond, signal) => {
             while (!signal.aborted) {
-                const job = emulator.createRandomJob(options.jobSource, nextNumber++);
+                const drawn = emulator.createRandomJob(options.jobSource, nextNumber++);
+                const job = emulator.poisonSome(options.poisonSource, drawn);
                 options.jobs.set(job.jobId, job);
                 const record: verdict.JobRecord = {
                     job,
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -78,14 +78,18 @@
 
 async function openParts(options: RunOptions): Promise<Parts> {
     const time = clocks.createSystemClock();
-    const plan = troubles.createTroubles(random.createRandom(options.seed), {
+    // Callers, operator and faults draw from sources of their own, so that the plan depends on the seed alone.
+    const createSource = (part: number) => random.createRandom(options.seed * SOURCES + part);
+    const troubleOptions = {
         instances: options.instances,
         workers: options.workers,
         lastMs: options.troubleMs,
         count: options.troubles,
-    });
-    // Callers, operator and faults draw from sources of their own, so that the plan depends on the seed alone.
-    const createSource = (part: number) => random.createRandom(options.seed * SOURCES + part);
+    };
+    const plan = [
+        ...troubles.createTroubles(random.createRandom(options.seed), troubleOptions),
+        ...troubles.createShrinks(createSource(6), troubleOptions),
+    ];
     const board = troubles.createFaultBoard(createSource(1));
     const jobs = new Map<string, emulator.EmulatedJob>();
     const site = await sites.createSite({ ...options, ...board, jobs });
@@ -95,6 +99,7 @@
         clock: time,
         source: createSource(4),
         jobSource: createSource(5),
+        poisonSource: createSource(7),
         balancer,
         workers: site.workers,
         queues: operator.queues,
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -32,6 +32,8 @@
     /** The worker that lives there now. */
     getId(): string | undefined;
     drain(remainingMs: number): void;
+    /** Changes the capacity of the life there to that share of what its place has; the directory learns of it later. */
+    resize(share: number): void;
     /** Ends the life there; `tell` says whether the directory learns of it at once. */
     kill(tell: boolean): void;
     /** Begins a new life, if none is going on. */
@@ -59,6 +61,7 @@
 const CAPACITY = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 };
 const MAX_LEASE_MS = 6_000;
 const STOP_MS = 200;
+const RESTART_MS = 2_500;
 const GANG_TIMEOUT_MS = 3_000;
 const STORE_LATENCY_MS = 4;
 const WORKER_LATENCY_MS = 1;
@@ -85,6 +88,7 @@
         gangTimeoutMs: GANG_TIMEOUT_MS,
         faults: options.workerFaults,
         getModel: task => emulator.createModel(options.jobs, task),
+        onCrash: id => crash(id),
     });
     const closers: Array<() => void> = [];
     const openLink = async (listen: string, target: string) => {
@@ -126,6 +130,11 @@
                 workers.kill(id, false);
                 time.setTimer(tell ? 0 : DIRECTORY_SILENCE_MS, () => store.remove(standin.getWorkerRowKey(id)));
             },
+            resize: share => {
+                if (info) {
+                    workers.resize(info.id, scale(CAPACITY, share));
+                }
+            },
             revive: () => {
                 if (!info) {
                     lives++;
@@ -146,7 +155,13 @@
         closers.push(() => clearInterval(reporting));
         return place;
     };
-    const places = await Promise.all(range(options.workers).map(openPlace));
+    /** A task has taken the worker down; another life begins there some seconds later. */
+    const crash = (id: string) => {
+        const place = places.find(candidate => candidate.getId() === id);
+        place?.kill(false);
+        time.setTimer(RESTART_MS, () => place?.revive());
+    };
+    const places: readonly WorkerPlace[] = await Promise.all(range(options.workers).map(openPlace));
 
     const openInstance = async (number: number) => {
         const name = `instance-${number}`;
@@ -230,6 +245,14 @@
     };
 }
 
+function scale(capacity: typeof CAPACITY, share: number): typeof CAPACITY {
+    return {
+        cpuMillis: Math.floor(capacity.cpuMillis * share),
+        memoryMb: Math.floor(capacity.memoryMb * share),
+        accelerators: Math.floor(capacity.accelerators * share),
+    };
+}
+
 function range(count: number): number[] {
     return Array.from({ length: count }, (_, number) => number);
 }
--- a/soak/troubles.ts
+++ b/soak/troubles.ts
@@ -34,6 +34,8 @@
     | { readonly kind: "slowTasks"; readonly target: Target; readonly factor: number; }
     /** The worker's life ends; the next one begins after `forMs`. */
     | { readonly kind: "loseWorker"; readonly target: Target; readonly told: boolean; }
+    /** The worker's capacity is that share of what it was. */
+    | { readonly kind: "shrink"; readonly target: Target; readonly share: number; }
     /** The worker drains for `forMs`, and is then replaced. */
     | { readonly kind: "drain"; readonly target: Target; };
 
@@ -97,6 +99,17 @@
     return source.pick(kinds)();
 }
 
+/** Workers that shrink; drawn apart, so that the other troubles of a seed stay as they were. */
+export function createShrinks(source: random.Random, { workers, lastMs }: TroubleOptions): TimedTrouble[] {
+    return Array.from({ length: source.nextInt(MOST_SHRINKS + 1) }, () => ({
+        at: source.nextInt(lastMs - 1_000),
+        forMs: 1_000 + source.nextInt(LONGEST_MS - 1_000),
+        trouble: { kind: "shrink", target: source.nextInt(workers), share: source.pick([0, 0.25, 0.5]) },
+    }));
+}
+
+const MOST_SHRINKS = 3;
+
 /** Faults of store and workers that are in force. */
 export interface FaultBoard {
     readonly storeFaults: emulator.StoreFaults;
@@ -208,6 +221,11 @@
                 site.places[number]!.kill(trouble.told);
                 return () => site.places[number]!.revive();
             });
+        case "shrink":
+            return forEach(pickWorkers(site, trouble.target), number => {
+                site.places[number]!.resize(trouble.share);
+                return () => site.places[number]!.resize(1);
+            });
         case "drain":
             return forEach(pickWorkers(site, trouble.target), number => {
                 const place = site.places[number]!;
--- a/soak/verdict.ts
+++ b/soak/verdict.ts
@@ -44,13 +44,19 @@
         ...input.workers.breaches,
         ...input.jobs.flatMap(record => checkJob(record, input.workers)),
         ...checkCancelled(input),
+        ...checkShrunk(input),
         ...checkDrained(input),
         ...input.workers.aloneEnds
-            .filter(end => input.calm.isCalm(end.at - GANG_MS, end.at))
+            .filter(end => input.calm.isCalm(end.at - GANG_MS, end.at) && !isNearLoss(end.at, input.workers))
             .map(end => `${end.task} run ${end.run} waited in vain for the rest of its gang`),
     ];
 }
 
+/** A task may have taken the worker of a gang's other member down. */
+function isNearLoss(at: number, workers: emulator.EmulatedWorkers): boolean {
+    return workers.lossTimes.some(lostAt => lostAt <= at && lostAt > at - GANG_MS);
+}
+
 /** From the start of a gang's first member to its end as "alone". */
 const GANG_MS = 5_000;
 
@@ -77,7 +83,8 @@
     const expected = record.cancelSentAt === undefined
         ? emulator.getOutcomes(job)
         : ["cancelled", "completed", "failed"];
-    return record.state !== undefined && expected.includes(record.state)
+    const isGivenUp = record.state === "failed" && emulator.mayBeGivenUp(job, workers.lossCounts);
+    return record.state !== undefined && (expected.includes(record.state) || isGivenUp)
         ? []
         : [`job ${job.jobId} is ${record.state ?? "not shown"}, not ${expected.join(" or ")}`];
 }
@@ -97,6 +104,16 @@
     });
 }
 
+/** A start that a link has held up goes by what its worker had said before. */
+function checkShrunk({ workers, calm }: VerdictInput): string[] {
+    return workers.shrunkStarts
+        .filter(start => calm.isCalm(start.at - SHRINK_MS, start.at))
+        .map(start => `${start.task} started on ${start.workerId} over a capacity that had shrunk`);
+}
+
+/** From a report that a link has held up until nothing counts on it any more. */
+const SHRINK_MS = 10_000;
+
 function checkDrained({ drains, workers, calm }: VerdictInput): string[] {
     return drains.flatMap(drain =>
         workers.starts
--- a/src/emulator/hazards.ts
+++ b/src/emulator/hazards.ts
@@ -44,7 +44,7 @@
     return {
         workerRestartMs,
         isDirectoryAway: () => time.now() >= away.from && time.now() < away.to,
-        poison: job => source.nextInt(POISON_EVERY) === 0 ? poisonJob(source, job) : job,
+        poison: job => poisonSome(source, job),
         events: [
             ...drawEach(source, MOST_CRASHES, () => drawCrash(source, forMs, racks)),
             ...drawEach(source, MOST_SHRINKS, () => drawShrink(source, forMs, racks)).flat(),
@@ -61,6 +61,11 @@
     return { from, to: Math.min(forMs, from + source.nextInt(LONGEST_AWAY_MS)) };
 }
 
+/** The job, one of so many with tasks that take their workers down. */
+export function poisonSome(source: random.Random, job: jobModel.EmulatedJob): jobModel.EmulatedJob {
+    return source.nextInt(POISON_EVERY) === 0 ? poisonJob(source, job) : job;
+}
+
 /** All of its tasks, or the first of each step; before half of their duration is over. */
 function poisonJob(source: random.Random, job: jobModel.EmulatedJob): jobModel.EmulatedJob {
     const afterMs = Math.min(source.pick(CRASH_AFTER_MS), ...job.durationsMs.map(durationMs => durationMs / 2));
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -1,5 +1,6 @@
 /** Store and workers in memory, with faults: for tests of the whole scheduler and for experiments on a manual clock. */
 export { type ChaosReport, runChaos } from "./chaos";
+export { poisonSome } from "./hazards";
 export { createModel, type EmulatedJob } from "./jobModel";
 export {
     createEmulatedMachines,
@@ -7,8 +8,15 @@
     type EmulatedMachinesOptions,
     type MachineFault,
 } from "./machines";
-export { createRandomJob, getOutcomes } from "./randomJob";
+export { createRandomJob, getOutcomes, mayBeGivenUp } from "./randomJob";
 export { createSite, getInstanceName, type Site, type SiteOptions } from "./site";
+export { type StartRecord } from "./startChecks";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
 export { type TaskModel } from "./workerLife";
-export { createEmulatedWorkers, type EmulatedWorkers, type OrderFault, type WorkerFaults } from "./workers";
+export {
+    createEmulatedWorkers,
+    type EmulatedWorkers,
+    listBreaches,
+    type OrderFault,
+    type WorkerFaults,
+} from "./workers";
--- a/src/emulator/randomJob.ts
+++ b/src/emulator/randomJob.ts
@@ -45,3 +45,10 @@
 
 /** No work is done before a crash that comes as soon. */
 const AT_ONCE_MS = 10;
+
+/** Whether two workers have crashed under one of its tasks. */
+export function mayBeGivenUp(job: jobModel.EmulatedJob, lossCounts: ReadonlyMap<string, number>): boolean {
+    return [...lossCounts].some(([task, count]) => count >= LEAST_LOSSES && task.startsWith(`${job.jobId}.`));
+}
+
+const LEAST_LOSSES = 2;
--- a/src/emulator/startChecks.ts
+++ b/src/emulator/startChecks.ts
@@ -11,9 +11,9 @@
 }
 
 export interface StartChecks {
-    /** Breaches of promises, in words; empty when all were kept. */
+    /** Breaches of promises, in words, but for `shrunkStarts`; empty when all were kept. */
     readonly breaches: readonly string[];
-    /** Starts that were sent over a capacity that had shrunk long before; they are breaches, too. */
+    /** Starts that were sent over a capacity that had shrunk long before: breaches, unless links had held them up. */
     readonly shrunkStarts: readonly StartRecord[];
     /** How many workers each task has taken down. */
     readonly crashCounts: ReadonlyMap<string, number>;
@@ -76,8 +76,9 @@
         const fitted = life.earlierCapacities.some(({ capacity }) => decisions.isWithin(sum, capacity));
         if (fitted) {
             shrunkStarts.push(start);
+            return;
         }
-        breaches.push(`${start.task} brings ${life.info.id} over its capacity${fitted ? ", which had shrunk" : ""}`);
+        breaches.push(`${start.task} brings ${life.info.id} over its capacity`);
     };
     const checkBudget = (task: string) => {
         if ((crashCounts.get(task) ?? 0) < CRASH_BUDGET) {
@@ -118,3 +119,8 @@
         },
     };
 }
+
+/** Of a start over a capacity that had shrunk, in words. */
+export function describeShrunkStart({ task, workerId }: StartRecord): string {
+    return `${task} brings ${workerId} over its capacity, which had shrunk`;
+}
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -64,15 +64,17 @@
     getRunningTasks(): readonly string[];
     /** What the tasks there take of the worker's capacity; `undefined` once its life is over. */
     getUsed(id: string): work.Room | undefined;
-    /** Breaches of promises, in words; empty when all were kept. */
+    /** Breaches of promises, in words, but for `shrunkStarts`; empty when all were kept. */
     readonly breaches: readonly string[];
     readonly starts: readonly startChecks.StartRecord[];
     /** Members of gangs that waited in vain for the others. */
     readonly aloneEnds: readonly startChecks.StartRecord[];
-    /** Starts that were sent over a capacity that had shrunk long before. */
+    /** Starts that were sent over a capacity that had shrunk long before: breaches, unless links had held them up. */
     readonly shrunkStarts: readonly startChecks.StartRecord[];
     /** How many workers each task has taken down. */
     readonly crashCounts: ReadonlyMap<string, number>;
+    /** When workers were lost. */
+    readonly lossTimes: readonly number[];
     /** How many workers were lost while each task ran on them. */
     readonly lossCounts: ReadonlyMap<string, number>;
     /** Names of tasks that ended well, with how often. */
@@ -95,6 +97,7 @@
     const starts: startChecks.StartRecord[] = [];
     const doneCounts = new Map<string, number>();
     const aloneEnds: startChecks.StartRecord[] = [];
+    const lossTimes: number[] = [];
     const lossCounts = new Map<string, number>();
     const checks = startChecks.createStartChecks(lives);
     const gangTimeoutMs = options.gangTimeoutMs ?? Infinity;
@@ -353,6 +356,7 @@
         aloneEnds,
         shrunkStarts: checks.shrunkStarts,
         crashCounts: checks.crashCounts,
+        lossTimes,
         lossCounts,
         doneCounts,
         add,
@@ -368,6 +372,7 @@
         kill: (id, listed) => {
             const life = lives.get(id)!;
             life.alive = false;
+            lossTimes.push(time.now());
             life.listed = listed;
             for (const task of life.runs.keys()) {
                 lossCounts.set(task, (lossCounts.get(task) ?? 0) + 1);
@@ -415,3 +420,8 @@
 function toListed({ report }: workerLife.Life): leader.ListedWorker {
     return { ...report.info, reportedAt: report.at };
 }
+
+/** Breaches in words, where nothing holds orders up. */
+export function listBreaches(workers: EmulatedWorkers): readonly string[] {
+    return [...workers.breaches, ...workers.shrunkStarts.map(startChecks.describeShrunkStart)];
+}
--- a/src/experiment/play.ts
+++ b/src/experiment/play.ts
@@ -71,7 +71,7 @@
         samples,
         ...record.getLosses(),
         workerCalls: affected.countWorkerCalls(),
-        breaches: site.workers.breaches,
+        breaches: emulator.listBreaches(site.workers),
         simulatedMs: time.now() - startAt,
     };
 }
--- /dev/null
+++ b/src/leader/__tests__/restore.test.ts
@@ -0,0 +1,72 @@
+import * as clocks from "../../clock/index";
+import * as telemetry from "../../telemetry/index";
+import * as work from "../../work/index";
+import * as bookOfTasks from "../book";
+import * as entries from "../entries";
+import * as thrownAway from "../thrownAway";
+
+const QUEUE = {
+    name: "plan",
+    host: "example",
+    pathPrefix: "/plan/",
+    service: "booking",
+    priority: 1,
+    maxAttempts: 2,
+    stretch: 3,
+    objectiveMs: 1_000,
+    needsKey: true,
+};
+const LOG = { info: () => undefined, warn: () => undefined, error: () => undefined };
+const WAITING = { kind: "waiting", run: 4, failures: 0, crashWeight: 0, saved: "" } as const;
+const PLACED = { ...WAITING, kind: "placed", workerId: "w" } as const;
+const RUNNING = { state: "running", ended: [], failed: false, endedAt: 0 } as const;
+
+function restore(progress: work.TaskProgress, lasting = false): entries.JobEntry {
+    const book = bookOfTasks.createBook({
+        clock: clocks.createManualClock(),
+        log: LOG,
+        meter: telemetry.createMetrics().meter,
+        listener: {
+            occurrenceChanged: () => undefined,
+            jobChanged: () => undefined,
+            stopWanted: () => undefined,
+            changed: () => undefined,
+        },
+        getQueue: () => QUEUE,
+        getExpected: () => ({ objectiveMs: 0, chainMs: 0 }),
+        expectRun: () => 1_000,
+        getWorkers: () => [],
+        leftOut: new Set(),
+        thrownAway: thrownAway.createThrownAway(),
+    });
+    const step = { ...work.PLAIN_STEP, count: 1, needs: work.EMPTY_ROOM, estimateMs: 1_000, lasting };
+    const spec = { payload: "", steps: [step], repeats: 0, firstDueAt: 0, periodMs: 0 };
+    const job = book.addJob({ jobId: "job", queue: QUEUE, account: "a", acceptedAt: 0, spec });
+    book.restoreJob(job, RUNNING, 1);
+    const worker = entries.createWorkerEntry(entries.createUnknownWorker("w"));
+    book.restoreOccurrence(job, 0, [[progress]], 1, () => worker);
+    return job;
+}
+
+// A leader was lost after it had counted the last attempt and before it had stored the job's end: its successor tried once more.
+describe("a job whose task is read", () => {
+    const cases: ReadonlyArray<readonly [name: string, progress: work.TaskProgress, state: work.JobState]> = [
+        ["with an attempt left", { ...WAITING, failures: 1 }, "running"],
+        ["with its attempts used up", { ...WAITING, failures: 2 }, "failed"],
+        [
+            "with a run under way beyond the attempts, of which fewer are configured by now",
+            { ...PLACED, failures: 3 },
+            "running",
+        ],
+        ["with crashes short of the limit", { ...WAITING, crashWeight: 19 }, "running"],
+        ["with crashes beyond the limit", { ...WAITING, crashWeight: 20 }, "failed"],
+        ["with a run under way that was counted beforehand", { ...PLACED, crashWeight: 20 }, "running"],
+    ];
+    test.each(cases)("%s", (_name, progress, state) => {
+        expect(restore(progress).state).toBe(state);
+    });
+
+    test("with many failures, and lasts", () => {
+        expect(restore({ ...WAITING, failures: 9 }, true).state).toBe("running");
+    });
+});
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -144,7 +144,7 @@
     const judgeRestored = (task: entries.TaskEntry) => {
         losses.judge(task);
         const { step } = task;
-        if (!step.spec.lasting && task.failures >= step.occurrence.job.queue.maxAttempts) {
+        if (!step.spec.lasting && !task.worker && task.failures >= step.occurrence.job.queue.maxAttempts) {
             endFailed(step.occurrence);
         }
     };
