--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -19,6 +19,8 @@
     [530412, "a run under way counted against its task when another leader read it"],
     [530695, "a task beyond the limit whose latest run was not to blame was neither started nor given up"],
 ];
+/** These fail still. */
+const OPEN_HAZARD_SEEDS = [510_639, 521_089, 521_255, 521_799, 531_940];
 const FRESH_SEEDS = 25;
 const FIRST_FRESH_SEED = 1_000;
 
@@ -37,7 +39,7 @@
         expect(report.breaches).toEqual([]);
     });
 
-    const withHazards = [...HAZARD_SEEDS.map(([seed]) => seed), ...seeds];
+    const withHazards = [...HAZARD_SEEDS.map(([seed]) => seed), ...OPEN_HAZARD_SEEDS, ...seeds];
     test.each(withHazards)("seed %i keeps every promise, also where tasks take their workers down", async seed => {
         const report = await emulator.runChaos(seed, { slowStore: true, hazards: true });
         expect(report.breaches).toEqual([]);
