Weighing the loss of a thousand workers takes no time that shows; no review after a term

Read in the code: each loss counted all workers that fell silent with it, and for each of them the jobs that it ran, so that a zone of 1,600 workers that is lost at once would have kept the leader busy for minutes; reviews went on after the leader was deposed, and for jobs that are over.

--- a/src/leader/__tests__/restore.test.ts
+++ b/src/leader/__tests__/restore.test.ts
@@ -26,6 +26,7 @@
         clock: clocks.createManualClock(),
         log: LOG,
         meter: telemetry.createMetrics().meter,
+        signal: new AbortController().signal,
         listener: {
             occurrenceChanged: () => undefined,
             jobChanged: () => undefined,
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -28,6 +28,8 @@
     readonly log: observe.Log;
     readonly meter: observe.Meter;
     readonly listener: BookListener;
+    /** Of the term. */
+    readonly signal: AbortSignal;
     getQueue(name: string): catalog.Queue | undefined;
     getExpected(job: entries.JobEntry): outcomes.ExpectedTimes;
     /** How long a run of the step's tasks is expected to take. */
@@ -175,6 +177,7 @@
         clock: time,
         log,
         meter,
+        signal: options.signal,
         getWorkers: options.getWorkers,
         countThrownAway,
         toWaiting,
--- a/src/leader/crashes.ts
+++ b/src/leader/crashes.ts
@@ -72,6 +72,7 @@
     readonly silentSince: number;
     readonly at: number;
     readonly runs: readonly LostRun[];
+    readonly freshJobs: ReadonlySet<entries.JobEntry>;
     restarted: boolean;
     /** The same life of the worker has answered again: it was only out of reach. */
     disproved: boolean;
@@ -97,54 +98,53 @@
 
 export function createCrashJudge(options: CrashJudgeOptions): CrashJudge {
     const { clock: time } = options;
-    let losses: Loss[] = [];
+    /** The latest of each worker, the oldest first. */
+    const losses = new Map<string, Loss>();
+    const lossesByAddress = new Map<string, Loss>();
     const lastIds = new Map<string, string>();
     /** When each address was last found to have another worker than before, and the rack that it is in. */
     const restarts = new Map<string, { readonly at: number; readonly rack: string; }>();
 
     const forgetOld = () => {
         const since = time.now() - REMEMBERED_MS;
-        losses = losses.filter(loss => loss.at >= since);
-        for (const [address, { at }] of restarts) {
-            if (at < since) {
-                restarts.delete(address);
+        dropOld(losses, since);
+        dropOld(lossesByAddress, since);
+        dropOld(restarts, since);
+    };
+    const isLostTogether = (loss: Loss, since: number | undefined) =>
+        since !== undefined && Math.abs(since - loss.silentSince) <= SILENT_TOGETHER_MS;
+    function* listSilent(loss: Loss): Iterable<string> {
+        for (const other of losses.values()) {
+            if (isLostTogether(loss, other.silentSince) && !intersect(loss.freshJobs, other.freshJobs)) {
+                yield other.worker.info.address;
             }
         }
-    };
-    const isRelated = (loss: Loss, others: readonly LostRun[]) => {
-        const freshJobs = listFreshJobs(loss.runs);
-        return [...listFreshJobs(others)].some(job => freshJobs.has(job));
-    };
-    /** Workers that fell silent with this one, and not under the same job. */
-    const countSilent = (loss: Loss): number => {
-        const isSilentWith = (since: number | undefined) =>
-            since !== undefined && Math.abs(since - loss.silentSince) <= SILENT_TOGETHER_MS;
-        const silent = [...options.getWorkers()]
-            .filter(other => isSilentWith(other.silentSince) && !isRelated(loss, listRuns(other)))
-            .map(other => other.info.address);
-        const lost = losses
-            .filter(other => isSilentWith(other.silentSince) && !isRelated(loss, other.runs))
-            .map(other => other.worker.info.address);
-        const addresses = new Set([...silent, ...lost]);
-        addresses.delete(loss.worker.info.address);
-        return addresses.size;
-    };
-    /** Other workers of its rack that are back at the same time, and were not lost to the same job. */
-    const countBack = (loss: Loss): number => {
+        for (const other of options.getWorkers()) {
+            const freshJobs = isLostTogether(loss, other.silentSince) ? listFreshJobs(listRuns(other)) : undefined;
+            if (freshJobs && !intersect(loss.freshJobs, freshJobs)) {
+                yield other.info.address;
+            }
+        }
+    }
+    function* listBack(loss: Loss): Iterable<string> {
         const { address: ownAddress, rack } = loss.worker.info;
-        const own = restarts.get(ownAddress);
-        const related = new Set(
-            losses.filter(other => isRelated(loss, other.runs)).map(other => other.worker.info.address),
-        );
-        return [...restarts].filter(([address, other]) =>
-            own !== undefined && address !== ownAddress && other.rack === rack && !related.has(address)
-            && Math.abs(other.at - own.at) <= BACK_TOGETHER_MS
-        ).length;
-    };
+        const ownAt = restarts.get(ownAddress)?.at;
+        for (const [address, other] of ownAt === undefined ? [] : restarts) {
+            const related = lossesByAddress.get(address);
+            const isRelated = related !== undefined && intersect(loss.freshJobs, related.freshJobs);
+            if (other.rack === rack && Math.abs(other.at - ownAt!) <= BACK_TOGETHER_MS && !isRelated) {
+                yield address;
+            }
+        }
+    }
+    /** Whether others fell silent with this one, and not under the same job. */
+    const areOthersSilent = (loss: Loss) => hasOthers(listSilent(loss), loss.worker.info.address, LEAST_SILENT);
+    /** Whether others of its rack are back at the same time, which were not lost to the same job. */
+    const isRackBack = (loss: Loss) => hasOthers(listBack(loss), loss.worker.info.address, LEAST_BACK);
     const weighLoss = (loss: Loss): ReadonlyMap<entries.TaskEntry, number> =>
         loss.disproved
             ? new Map()
-            : weighAll(loss, { silent: countSilent(loss), back: countBack(loss) });
+            : weighAll(loss, { areOthersSilent: areOthersSilent(loss), isRackBack: isRackBack(loss) });
     const review = (loss: Loss) => {
         const before = loss.weights;
         loss.weights = weighLoss(loss);
@@ -153,13 +153,12 @@
         }
     };
     const noteRestart = ({ address, rack }: Place) => {
-        restarts.set(address, { at: time.now(), rack });
-        for (const loss of losses) {
-            if (loss.worker.info.address === address && !loss.restarted) {
-                loss.restarted = true;
-                review(loss);
-                time.setTimer(REVIEW_MS, () => review(loss));
-            }
+        put(restarts, address, { at: time.now(), rack });
+        const loss = lossesByAddress.get(address);
+        if (loss && !loss.restarted) {
+            loss.restarted = true;
+            review(loss);
+            time.setTimer(REVIEW_MS, () => review(loss));
         }
     };
     return {
@@ -174,8 +173,18 @@
             }
             const at = time.now();
             const silentSince = worker.silentSince ?? at;
-            const loss: Loss = { worker, silentSince, at, runs, restarted, disproved: false, weights: new Map() };
-            losses.push(loss);
+            const loss: Loss = {
+                worker,
+                silentSince,
+                at,
+                runs,
+                freshJobs: listFreshJobs(runs),
+                restarted,
+                disproved: false,
+                weights: new Map(),
+            };
+            put(losses, worker.id, loss);
+            put(lossesByAddress, worker.info.address, loss);
             loss.weights = weighLoss(loss);
             time.setTimer(REVIEW_MS, () => review(loss));
             return loss.weights;
@@ -183,7 +192,8 @@
         noteWorker: ({ id, address, rack }) => {
             const before = lastIds.get(address);
             lastIds.set(address, id);
-            for (const loss of losses.filter(candidate => candidate.worker.id === id && !candidate.restarted)) {
+            const loss = losses.get(id);
+            if (loss && !loss.restarted) {
                 loss.disproved = true;
                 review(loss);
             }
@@ -194,6 +204,36 @@
     };
 }
 
+/** Entries in the order in which they were put. */
+function put<T>(map: Map<string, T>, key: string, value: T): void {
+    map.delete(key);
+    map.set(key, value);
+}
+
+function dropOld(map: Map<string, { readonly at: number; }>, since: number): void {
+    for (const [key, { at }] of map) {
+        if (at >= since) {
+            return;
+        }
+        map.delete(key);
+    }
+}
+
+/** Stops at `least`: of hundreds of workers that are lost at once each is weighed. */
+function hasOthers(addresses: Iterable<string>, own: string, least: number): boolean {
+    const others = new Set<string>();
+    for (const address of addresses) {
+        if (address !== own && others.add(address).size >= least) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function intersect<T>(a: ReadonlySet<T>, b: ReadonlySet<T>): boolean {
+    return [...a].some(item => b.has(item));
+}
+
 /** Whether the task is not started again: it is given up, or its latest loss is yet to be reviewed. */
 export function isBeyondLimit(task: entries.TaskEntry): boolean {
     return task.crashWeight >= CRASH_LIMIT;
@@ -226,7 +266,12 @@
 
 /** Whether something has just begun there that may take the worker down. */
 export function hasUnsettledSuspect(worker: entries.WorkerEntry): boolean {
-    return [...worker.tasks].some(task => isSuspect(task) && isUnsettled(task));
+    for (const task of worker.tasks) {
+        if (isSuspect(task) && isUnsettled(task)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 function listRuns(worker: entries.WorkerEntry): LostRun[] {
@@ -276,21 +321,21 @@
 
 /** Workers that were lost with this one. */
 interface Others {
-    readonly silent: number;
-    readonly back: number;
+    readonly areOthersSilent: boolean;
+    readonly isRackBack: boolean;
 }
 
-function weighAll({ runs, restarted }: Loss, others: Others): ReadonlyMap<entries.TaskEntry, number> {
+function weighAll({ runs, freshJobs, restarted }: Loss, others: Others): ReadonlyMap<entries.TaskEntry, number> {
     const fresh = runs.filter(run => run.age === "fresh");
     const suspects = fresh.filter(run => run.isSuspect);
     const blamed = suspects.length > 0 ? suspects : fresh;
-    const isAlone = others.silent < LEAST_SILENT && others.back < LEAST_BACK;
-    const isClear = isAlone && listFreshJobs(blamed).size === 1;
+    const isAlone = !others.areOthersSilent && !others.isRackBack;
+    const isClear = isAlone && (suspects.length > 0 ? listFreshJobs(suspects) : freshJobs).size === 1;
     const weigh = (run: LostRun): Weight => {
         if (run.isProven) {
             return Weight.None;
         }
-        if (others.back >= LEAST_BACK) {
+        if (others.isRackBack) {
             return Weight.Excused;
         }
         if (!run.isConfirmed) {
--- a/src/leader/losses.ts
+++ b/src/leader/losses.ts
@@ -8,6 +8,8 @@
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly meter: observe.Meter;
+    /** Of the term. */
+    readonly signal: AbortSignal;
     getWorkers(): Iterable<entries.WorkerEntry>;
     countThrownAway(task: entries.TaskEntry, cause: string): void;
     toWaiting(task: entries.TaskEntry): void;
@@ -48,6 +50,9 @@
         clock: time,
         getWorkers: options.getWorkers,
         onReviewed: (task, change) => {
+            if (options.signal.aborted || task.step.occurrence.over) {
+                return;
+            }
             if (change !== 0) {
                 task.crashWeight += change;
                 log.info("lossReviewed", { task: task.name, change, crashWeight: task.crashWeight });
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -115,6 +115,7 @@
         clock: time,
         log,
         meter,
+        signal,
         getQueue: name => options.catalog.getQueue(name),
         getExpected: job => units.getExpected(job, expect),
         expectRun: step => expect(step),
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -289,8 +289,10 @@
 }
 
 function getCompany(worker: entries.WorkerEntry): decisions.Company {
-    if (worker.tasks.size === 0) {
-        return decisions.Company.None;
+    for (const task of worker.tasks) {
+        if (crashes.isUnsettled(task)) {
+            return decisions.Company.Unsettled;
+        }
     }
-    return [...worker.tasks].some(crashes.isUnsettled) ? decisions.Company.Unsettled : decisions.Company.Settled;
+    return worker.tasks.size > 0 ? decisions.Company.Settled : decisions.Company.None;
 }
