--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -11,6 +11,7 @@
 import * as entries from "./entries";
 import * as lossesOfWorkers from "./losses";
 import * as outcomes from "./outcomes";
+import * as restore from "./restore";
 import * as thrownAways from "./thrownAway";
 import type * as port from "./workerPort";
 
@@ -40,20 +41,11 @@
     readonly thrownAway: thrownAways.ThrownAway;
 }
 
-export interface Book {
+export interface Book extends restore.Restoring {
     readonly jobs: ReadonlyMap<string, entries.JobEntry>;
     /** Jobs that are not over. */
     readonly active: ReadonlySet<entries.JobEntry>;
     addJob(submission: work.Submission): entries.JobEntry;
-    /** Puts a job where its stored progress says it is. */
-    restoreJob(job: entries.JobEntry, progress: work.JobProgress, version: number): void;
-    restoreOccurrence(
-        job: entries.JobEntry,
-        number: number,
-        progress: work.OccurrenceProgress,
-        version: number,
-        getWorker: (id: string) => entries.WorkerEntry,
-    ): void;
     cancelJob(jobId: string): void;
     getTask(name: string): entries.TaskEntry | undefined;
     /** Creates the occurrences that are due; returns the wall-clock time at which the next one is. */
@@ -132,25 +124,6 @@
         }
     };
 
-    /**
-     * A gang of which some members have ended is being stopped, as an earlier leader knew. Taken for running, what is left
-     * of it would wait for members that never come.
-     */
-    const stopIncompleteGang = (step: entries.StepEntry) => {
-        if (step.spec.gang && step.tasks.some(member => member.phase === "waiting")) {
-            step.tasks.forEach(member => book.requestStop(member, "gangIncomplete"));
-        }
-    };
-
-    /** The leader that counted its last attempt may have been lost before it stored the end of the job. */
-    const judgeRestored = (task: entries.TaskEntry) => {
-        losses.judge(task);
-        const { step } = task;
-        if (!step.spec.lasting && !task.worker && task.failures >= step.occurrence.job.queue.maxAttempts) {
-            endFailed(step.occurrence);
-        }
-    };
-
     const keepSaved = (task: entries.TaskEntry, saved: string) => {
         if (saved === "" || saved === task.saved) {
             return;
@@ -186,6 +159,17 @@
         occurrenceChanged: listener.occurrenceChanged,
     });
 
+    const restoring = restore.createRestoring({
+        clock: time,
+        active,
+        openOccurrence,
+        markStepDone,
+        endFailed,
+        requestStop: (task, reason) => book.requestStop(task, reason),
+        stopAll,
+        judge: losses.judge,
+    });
+
     const book: Book = {
         jobs,
         active,
@@ -201,64 +185,7 @@
             listener.changed();
             return job;
         },
-        restoreJob: (job, progress, version) => {
-            job.state = progress.state;
-            job.failed = progress.failed;
-            job.endedAt = progress.endedAt;
-            job.rowVersion = version;
-            for (const number of progress.ended) {
-                job.ended.add(number);
-            }
-            job.cancelled = progress.state === "cancelled";
-            if (progress.endedAt > 0) {
-                active.delete(job);
-            }
-        },
-        restoreOccurrence: (job, number, progress, version, getWorker) => {
-            const occurrence = openOccurrence(job, number);
-            occurrence.rowVersion = version;
-            occurrence.over = job.ended.has(number) || !active.has(job);
-            occurrence.steps.forEach((step, stepNumber) => {
-                step.tasks.forEach((task, index) => {
-                    const stored = progress[stepNumber]?.[index];
-                    if (!stored) {
-                        return;
-                    }
-                    task.run = stored.run;
-                    if (stored.kind === "done") {
-                        task.phase = "done";
-                        step.doneCount++;
-                        return;
-                    }
-                    task.failures = stored.failures;
-                    task.crashWeight = stored.crashWeight;
-                    task.saved = stored.saved;
-                    if (stored.kind === "placed") {
-                        entries.assign(task, getWorker(stored.workerId));
-                        // Taken for running until the worker's lists say otherwise.
-                        task.phase = "running";
-                        task.pacePercent = undefined;
-                        task.orderedAt = time.now();
-                        task.runningSince = time.now();
-                        task.progressAt = time.now();
-                        task.inherited = true;
-                        task.startCharge = crashes.getHeldCharge(task.crashWeight);
-                    }
-                });
-            });
-            for (const step of occurrence.steps) {
-                if (entries.isStepDone(step)) {
-                    markStepDone(step);
-                }
-                stopIncompleteGang(step);
-            }
-            for (const step of occurrence.steps) {
-                step.tasks.forEach(judgeRestored);
-            }
-            if (occurrence.over) {
-                stopAll(occurrence, "jobOver");
-            }
-        },
+        ...restoring,
         cancelJob: jobId => {
             const job = jobs.get(jobId);
             if (!job || job.cancelled || !active.has(job)) {
--- /dev/null
+++ b/src/leader/restore.ts
@@ -0,0 +1,121 @@
+/** Fills the book from what an earlier leader stored. */
+import type * as clock from "../clock/index";
+import type * as work from "../work/index";
+import * as crashes from "./crashes";
+import * as entries from "./entries";
+
+export interface RestoringOptions {
+    readonly clock: clock.Clock;
+    /** Jobs that are not over. */
+    readonly active: Set<entries.JobEntry>;
+    openOccurrence(job: entries.JobEntry, number: number): entries.OccurrenceEntry;
+    markStepDone(step: entries.StepEntry): void;
+    endFailed(occurrence: entries.OccurrenceEntry): void;
+    requestStop(task: entries.TaskEntry, reason: string): void;
+    stopAll(occurrence: entries.OccurrenceEntry, reason: string): void;
+    /** Gives the task up if too many workers have crashed under it. */
+    judge(task: entries.TaskEntry): void;
+}
+
+export interface Restoring {
+    /** Puts a job where its stored progress says it is. */
+    restoreJob(job: entries.JobEntry, progress: work.JobProgress, version: number): void;
+    restoreOccurrence(
+        job: entries.JobEntry,
+        number: number,
+        progress: work.OccurrenceProgress,
+        version: number,
+        getWorker: (id: string) => entries.WorkerEntry,
+    ): void;
+}
+
+export function createRestoring(options: RestoringOptions): Restoring {
+    const { active } = options;
+
+    const restoreTask = (
+        task: entries.TaskEntry,
+        stored: work.TaskProgress,
+        getWorker: (id: string) => entries.WorkerEntry,
+    ) => {
+        task.run = stored.run;
+        if (stored.kind === "done") {
+            task.phase = "done";
+            task.step.doneCount++;
+            return;
+        }
+        task.failures = stored.failures;
+        task.crashWeight = stored.crashWeight;
+        task.saved = stored.saved;
+        if (stored.kind === "placed") {
+            takeForRunning(task, getWorker(stored.workerId), options.clock.now());
+        }
+    };
+    /** The leader that counted its last attempt may have been lost before it stored the end of the job. */
+    const judgeRestored = (task: entries.TaskEntry) => {
+        options.judge(task);
+        const { step } = task;
+        const { maxAttempts } = step.occurrence.job.queue;
+        if (!step.spec.lasting && !task.worker && task.failures >= maxAttempts) {
+            options.endFailed(step.occurrence);
+        }
+    };
+    /**
+     * A gang of which some members have ended is being stopped, as an earlier leader knew. Taken for running, what is left
+     * of it would wait for members that never come.
+     */
+    const stopIncompleteGang = (step: entries.StepEntry) => {
+        if (step.spec.gang && step.tasks.some(member => member.phase === "waiting")) {
+            step.tasks.forEach(member => options.requestStop(member, "gangIncomplete"));
+        }
+    };
+    return {
+        restoreJob: (job, progress, version) => {
+            job.state = progress.state;
+            job.failed = progress.failed;
+            job.endedAt = progress.endedAt;
+            job.rowVersion = version;
+            for (const number of progress.ended) {
+                job.ended.add(number);
+            }
+            job.cancelled = progress.state === "cancelled";
+            if (progress.endedAt > 0) {
+                active.delete(job);
+            }
+        },
+        restoreOccurrence: (job, number, progress, version, getWorker) => {
+            const occurrence = options.openOccurrence(job, number);
+            occurrence.rowVersion = version;
+            occurrence.over = job.ended.has(number) || !active.has(job);
+            for (const step of occurrence.steps) {
+                for (const task of step.tasks) {
+                    const stored = progress[step.number]?.[task.index];
+                    if (stored) {
+                        restoreTask(task, stored, getWorker);
+                    }
+                }
+            }
+            for (const step of occurrence.steps) {
+                if (entries.isStepDone(step)) {
+                    options.markStepDone(step);
+                }
+                stopIncompleteGang(step);
+            }
+            occurrence.steps.forEach(step => step.tasks.forEach(judgeRestored));
+            if (occurrence.over) {
+                options.stopAll(occurrence, "jobOver");
+            }
+        },
+    };
+}
+
+/** Until the worker's lists say otherwise. */
+function takeForRunning(task: entries.TaskEntry, worker: entries.WorkerEntry, now: number): void {
+    entries.assign(task, worker);
+    task.phase = "running";
+    task.pacePercent = undefined;
+    task.orderedAt = now;
+    task.runningSince = now;
+    task.progressAt = now;
+    task.inherited = true;
+    task.startCharge = crashes.getHeldCharge(task.crashWeight);
+}
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -17,6 +17,7 @@
 import * as knownServices from "./knownServices";
 import type * as machines from "./machines";
 import * as ordersOfTerm from "./orders";
+import * as passTimer from "./passTimer";
 import * as placeable from "./placeable";
 import * as progressWriter from "./progressWriter";
 import * as reconcile from "./reconcile";
@@ -64,13 +65,6 @@
 
 /** Events of one moment are decided together; short beside the way to a worker and back. */
 const PASS_DELAY_MS = 4;
-/**
- * At 4,800 workers a pass takes 3 ms, and each worker that is heard of after a takeover asks for one. This
- * many times its duration pass until the next, so that passes leave most of the processor to answers.
- */
-const PASS_SPACING = 4;
-/** A pass may have taken long for a pause of the process, which says nothing of the next one. */
-const MOST_SPACING_MS = 100;
 /** A pass without an event, for waits that run out. */
 const IDLE_PASS_MS = 250;
 /** Short beside the seconds for which an unlisted worker is waited for. */
@@ -97,9 +91,6 @@
         options.policy.leftOut.has("firstLooks") ? Infinity : undefined,
     );
     const openedAt = time.now();
-    let passPlanned = false;
-    /** What the latest pass took. */
-    let passMs = 0;
     let ready = false;
 
     const writer = progressWriter.createProgressWriter({
@@ -293,7 +284,6 @@
     });
 
     const runPass = () => {
-        passPlanned = false;
         if (signal.aborted || !ready) {
             return;
         }
@@ -323,25 +313,12 @@
             },
         });
         execution.carryOut({ book, orders, log, meter, getWorker, flush: writer.flush }, { plan, waiting, groups });
-        passMs = time.now() - now;
+        const passMs = time.now() - now;
+        passes.noteDuration(passMs);
         meter.record("pass_duration_ms", {}, passMs);
     };
-    let nextPassAt = Infinity;
-    const planPass = (leastMs: number) => {
-        const delayMs = Math.max(leastMs, Math.min(MOST_SPACING_MS, PASS_SPACING * passMs));
-        const at = time.now() + delayMs;
-        if (passPlanned && nextPassAt <= at) {
-            return;
-        }
-        passPlanned = true;
-        nextPassAt = at;
-        time.setTimer(delayMs, () => {
-            if (nextPassAt === at) {
-                nextPassAt = Infinity;
-                runPass();
-            }
-        });
-    };
+    const passes = passTimer.createPassTimer(time, runPass);
+    const planPass = passes.plan;
 
     const tellThrownAway = async () => {
         let told = "{}";
