A charged start keeps its charge where its worker was about to leave

Cause, from the processes' lines: the first run was lost as inherited (weight 4), two more weighed 5 (14), the fourth start was charged 4 (18). Its worker began to drain meanwhile, and the loss of a worker that drains weighed nothing and gave the charge back (14). So the fifth loss ended at 19, short of 20, and a sixth start followed. A worker that drains crashes under such a task like any other.

Change: the charge stays. A run that was not charged weighs nothing on a worker that leaves, as before.

Ruled out: keeping the charge where the rack went down too (tried; the sound task of "not at all, but meets workers that crash in groups" was given up).

Evidence: crashes.test.ts "after its leader was lost during the first run, and its fourth worker began to drain" failed before with the soak's breach; the unit case "on a worker that was draining" of a charged run failed before.

--- a/src/leader/__tests__/crashes.test.ts
+++ b/src/leader/__tests__/crashes.test.ts
@@ -135,6 +135,19 @@
         put: worker => addTask(worker, 5_000, { startCharge: 4, crashWeight: 16 }),
         weights: [1, 1],
     },
+    {
+        name: "that was counted when it was placed, on a worker that was draining",
+        put: worker => {
+            addTask(worker, 10, { startCharge: 4, crashWeight: 16 });
+            worker.info = { ...worker.info, draining: true };
+        },
+        weights: [0, 0],
+    },
+    {
+        name: "that was counted when it was placed, lasts and was at work for long",
+        put: worker => addTask(worker, 90_000, { startCharge: 4, crashWeight: 16 }, { lasting: true }),
+        weights: [-4, -4],
+    },
     {
         name: "on a worker that was draining",
         put: worker => {
--- a/src/leader/crashes.ts
+++ b/src/leader/crashes.ts
@@ -73,6 +73,8 @@
     readonly at: number;
     readonly runs: readonly LostRun[];
     readonly freshJobs: ReadonlySet<entries.JobEntry>;
+    /** It was about to be taken away. */
+    readonly leaves: boolean;
     restarted: boolean;
     /** The same life of the worker has answered again: it was only out of reach. */
     disproved: boolean;
@@ -167,7 +169,8 @@
             if (restarted) {
                 noteRestart(worker.info);
             }
-            const runs = worker.info.draining || worker.reserved ? [] : listRuns(worker);
+            const leaves = worker.info.draining || worker.reserved;
+            const runs = listRuns(worker).filter(run => !leaves || run.charge > 0);
             if (runs.length === 0) {
                 return new Map();
             }
@@ -179,6 +182,7 @@
                 at,
                 runs,
                 freshJobs: listFreshJobs(runs),
+                leaves,
                 restarted,
                 disproved: false,
                 weights: new Map(),
@@ -325,7 +329,10 @@
     readonly isRackBack: boolean;
 }
 
-function weighAll({ runs, freshJobs, restarted }: Loss, others: Others): ReadonlyMap<entries.TaskEntry, number> {
+function weighAll(
+    { runs, freshJobs, leaves, restarted }: Loss,
+    others: Others,
+): ReadonlyMap<entries.TaskEntry, number> {
     const fresh = runs.filter(run => run.age === "fresh");
     const suspects = fresh.filter(run => run.isSuspect);
     const blamed = suspects.length > 0 ? suspects : fresh;
@@ -346,5 +353,5 @@
         }
         return isClear && blamed.includes(run) ? Weight.Strong : Weight.Usual;
     };
-    return new Map(runs.map(run => [run.task, weigh(run) - run.charge]));
+    return new Map(runs.map(run => [run.task, (leaves ? run.charge : weigh(run)) - run.charge]));
 }
--- a/src/scheduler/__tests__/crashes.test.ts
+++ b/src/scheduler/__tests__/crashes.test.ts
@@ -63,6 +63,13 @@
         runMs: 90_000,
         state: "failed",
     },
+    {
+        name: "after its leader was lost during the first run, and its fourth worker began to drain",
+        job: fixtures.createJob(1, { estimateMs: 5_000 }, crashing(1_500)),
+        events: [[600, killLeader], [15_200, site => drainWorkerOf(site, 4)]],
+        runMs: 60_000,
+        state: "failed",
+    },
     {
         name: "as a member of a gang",
         job: fixtures.createJob(1, GANG, crashing(AT_ONCE_MS, isFirst)),
@@ -121,6 +128,14 @@
     }
 }
 
+/** Has the worker drain that runs the only task of job 1 for the `run`th time. */
+function drainWorkerOf(site: fixtures.TestSite, run: number): void {
+    const starts = fixtures.getStarts(site, fixtures.createJob(1));
+    expect(starts).toHaveLength(run);
+    expect(site.workers.getRunning(starts.at(-1)!.workerId)).toBe(1);
+    site.workers.drain(starts.at(-1)!.workerId, 10_000);
+}
+
 /** Takes down the worker that runs the job's task. */
 function crashWorkerOf(site: fixtures.TestSite, jobNumber: number): void {
     const latest = fixtures.getStarts(site, fixtures.createJob(jobNumber)).at(-1)!;
