A task that has failed on every worker it fits on is started again

Callers saw: a job without an end. Fuzz with hazards: job c, a gang that fails each of its runs, was shown as running for the last 51 s of the play, beside four idle workers.

Cause: a task is never started again on a worker on which it has failed. Its runs had failed on workers 2, 4 and 5, two of the six were gone, and the gang takes two workers: only worker 3 was left. Nothing ended the wait, so neither its fourth attempt nor its end as failed came.

Ruled out: isolation of suspects (ends after 2 s), workers set aside (none was, the lines show other jobs placed on all four until 53 s).

Change: after waiting for 2 s the task may start on any worker.

Evidence: failingWorkers.test.ts "a job that fails on every worker ends as failed", as a task and as a gang, failed before (running after 40 s).

--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -26,10 +26,11 @@
     [540179, "leaders were lost while starts were unconfirmed, which counted as crashes"],
     [542669, "a start was charged after two lost runs only"],
     [542721, "leaders were lost twice, and starts without an answer counted for little"],
+    [640791, "a gang that had failed on each worker that it fits on was never started again"],
     [642331, "leaders were lost, and a start without an answer counted for little"],
 ];
-/** These fail still. */
-const OPEN_HAZARD_SEEDS = [640_791, 642_804];
+/** This fails still. */
+const OPEN_HAZARD_SEEDS = [642_804];
 const FRESH_SEEDS = 25;
 const FIRST_FRESH_SEED = 1_000;
 
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -91,7 +91,7 @@
         serves: spec.targetMs > 0,
         fills: spec.fills,
         suspect,
-        avoided: unionFailedOn(tasks),
+        avoided: waitedMs < OTHER_WORKER_PATIENCE_MS ? unionFailedOn(tasks) : NO_WORKERS,
         allowed: job.queue.advice ? getTicketed(step, options.now) : undefined,
         waitedMs,
         expectedMs: options.expect(step),
@@ -101,6 +101,10 @@
 /** Beyond it a task that may take its worker down starts wherever there is room. */
 const ISOLATION_PATIENCE_MS = 2_000;
 
+/** Beyond it a task that has failed starts again on any worker: it may have failed on each that it fits on. */
+const OTHER_WORKER_PATIENCE_MS = 2_000;
+const NO_WORKERS: ReadonlySet<string> = new Set();
+
 function unionFailedOn(tasks: readonly entries.TaskEntry[]): ReadonlySet<string> {
     if (tasks.length === 1) {
         return tasks[0]!.failedOn;
--- a/src/scheduler/__tests__/failingWorkers.test.ts
+++ b/src/scheduler/__tests__/failingWorkers.test.ts
@@ -49,3 +49,20 @@
         site.close();
     });
 });
+
+// A job that had failed on each worker that it fits on waited for another one for good, and was never shown as failed.
+describe("a job that fails on every worker ends as failed", () => {
+    const cases: ReadonlyArray<readonly [name: string, step: Parameters<typeof fixtures.createStep>[0]]> = [
+        ["as a task", {}],
+        ["as a gang that takes two workers", { count: 2, gang: true, needs: WHOLE_WORKER }],
+    ];
+    test.each(cases)("%s", async (_name, step) => {
+        const job = fixtures.createJob(1, step, { queue: "batch", fails: () => true });
+        const site = await fixtures.openWithJobs({ workers: 2 }, [job]);
+        await site.clock.advance(40_000);
+        const state = await fixtures.settle(site.clock, site.getState(job.jobId, 1));
+        site.close();
+        expect(state).toEqual({ kind: "state", state: "failed" });
+        expect(site.workers.breaches).toEqual([]);
+    });
+});
