--- a/src/leader/__tests__/crashes.test.ts
+++ b/src/leader/__tests__/crashes.test.ts
@@ -1,7 +1,9 @@
 import * as clocks from "../../clock/index";
 import * as work from "../../work/index";
 import * as crashes from "../crashes";
+import * as crashRecord from "../crashRecord";
 import * as entries from "../entries";
+import type * as lostRuns from "../lostRuns";
 
 const QUEUE = {
     name: "plan",
@@ -162,7 +164,7 @@
     test.each(cases)("$name", async ({ put, restarted = true, meanwhile, weights: [atOnce, reviewed] }) => {
         const time = clocks.createManualClock();
         const workers = Array.from({ length: RACK }, (_, number) => createWorker(number));
-        const changes: Array<readonly [entries.TaskEntry, crashes.Evidence]> = [];
+        const changes: Array<readonly [entries.TaskEntry, lostRuns.Evidence]> = [];
         const judge = crashes.createCrashJudge({
             clock: time,
             getWorkers: () => workers,
@@ -189,11 +191,11 @@
         ["after three that weigh enough", 12, 3, 4],
     ];
     test.each(charges)("%s", (_name, crashWeight, lostRuns, charge) => {
-        expect(crashes.getStartCharge({ crashWeight, lostRuns })).toBe(charge);
+        expect(crashRecord.getStartCharge({ crashWeight, lostRuns })).toBe(charge);
     });
 
     test("and a run under way keeps its charge for the next leader", () => {
-        expect(crashes.getHeldCharge({ crashWeight: 16, lostRuns: 3 })).toBe(4);
-        expect(crashes.getHeldCharge({ crashWeight: 12, lostRuns: 3 })).toBe(0);
+        expect(crashRecord.getHeldCharge({ crashWeight: 16, lostRuns: 3 })).toBe(4);
+        expect(crashRecord.getHeldCharge({ crashWeight: 12, lostRuns: 3 })).toBe(0);
     });
 });
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -7,7 +7,8 @@
 import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
-import * as crashes from "./crashes";
+import type * as crashes from "./crashes";
+import * as crashRecord from "./crashRecord";
 import * as entries from "./entries";
 import * as lossesOfWorkers from "./losses";
 import * as outcomes from "./outcomes";
@@ -223,7 +224,7 @@
             const run = Math.max(...members.map(member => member.run)) + 1;
             members.forEach((task, index) => {
                 task.run = run;
-                task.startCharge = crashes.getStartCharge(task);
+                task.startCharge = crashRecord.getStartCharge(task);
                 task.crashWeight += task.startCharge;
                 task.phase = "recording";
                 task.stopAcceptedAt = undefined;
@@ -307,7 +308,7 @@
                 return;
             }
             const wasStopping = task.phase === "stopping";
-            if (crashes.hasOutlivedLosses(task)) {
+            if (crashRecord.hasOutlivedLosses(task)) {
                 losses.refund(task);
             }
             if (isCurrent && end.how !== "failed") {
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -20,7 +20,7 @@
     run: number;
     /** Runs that ended as failed; for a gang, the gang's. */
     failures: number;
-    /** How much the losses of its workers speak against it, see `crashes.ts`. */
+    /** How much the losses of its workers speak against it, see `crashRecord.ts`. */
     crashWeight: number;
     /** How many runs that weight is made of, but for those that were only charged. */
     lostRuns: number;
--- a/src/leader/losses.ts
+++ b/src/leader/losses.ts
@@ -2,7 +2,9 @@
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
 import * as crashes from "./crashes";
+import * as crashRecord from "./crashRecord";
 import * as entries from "./entries";
+import type * as lostRuns from "./lostRuns";
 
 export interface LossesOptions {
     readonly clock: clock.Clock;
@@ -35,7 +37,7 @@
     const { clock: time, log, meter } = options;
 
     const judge = (task: entries.TaskEntry) => {
-        if (!crashes.isBeyondLimit(task) || task.worker || task.phase === "done" || task.step.occurrence.over) {
+        if (!crashRecord.isBeyondLimit(task) || task.worker || task.phase === "done" || task.step.occurrence.over) {
             return;
         }
         log.warn("taskGivenUp", {
@@ -90,7 +92,7 @@
         task: entries.TaskEntry,
         worker: entries.WorkerEntry,
         reason: LossReason,
-        evidence: crashes.Evidence | undefined,
+        evidence: lostRuns.Evidence | undefined,
     ) => {
         entries.unassign(task);
         if (task.phase === "done") {
@@ -127,7 +129,7 @@
     };
 }
 
-function count(task: entries.TaskEntry, { weight, lostRuns }: crashes.Evidence): void {
+function count(task: entries.TaskEntry, { weight, lostRuns }: lostRuns.Evidence): void {
     task.crashWeight += weight;
     task.lostRuns += lostRuns;
 }
--- /dev/null
+++ b/src/leader/lostRuns.ts
@@ -0,0 +1,123 @@
+/** The runs that are lost with a worker, and how much each of them weighs. */
+import * as crashRecord from "./crashRecord";
+import * as entries from "./entries";
+
+/** A lasting task that was at work for this long has proved itself. */
+const PROVEN_MS = 60_000;
+
+/**
+ * - fresh: it had just begun.
+ * - settled: it had been at work.
+ * - inherited: an earlier leader ordered it, so its age is not known.
+ */
+type RunAge = "fresh" | "settled" | "inherited";
+
+export interface LostRun {
+    readonly task: entries.TaskEntry;
+    readonly age: RunAge;
+    /** The worker had confirmed its start; otherwise it may never have begun. */
+    readonly isConfirmed: boolean;
+    readonly isSuspect: boolean;
+    /** What its start was counted for when it was placed. */
+    readonly charge: number;
+    /** Lasting, and was at work for so long that a crash says nothing of it. */
+    readonly isProven: boolean;
+}
+
+/** What lost runs say against their task. */
+export interface Evidence {
+    readonly weight: number;
+    /** How many runs it stands for. */
+    readonly lostRuns: number;
+}
+
+const NO_EVIDENCE: Evidence = { weight: crashRecord.Weight.None, lostRuns: 0 };
+
+/** Those that may have been on the worker when it was lost. */
+export function listRuns(worker: entries.WorkerEntry): LostRun[] {
+    return [...worker.tasks].filter(mayHaveRun).map(task => ({
+        task,
+        age: getAge(task),
+        isConfirmed: task.phase !== "ordered" && task.runningSince >= task.orderedAt,
+        isSuspect: crashRecord.isSuspect(task),
+        charge: task.startCharge,
+        isProven: task.step.spec.lasting && entries.getSeenMs(task) >= PROVEN_MS,
+    }));
+}
+
+/**
+ * Not a run that its worker no longer listed, nor a start that is without an answer when another life answers: it was
+ * sent to that one, which did not take it.
+ */
+function mayHaveRun(task: entries.TaskEntry): boolean {
+    switch (task.phase) {
+        case "running":
+            return true;
+        case "stopping":
+            return task.stopReason !== entries.MISSING;
+        case "ordered":
+            return task.unansweredAt !== undefined;
+        case "waiting":
+        case "recording":
+        case "done":
+            return false;
+    }
+}
+
+function getAge(task: entries.TaskEntry): RunAge {
+    if (entries.getSeenMs(task) >= crashRecord.SETTLED_MS) {
+        return "settled";
+    }
+    return task.inherited ? "inherited" : "fresh";
+}
+
+export function listFreshJobs(runs: readonly LostRun[]): ReadonlySet<entries.JobEntry> {
+    return new Set(runs.filter(run => run.age === "fresh").map(run => run.task.step.occurrence.job));
+}
+
+/** By how much the evidence has changed. */
+export function subtract(now = NO_EVIDENCE, before = NO_EVIDENCE): Evidence {
+    return { weight: now.weight - before.weight, lostRuns: now.lostRuns - before.lostRuns };
+}
+
+/** What is known of the worker that was lost with the runs. */
+export interface Circumstances {
+    readonly freshJobs: ReadonlySet<entries.JobEntry>;
+    /** It was about to be taken away. */
+    readonly leaves: boolean;
+    /** Another life of it has answered. */
+    readonly restarted: boolean;
+    /** Workers were lost at the same time, and not to the same job. */
+    readonly areOthersSilent: boolean;
+    readonly isRackBack: boolean;
+}
+
+export function weighAll(
+    runs: readonly LostRun[],
+    { freshJobs, leaves, restarted, areOthersSilent, isRackBack }: Circumstances,
+): ReadonlyMap<entries.TaskEntry, Evidence> {
+    const fresh = runs.filter(run => run.age === "fresh");
+    const suspects = fresh.filter(run => run.isSuspect);
+    const blamed = suspects.length > 0 ? suspects : fresh;
+    const isAlone = !areOthersSilent && !isRackBack;
+    const isClear = isAlone && (suspects.length > 0 ? listFreshJobs(suspects) : freshJobs).size === 1;
+    const weigh = (run: LostRun): crashRecord.Weight => {
+        if (run.isProven) {
+            return crashRecord.Weight.None;
+        }
+        if (isRackBack) {
+            return crashRecord.Weight.Excused;
+        }
+        if (!run.isConfirmed) {
+            return crashRecord.Weight.Unconfirmed;
+        }
+        if (!restarted || run.age === "inherited") {
+            return crashRecord.Weight.Doubtful;
+        }
+        return isClear && blamed.includes(run) ? crashRecord.Weight.Strong : crashRecord.Weight.Usual;
+    };
+    return new Map(runs.map(run => [run.task, {
+        weight: (leaves ? run.charge : weigh(run)) - run.charge,
+        lostRuns: leaves || run.isProven ? 0 : 1,
+    }]));
+}
--- a/src/leader/restore.ts
+++ b/src/leader/restore.ts
@@ -1,7 +1,7 @@
 /** Fills the book from what an earlier leader stored. */
 import type * as clock from "../clock/index";
 import type * as work from "../work/index";
-import * as crashes from "./crashes";
+import * as crashRecord from "./crashRecord";
 import * as entries from "./entries";
 
 export interface RestoringOptions {
@@ -118,5 +118,5 @@
     task.runningSince = now;
     task.progressAt = now;
     task.inherited = true;
-    task.startCharge = crashes.getHeldCharge(task);
+    task.startCharge = crashRecord.getHeldCharge(task);
 }
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -1,7 +1,7 @@
 /** The book as the placement decisions see it. */
 import * as decisions from "../decisions/index";
 import * as work from "../work/index";
-import * as crashes from "./crashes";
+import * as crashRecord from "./crashRecord";
 import * as entries from "./entries";
 import type * as outcomes from "./outcomes";
 
@@ -51,7 +51,7 @@
 
 function collectOfStep(step: entries.StepEntry, options: UnitsOptions): UnitOfTasks[] {
     const startable = step.tasks.filter(task =>
-        task.phase === "waiting" && !task.worker && task.restsUntil <= options.now && !crashes.isBeyondLimit(task)
+        task.phase === "waiting" && !task.worker && task.restsUntil <= options.now && !crashRecord.isBeyondLimit(task)
     );
     if (startable.length === 0 || (step.spec.gang && startable.length < step.tasks.length)) {
         return [];
@@ -73,7 +73,7 @@
     const waitedMs = options.now - Math.max(step.readySince ?? options.now, first.waitingSince);
     const stepName = getStepName(step);
     const suspect = waitedMs < ISOLATION_PATIENCE_MS && !options.policy.leftOut.has("isolation")
-        && tasks.some(crashes.isSuspect);
+        && tasks.some(crashRecord.isSuspect);
     return {
         key: first.name,
         family: first.failures > 0 || suspect ? first.name : stepName,
@@ -294,7 +294,7 @@
 
 function getCompany(worker: entries.WorkerEntry): decisions.Company {
     for (const task of worker.tasks) {
-        if (crashes.isUnsettled(task)) {
+        if (crashRecord.isUnsettled(task)) {
             return decisions.Company.Unsettled;
         }
     }
