A rack that is back excuses only runs that had been at work

Cause, from its lines: all five losses came at once after a start, on a site whose racks crash all the time; three of them were put down to the rack (weight 2 in place of 5 or 10), so five losses came to 19.

Change: a run that had just begun weighs as a doubtful one (4) where the rack is back with its worker. A rack seldom goes down just as a task begins, so a sound task meets this rarely; runs that had been at work weigh 2 as before.

Ruled out: a bound of five lost runs whatever they weigh; a sound task that is at work in a rack that crashes five times would be given up.

Evidence: the unit case "that had just begun, and whose rack is back" failed before (2, not 4). "not at all, but meets workers that crash in groups" holds.

--- a/src/leader/__tests__/crashes.test.ts
+++ b/src/leader/__tests__/crashes.test.ts
@@ -115,10 +115,16 @@
         weights: [undefined, undefined],
     },
     {
-        name: "whose rack is back with the worker",
+        name: "that had been at work, and whose rack is back with the worker",
+        put: worker => addTask(worker, 5_000),
+        meanwhile: (judge, workers) => workers.slice(1).forEach(worker => noteBack(judge, worker)),
+        weights: [5, 2],
+    },
+    {
+        name: "that had just begun, and whose rack is back with the worker",
         put: worker => addTask(worker, 10),
         meanwhile: (judge, workers) => workers.slice(1).forEach(worker => noteBack(judge, worker)),
-        weights: [10, 2],
+        weights: [10, 4],
     },
     {
         name: "beside two other workers that fell silent",
--- a/src/leader/crashRecord.ts
+++ b/src/leader/crashRecord.ts
@@ -6,11 +6,11 @@
 /** How much a lost run weighs. */
 export const Weight = {
     None: 0,
-    /** Its rack went down with the worker. */
+    /** Its rack went down with the worker while it was at work. */
     Excused: 2,
     /** It may never have begun. */
     Unconfirmed: 3,
-    /** The worker may not have crashed, or the run's age is not known. */
+    /** The worker may not have crashed, its rack went down as the run began, or the run's age is not known. */
     Doubtful: 4,
     Usual: 5,
     /** Nothing else can have taken the worker down. */
--- a/src/leader/lostRuns.ts
+++ b/src/leader/lostRuns.ts
@@ -105,13 +105,14 @@
         if (run.isProven) {
             return crashRecord.Weight.None;
         }
-        if (isRackBack) {
+        if (isRackBack && run.age !== "fresh") {
             return crashRecord.Weight.Excused;
         }
         if (!run.isConfirmed) {
             return crashRecord.Weight.Unconfirmed;
         }
-        if (!restarted || run.age === "inherited") {
+        // A rack seldom goes down just as a task begins.
+        if (!restarted || isRackBack || run.age === "inherited") {
             return crashRecord.Weight.Doubtful;
         }
         return isClear && blamed.includes(run) ? crashRecord.Weight.Strong : crashRecord.Weight.Usual;
