Emulator: a worker's report is as old by the clock of each instance

Cause: in the emulator. The leader had been suspended, its clock was 6.4 s behind the site's, and the emulated directory told the report's time by the site's clock. So a report of 18,973 ms was compared with "now" of 18,384 and never grew old. The real directory (workerDirectory.ts) stamps reports by the instance's own clock.

Change: the report's age is carried over to the instance's clock.

--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -28,7 +28,10 @@
     [542721, "leaders were lost twice, and starts without an answer counted for little"],
     [640791, "a gang that had failed on each worker that it fits on was never started again"],
     [642331, "leaders were lost, and a start without an answer counted for little"],
+    [671213, "crashes were excused by the rack, though each came as the task began"],
+    [671977, "crashes were excused by the rack, though each came as the task began"],
     [673616, "crashes were excused by the rack, though each came as the task began"],
+    [674686, "a suspended instance took a report for as new as its own clock says"],
 ];
 /** This fails still. */
 const OPEN_HAZARD_SEEDS = [642_804];
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -131,6 +131,11 @@
         const controller = new AbortController();
         events.setMaxListeners(0, controller.signal);
         const freezer = freezers.createFreezer(time);
+        // Reports are as old by the instance's clock, which does not count its suspensions.
+        const toOwnTime = (worker: leader.ListedWorker): leader.ListedWorker => ({
+            ...worker,
+            reportedAt: freezer.clock.now() - (time.now() - worker.reportedAt),
+        });
         const isOther = (name: string) => name !== getInstanceName(number);
         const scheduler = schedulers.createScheduler({
             instance: getInstanceName(number),
@@ -165,7 +170,11 @@
             store: freezer.wrapStore(store.open(getInstanceName(number))),
             directory: {
                 follow: (signal, onWorkers) =>
-                    workers.directory.follow(signal, listed => options.isDirectoryAway?.() || onWorkers(listed)),
+                    workers.directory.follow(signal, listed => {
+                        if (!options.isDirectoryAway?.()) {
+                            onWorkers(listed.map(toOwnTime));
+                        }
+                    }),
             },
             workers: freezer.wrapWorkers(workers.port),
             adviser: options.adviser ?? NO_ADVISER,
