The look before a start comes before the checks of the start

Read in the code, before landing: a task that was lost before is looked for a worker that answers, which takes up to 0.6 s; whether the worker may still be started on (its report is new enough, it has not shrunk, does not drain) was checked before that look. A worker could be started on by a report 0.6 s older than LIMIT allows.

Change: the session tells whether the worker answers (`makeContact`), and the checks follow.

Evidence: orders.test.ts; with the check moved before the look its last case fails ("is taken back from a worker that shrinks or drains while it is looked at"). The tests of the leader share one fixture of queue, job and task, which stood in two files.

--- a/src/leader/__tests__/crashes.test.ts
+++ b/src/leader/__tests__/crashes.test.ts
@@ -1,21 +1,11 @@
 import * as clocks from "../../clock/index";
-import * as work from "../../work/index";
+import type * as work from "../../work/index";
 import * as crashes from "../crashes";
 import * as crashRecord from "../crashRecord";
 import * as entries from "../entries";
 import type * as lostRuns from "../lostRuns";
+import * as fixtures from "./fixtures";
 
-const QUEUE = {
-    name: "plan",
-    host: "example",
-    pathPrefix: "/plan/",
-    service: "booking",
-    priority: 1,
-    maxAttempts: 2,
-    stretch: 3,
-    objectiveMs: 1_000,
-    needsKey: true,
-};
 const STARTED_AT = 100_000;
 const CRASHED_AT = STARTED_AT + 20_000;
 const REVIEWED_MS = 2_500;
@@ -35,16 +25,7 @@
     fields: Partial<entries.TaskEntry> = {},
     step: Partial<work.StepSpec> = {},
 ): entries.TaskEntry {
-    const spec = { ...work.PLAIN_STEP, count: 1, needs: work.EMPTY_ROOM, estimateMs: 1_000, ...step };
-    const submission: work.Submission = {
-        jobId: `job-of-${worker.id}-${worker.tasks.size}`,
-        queue: QUEUE,
-        account: "a",
-        acceptedAt: 0,
-        spec: { payload: "", steps: [spec], repeats: 0, firstDueAt: 0, periodMs: 0 },
-    };
-    const job = entries.createJobEntry(submission, QUEUE, 0);
-    const task = entries.createOccurrenceEntry(job, 0, 0).steps[0]!.tasks[0]!;
+    const task = fixtures.createTask(`job-of-${worker.id}-${worker.tasks.size}`, step);
     const startedAt = CRASHED_AT - seenMs;
     entries.assign(task, worker);
     Object.assign(task, { phase: "running", orderedAt: startedAt, runningSince: startedAt, toldAt: CRASHED_AT });
--- /dev/null
+++ b/src/leader/__tests__/orders.test.ts
@@ -0,0 +1,81 @@
+import * as clocks from "../../clock/index";
+import * as telemetry from "../../telemetry/index";
+import type * as bookOfTasks from "../book";
+import * as entries from "../entries";
+import * as orders from "../orders";
+import type * as workerSession from "../workerSession";
+import * as fixtures from "./fixtures";
+
+interface Case {
+    readonly name: string;
+    readonly crashWeight: number;
+    /** What the look before the start finds out, and whether the worker may still be started on after it. */
+    readonly answers?: boolean;
+    readonly mayStartThen?: boolean;
+    readonly calls: readonly string[];
+    readonly isSetAside?: boolean;
+}
+
+const cases: readonly Case[] = [
+    { name: "is started without a look", crashWeight: 0, calls: ["start"] },
+    { name: "that was lost before is started after a look", crashWeight: 3, calls: ["look", "start"] },
+    {
+        name: "that was lost before is taken back from a worker that does not answer, which is set aside",
+        crashWeight: 3,
+        answers: false,
+        calls: ["look", "takeBack"],
+        isSetAside: true,
+    },
+    {
+        name: "that was lost before is taken back from a worker that shrinks or drains while it is looked at",
+        crashWeight: 3,
+        mayStartThen: false,
+        calls: ["look", "takeBack"],
+    },
+];
+
+// The look before a start takes up to 0.6 s, in which the worker's last report may become too old.
+describe("a task that is placed", () => {
+    test.each(cases)(
+        "$name",
+        async ({ crashWeight, answers = true, mayStartThen = true, calls, isSetAside = false }) => {
+            const time = clocks.createManualClock(1_000);
+            const worker = entries.createWorkerEntry(entries.createUnknownWorker("w"));
+            const task = fixtures.createTask("job");
+            entries.assign(task, worker);
+            Object.assign(task, { run: 1, phase: "recording", crashWeight });
+            const called: string[] = [];
+            let mayStart = true;
+            const session: Partial<workerSession.WorkerSession> = {
+                makeContact: async () => {
+                    called.push("look");
+                    mayStart = mayStartThen;
+                    return answers;
+                },
+                start: async () => {
+                    called.push("start");
+                    return { kind: "accepted", workerClock: 0 };
+                },
+            };
+            const book: Partial<bookOfTasks.Book> = {
+                confirmRunning: () => undefined,
+                takeBack: () => called.push("takeBack"),
+            };
+            const ordersOfTerm = orders.createOrders({
+                book: book as bookOfTasks.Book,
+                clock: time,
+                log: fixtures.LOG,
+                meter: telemetry.createMetrics().meter,
+                signal: new AbortController().signal,
+                getSession: () => session as workerSession.WorkerSession,
+                mayOrder: () => true,
+                mayStart: () => mayStart,
+                leftOut: new Set(),
+            });
+            ordersOfTerm.start([{ task, run: 1 }]);
+            await time.advance(10);
+            expect(called).toEqual(calls);
+            expect(worker.setAsideUntil > time.now()).toBe(isSetAside);
+        },
+    );
+});
--- a/src/leader/__tests__/restore.test.ts
+++ b/src/leader/__tests__/restore.test.ts
@@ -1,22 +1,11 @@
 import * as clocks from "../../clock/index";
 import * as telemetry from "../../telemetry/index";
-import * as work from "../../work/index";
+import type * as work from "../../work/index";
 import * as bookOfTasks from "../book";
 import * as entries from "../entries";
 import * as thrownAway from "../thrownAway";
+import * as fixtures from "./fixtures";
 
-const QUEUE = {
-    name: "plan",
-    host: "example",
-    pathPrefix: "/plan/",
-    service: "booking",
-    priority: 1,
-    maxAttempts: 2,
-    stretch: 3,
-    objectiveMs: 1_000,
-    needsKey: true,
-};
-const LOG = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const WAITING = { kind: "waiting", run: 4, failures: 0, crashWeight: 0, lostRuns: 0, saved: "" } as const;
 const PLACED = { ...WAITING, kind: "placed", workerId: "w" } as const;
 const RUNNING = { state: "running", ended: [], failed: false, endedAt: 0 } as const;
@@ -24,7 +13,7 @@
 function restore(progress: work.TaskProgress, lasting = false): entries.JobEntry {
     const book = bookOfTasks.createBook({
         clock: clocks.createManualClock(),
-        log: LOG,
+        log: fixtures.LOG,
         meter: telemetry.createMetrics().meter,
         signal: new AbortController().signal,
         listener: {
@@ -33,16 +22,14 @@
             stopWanted: () => undefined,
             changed: () => undefined,
         },
-        getQueue: () => QUEUE,
+        getQueue: () => fixtures.QUEUE,
         getExpected: () => ({ objectiveMs: 0, chainMs: 0 }),
         expectRun: () => 1_000,
         getWorkers: () => [],
         leftOut: new Set(),
         thrownAway: thrownAway.createThrownAway(),
     });
-    const step = { ...work.PLAIN_STEP, count: 1, needs: work.EMPTY_ROOM, estimateMs: 1_000, lasting };
-    const spec = { payload: "", steps: [step], repeats: 0, firstDueAt: 0, periodMs: 0 };
-    const job = book.addJob({ jobId: "job", queue: QUEUE, account: "a", acceptedAt: 0, spec });
+    const job = book.addJob(fixtures.createSubmission("job", { lasting }));
     book.restoreJob(job, RUNNING, 1);
     const worker = entries.createWorkerEntry(entries.createUnknownWorker("w"));
     book.restoreOccurrence(job, 0, [[progress]], 1, () => worker);
--- a/src/leader/__tests__/workerSession.test.ts
+++ b/src/leader/__tests__/workerSession.test.ts
@@ -59,7 +59,7 @@
         const { time, session, deadlines, getWorkerClock } = await openSession(0.98);
         await time.advance(idleMs);
         const sentAt = time.now();
-        void session.start({ task: "t", run: 1, payload: "", saved: "" }, workerSession.LONGEST_CLOCK_AGE_MS);
+        void session.start({ task: "t", run: 1, payload: "", saved: "" });
         await time.advance(0);
         await time.advance(lapse.getLapsedAt(sentAt, MAX_LEASE_MS) - sentAt);
         expect(deadlines).toHaveLength(1);
@@ -70,7 +70,7 @@
     test("still has most of its lease at a clock that is right", async () => {
         const { time, session, deadlines, getWorkerClock } = await openSession(1);
         await time.advance(10_000);
-        void session.start({ task: "t", run: 1, payload: "", saved: "" }, workerSession.LONGEST_CLOCK_AGE_MS);
+        void session.start({ task: "t", run: 1, payload: "", saved: "" });
         await time.advance(0);
         expect(deadlines[0]! - getWorkerClock()).toBeGreaterThan(0.9 * MAX_LEASE_MS);
         session.close();
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -5,7 +5,7 @@
 import type * as book from "./book";
 import type * as entries from "./entries";
 import type * as port from "./workerPort";
-import * as workerSession from "./workerSession";
+import type * as workerSession from "./workerSession";
 
 export interface OrdersOptions {
     readonly book: book.Book;
@@ -52,8 +52,11 @@
 const SUSPECT_SILENCE_MS = 100;
 
 /** A start that never began, as its worker was down already, would look like one more crash under its task. */
-function getLongestSilenceMs(task: entries.TaskEntry): number {
-    return task.crashWeight > 0 ? SUSPECT_SILENCE_MS : workerSession.LONGEST_CLOCK_AGE_MS;
+async function findOutWhetherItAnswers(
+    task: entries.TaskEntry,
+    session: workerSession.WorkerSession,
+): Promise<boolean> {
+    return task.crashWeight === 0 || session.makeContact(SUSPECT_SILENCE_MS);
 }
 
 export function createOrders(options: OrdersOptions): Orders {
@@ -80,10 +83,15 @@
         }
         const worker = task.worker;
         const session = worker && options.getSession(worker);
-        const mayStart = worker && session && options.mayOrder() && options.mayStart(worker);
+        const answers = !session || await findOutWhetherItAnswers(task, session);
+        if (task.worker !== worker || task.run !== run) {
+            return;
+        }
+        const mayStart = answers && worker && session && options.mayOrder() && options.mayStart(worker);
         if (!mayStart || task.phase !== "recording") {
             if (worker && task.phase === "recording") {
-                log.info("startWithdrawn", { task: task.name, run, worker: worker.id });
+                worker.setAsideUntil = answers ? worker.setAsideUntil : time.now() + SET_ASIDE_MS;
+                log.info("startWithdrawn", { task: task.name, run, worker: worker.id, answers });
                 taskBook.takeBack(task);
             }
             return;
@@ -98,7 +106,7 @@
             payload: submission.spec.payload,
             saved: task.saved,
             ticket: task.step.tickets.get(worker.id)?.ticket,
-        }, getLongestSilenceMs(task));
+        });
         meter.increment("start_orders_total", { answer: answer.kind });
         if (task.worker !== worker || task.run !== run) {
             return;
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -43,11 +43,9 @@
 }
 
 export interface WorkerSession {
-    /** A worker that has answered nothing for longer than `longestSilenceMs` is looked at first. */
-    start(
-        order: Omit<port.StartOrder, "fencingToken" | "deadline">,
-        longestSilenceMs: number,
-    ): Promise<port.OrderAnswer>;
+    /** Whether the worker has answered within that time, or answers to a look now. */
+    makeContact(longestSilenceMs: number): Promise<boolean>;
+    start(order: Omit<port.StartOrder, "fencingToken" | "deadline">): Promise<port.OrderAnswer>;
     stop(order: Omit<port.RunOrder, "fencingToken">): Promise<port.OrderAnswer>;
     pace(order: Omit<port.PaceOrder, "fencingToken">): Promise<port.OrderAnswer>;
     /** Has the loop look without waiting for the answer to the look under way. */
@@ -64,7 +62,7 @@
 const LAST_LOOK_DELAY_MS = 400;
 
 /** A worker that was idle for longer is looked at before a start: its clock may have fallen behind by 0.2 s since. */
-export const LONGEST_CLOCK_AGE_MS = 10_000;
+const LONGEST_CLOCK_AGE_MS = 10_000;
 
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
     const { worker, clock: time, leadership } = options;
@@ -269,12 +267,15 @@
         }
         return answer;
     };
+    const makeContact = async (longestSilenceMs: number) =>
+        workerClock !== undefined && time.now() - workerClock.readAt <= longestSilenceMs || look(0);
     void loop();
 
     return {
-        start: async (request, longestSilenceMs) => {
-            if (workerClock && time.now() - workerClock.readAt > longestSilenceMs && !await look(0)) {
-                return { kind: "unreachable", message: "a look before the start got no answer" };
+        makeContact,
+        start: async request => {
+            if (workerClock && !await makeContact(LONGEST_CLOCK_AGE_MS)) {
+                return { kind: "unreachable", message: "the worker's clock was read too long ago" };
             }
             const deadline = getDeadline();
             if (deadline === undefined) {
