--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -13,6 +13,7 @@
 import * as randomJob from "./randomJob";
 import * as sites from "./site";
 import type * as stores from "./store";
+import type * as workerOrders from "./workerOrders";
 import * as workersInMemory from "./workers";
 
 export interface ChaosReport {
@@ -64,7 +65,7 @@
         "late",
         "silent",
     ], ["", ...range(INSTANCES).map(sites.getInstanceName)]);
-    const workerWindows = createWindows<workersInMemory.OrderFault>(source, 5, [
+    const workerWindows = createWindows<workerOrders.OrderFault>(source, 5, [
         "loseAnswer",
         "late",
         "cut",
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -13,10 +13,5 @@
 export { type StartRecord } from "./startChecks";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
 export { type TaskModel } from "./workerLife";
-export {
-    createEmulatedWorkers,
-    type EmulatedWorkers,
-    listBreaches,
-    type OrderFault,
-    type WorkerFaults,
-} from "./workers";
+export type { OrderFault, WorkerFaults } from "./workerOrders";
+export { createEmulatedWorkers, type EmulatedWorkers, listBreaches } from "./workers";
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -10,6 +10,7 @@
 import * as freezers from "./freezer";
 import * as jobModel from "./jobModel";
 import * as stores from "./store";
+import type * as workerOrders from "./workerOrders";
 import * as workersInMemory from "./workers";
 
 export interface SiteOptions {
@@ -24,7 +25,7 @@
     readonly storeFaults?: stores.StoreFaults;
     /** How long a transaction holds its part of the store; by default parts are never busy. */
     readonly storePartMs?: number;
-    readonly workerFaults?: workersInMemory.WorkerFaults;
+    readonly workerFaults?: workerOrders.WorkerFaults;
     readonly adviser?: leader.Adviser;
     readonly machines?: leader.MachineService;
     readonly waves?: leader.WaveBoard;
--- a/src/emulator/workerLife.ts
+++ b/src/emulator/workerLife.ts
@@ -2,6 +2,9 @@
 import type * as leader from "../leader/index";
 import type * as work from "../work/index";
 
+/** How often a task saves what it has done. */
+export const SAVE_EVERY_MS = 1_000;
+
 /** What an emulated task really does. */
 export interface TaskModel {
     readonly needs: work.Room;
