Lines tell which life of a worker answered, and why a step waits

`born` is read from the answers to looks and told by `workerLifeSeen` when it changes; nothing is decided by it yet. `stepWaits` tells, every 2 s and of four steps at most, how many workers are left after each condition.

--- a/src/emulator/workerOrders.ts
+++ b/src/emulator/workerOrders.ts
@@ -110,6 +110,7 @@
         return {
             kind: "lists",
             workerClock: time.now(),
+            bornAt: 0,
             running: [...life.runs.values()].map(run => ({
                 task: run.task,
                 run: run.run,
--- a/src/leader/__tests__/workerSession.test.ts
+++ b/src/leader/__tests__/workerSession.test.ts
@@ -20,7 +20,7 @@
         },
         stop: async () => ({ kind: "accepted", workerClock: getWorkerClock() }),
         pace: async () => ({ kind: "accepted", workerClock: getWorkerClock() }),
-        look: async () => ({ kind: "lists", workerClock: getWorkerClock(), running: [], ended: [] }),
+        look: async () => ({ kind: "lists", workerClock: getWorkerClock(), bornAt: 0, running: [], ended: [] }),
     };
     const session = workerSession.createWorkerSession({
         worker: { id: "w", address: "a:1" },
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -28,6 +28,7 @@
 import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep";
+import * as waits from "./waits";
 import * as watch from "./watch";
 import type * as port from "./workerPort";
 import * as workerSession from "./workerSession";
@@ -69,7 +70,8 @@
 const IDLE_PASS_MS = 250;
 /** Short beside the seconds for which an unlisted worker is waited for. */
 const DIRECTORY_CHECK_MS = 600;
-const THROWN_AWAY_LINE_MS = 2_000;
+/** How often the lines on thrown away work and on waits come. */
+const SUMMARY_EVERY_MS = 2_000;
 /** The longest wait that a worker grants a look. */
 const MOST_LOOK_WAIT_MS = 2_000;
 /**
@@ -320,15 +322,26 @@
     const passes = passTimer.createPassTimer(time, runPass);
     const planPass = passes.plan;
 
-    const tellThrownAway = async () => {
+    const tellWaits = () => {
+        const now = time.now();
+        waits.tellWaits({
+            now,
+            log,
+            waiting: units.collectUnits(book.active, createView(new Set())),
+            workers: [...workers.values()],
+            isPlaceable: worker => isPlaceable(worker, now),
+        });
+    };
+    const tellSummaries = async () => {
         let told = "{}";
         while (!signal.aborted) {
-            await time.sleep(THROWN_AWAY_LINE_MS, signal);
+            await time.sleep(SUMMARY_EVERY_MS, signal);
             const coreSeconds = thrownAway.getTotals();
             if (JSON.stringify(coreSeconds) !== told) {
                 told = JSON.stringify(coreSeconds);
                 log.info("workThrownAway", { token: leadership.token, coreSeconds });
             }
+            tellWaits();
         }
     };
 
@@ -348,7 +361,7 @@
         ready = true;
         meter.record("takeover_duration_ms", {}, time.now() - openedAt);
         void followDirectory();
-        void tellThrownAway();
+        void tellSummaries();
         upkeep.runUpkeep({
             board: options.waves,
             service: options.machines,
--- /dev/null
+++ b/src/leader/waits.ts
@@ -0,0 +1,59 @@
+/** Lines that say why jobs wait of which nothing runs: an operator sees from them what each is short of. */
+import * as decisions from "../decisions/index";
+import type * as observe from "../observe/index";
+import * as entries from "./entries";
+import type * as units from "./units";
+
+export interface WaitsOptions {
+    readonly now: number;
+    readonly log: observe.Log;
+    readonly waiting: readonly units.UnitOfTasks[];
+    readonly workers: readonly entries.WorkerEntry[];
+    isPlaceable(worker: entries.WorkerEntry): boolean;
+}
+
+/** Shorter waits are the rule on a full site. */
+const TOLD_AFTER_MS = 3_000;
+/** At a time, those that have waited longest. */
+const MOST_TOLD = 4;
+
+export function tellWaits(options: WaitsOptions): void {
+    const stalled = options.waiting
+        .filter(({ unit, tasks }) => unit.waitedMs >= TOLD_AFTER_MS && !hasPlacedTask(tasks[0]!.step.occurrence))
+        .sort((a, b) => b.unit.waitedMs - a.unit.waitedMs);
+    const byStep = new Map(stalled.map(item => [item.unit.step, item]));
+    for (const { unit, tasks } of [...byStep.values()].slice(0, MOST_TOLD)) {
+        options.log.info("stepWaits", {
+            step: unit.step,
+            tasks: tasks.length,
+            waitedMs: Math.round(unit.waitedMs),
+            crashWeight: tasks[0]!.crashWeight,
+            ...countWorkers(unit, options),
+        });
+    }
+}
+
+function hasPlacedTask(occurrence: entries.OccurrenceEntry): boolean {
+    return occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined));
+}
+
+/** How many workers of its service are left after each condition. */
+function countWorkers(unit: decisions.WaitingUnit, { workers, isPlaceable }: WaitsOptions) {
+    const ofService = workers.filter(worker => worker.info.service === unit.service);
+    const placeable = ofService.filter(isPlaceable);
+    const allowed = placeable.filter(({ id, info }) =>
+        !unit.avoided.has(id) && (unit.allowed?.has(id) ?? true)
+        && (unit.requiredLabel === undefined || info.labels.includes(unit.requiredLabel))
+    );
+    const withRoom = allowed.filter(worker => {
+        const room = decisions.copyRoom(worker.info.capacity);
+        decisions.takeRoom(room, worker.used);
+        return decisions.countFits(room, unit.needs) > 0;
+    });
+    return {
+        workers: ofService.length,
+        placeable: placeable.length,
+        allowed: allowed.length,
+        withRoom: withRoom.length,
+    };
+}
--- a/src/leader/workerPort.ts
+++ b/src/leader/workerPort.ts
@@ -75,6 +75,8 @@
     | {
         readonly kind: "lists";
         readonly workerClock: number;
+        /** When the life that answered began, in Unix milliseconds; 0 where the worker does not tell. */
+        readonly bornAt: number;
         readonly running: readonly RunningTask[];
         readonly ended: readonly TaskEnd[];
     }
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -71,6 +71,7 @@
     let workerClock: lapse.ClockReading | undefined;
     /** Our time by which everything there has lapsed unless it is prolonged. */
     let lapsedAt = lapse.getLapsedAt(Math.max(leadership.othersSilentAt, time.now()), options.maxLeaseMs);
+    let bornAt = 0;
     let lastEnd = 0;
     let recordedUpTo = 0;
     let acknowledgedUpTo = 0;
@@ -162,6 +163,10 @@
             lapsedAt = lapse.getLapsedAt(time.now(), options.maxLeaseMs);
         }
         mustLook = false;
+        if (answer.bornAt !== bornAt) {
+            options.log.info("workerLifeSeen", { worker: worker.id, bornAt: answer.bornAt, before: bornAt, lastEnd });
+            bornAt = answer.bornAt;
+        }
         acknowledgedUpTo = Math.max(acknowledgedUpTo, acknowledged);
         const fresh = takeFresh(answer.ended);
         lastEnd = fresh.reduce((max, end) => Math.max(max, end.number), lastEnd);
