Emulated workers start again under their ids; three tests that fail

A worker may start again under the id that it had: the emulator's workers and the stand-ins on the wire now can, with a clock and numbers of ends that begin anew, and tell when their life was born. A start that is held up is carried out by whichever life goes on by then. A start after as many failed runs as the queue allows is a breach.

--- a/src/emulator/jobModel.ts
+++ b/src/emulator/jobModel.ts
@@ -18,8 +18,12 @@
     getCrashAfterMs?: (task: string) => number | undefined;
 }
 
-/** What the task of that name does; its job must be known. */
-export function createModel(jobs: ReadonlyMap<string, EmulatedJob>, task: string): workerLife.TaskModel {
+/** What the task of that name does; its job must be known. Without `getMaxAttempts` no number of starts is a breach. */
+export function createModel(
+    jobs: ReadonlyMap<string, EmulatedJob>,
+    task: string,
+    getMaxAttempts?: (queue: string) => number | undefined,
+): workerLife.TaskModel {
     const [jobId, occurrence, stepNumber, index] = task.split(".");
     const job = jobs.get(jobId!)!;
     const number = Number(stepNumber);
@@ -35,6 +39,7 @@
         checkpoints: step.checkpoints,
         sameRack: step.gang && step.sameRack,
         dataRack: step.dataRack,
+        maxAttempts: step.lasting ? undefined : getMaxAttempts?.(job.queue),
         crashesAfterMs: job.getCrashAfterMs?.(task),
         fails: run => job.fails?.(task, run) ?? false,
     };
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -58,6 +58,8 @@
     kill(instance: number): void;
     /** Ends a worker's life; another one begins at its address some seconds later. */
     crashWorker(id: string): void;
+    /** Ends a worker's life; the next one begins under its id `afterMs` later. */
+    restartWorker(id: string, afterMs: number): void;
     /** Ends an instance as a loss of power does: nobody is told. */
     silence(instance: number): void;
     /** Lets an instance stand still, and wake up in the middle of what it was doing. */
@@ -106,7 +108,12 @@
         maxLeaseMs,
         stopMs: STOP_MS,
         faults: options.workerFaults,
-        getModel: task => jobModel.createModel(jobs, task),
+        getModel: task =>
+            jobModel.createModel(
+                jobs,
+                task,
+                queue => options.catalog.queues.find(({ name }) => name === queue)?.maxAttempts,
+            ),
         onCrash: id => crashWorker(id),
         canReport: () => !options.isDirectoryAway?.(),
     });
@@ -121,6 +128,11 @@
         });
     };
 
+    const restartWorker = (id: string, afterMs: number) => {
+        workers.kill(id, true);
+        time.setTimer(afterMs, () => workers.restart(id));
+    };
+
     interface Instance {
         readonly scheduler: schedulers.Scheduler;
         readonly controller: AbortController;
@@ -255,6 +267,7 @@
         isAlive: number => !instances[number]!.controller.signal.aborted,
         kill: number => instances[number]!.controller.abort(),
         crashWorker,
+        restartWorker,
         freeze: (number, ms, suspended) => instances[number]!.freezer.freeze(ms, suspended),
         silence: number => {
             silenced.add(getInstanceName(number));
--- a/src/emulator/startChecks.ts
+++ b/src/emulator/startChecks.ts
@@ -18,20 +18,23 @@
     /** How many workers each task has taken down. */
     readonly crashCounts: ReadonlyMap<string, number>;
     checkStart(life: workerLife.Life, model: workerLife.TaskModel, start: StartRecord, sentAt: number): void;
-    noteDone(life: workerLife.Life, run: workerLife.Run, number: number): void;
+    /** The run has ended under that number, as `done` or `failed`. */
+    noteEnd(life: workerLife.Life, run: workerLife.Run, number: number, how: "done" | "failed"): void;
     /** Ends up to this number are recorded. */
     noteRecorded(life: workerLife.Life, upTo: number): void;
     noteCrash(task: string): void;
 }
 
-/** A run that ended well, and what became of it. */
-interface DoneRun {
+/** A run that ended well or failed, and what became of it. */
+interface EndedRun {
     readonly task: string;
     readonly run: number;
     readonly life: workerLife.Life;
     readonly number: number;
+    readonly maxAttempts: number | undefined;
     recorded: boolean;
-    startedAgain: boolean;
+    /** How often the task was started afterwards. */
+    startsSince: number;
 }
 
 /** A capacity that has shrunk binds the starts that are sent this much later: contact and one heartbeat. */
@@ -45,10 +48,12 @@
     const shrunkStarts: StartRecord[] = [];
     const crashCounts = new Map<string, number>();
     const startsAfterCrashes = new Map<string, number>();
-    const dones: DoneRun[] = [];
+    const dones: EndedRun[] = [];
+    /** Failed runs of each task, in order. */
+    const failures = new Map<string, EndedRun[]>();
 
-    const noteBreachOf = (done: DoneRun) => {
-        if (done.recorded && done.startedAgain) {
+    const noteBreachOf = (done: EndedRun) => {
+        if (done.recorded && done.startsSince > 0) {
             breaches.push(`${done.task} is started again after run ${done.run} ended well`);
         }
     };
@@ -56,11 +61,17 @@
         for (const done of dones) {
             if (done.task === task) {
                 // A breach only if that end counts: it is, or will be, recorded before its worker's lease lapses.
-                done.startedAgain = true;
+                done.startsSince++;
                 noteBreachOf(done);
             }
         }
     };
+    const checkFailures = (task: string, maxAttempts: number | undefined) => {
+        const recorded = (failures.get(task) ?? []).filter(failure => failure.recorded && failure.startsSince > 0);
+        if (maxAttempts !== undefined && recorded.length >= maxAttempts) {
+            breaches.push(`${task} is started again after ${recorded.length} failed runs`);
+        }
+    };
     const checkTwice = (life: workerLife.Life, { task, run }: StartRecord) => {
         for (const other of lives.values()) {
             if (other.alive && other !== life && other.runs.has(task)) {
@@ -96,21 +107,43 @@
         crashCounts,
         checkStart: (life, model, start, sentAt) => {
             checkDone(start.task);
+            for (const failure of failures.get(start.task) ?? []) {
+                failure.startsSince++;
+            }
+            checkFailures(start.task, model.maxAttempts);
             checkTwice(life, start);
             checkCapacity(life, start, sentAt);
             if (model.crashesAfterMs !== undefined) {
                 checkBudget(start.task);
             }
         },
-        noteDone: (life, run, number) => {
-            dones.push({ task: run.task, run: run.run, life, number, recorded: false, startedAgain: false });
+        noteEnd: (life, run, number, how) => {
+            const ended = {
+                task: run.task,
+                run: run.run,
+                life,
+                number,
+                recorded: false,
+                startsSince: 0,
+                maxAttempts: run.model.maxAttempts,
+            };
+            if (how === "done") {
+                dones.push(ended);
+                return;
+            }
+            failures.set(run.task, [...failures.get(run.task) ?? [], ended]);
         },
         noteRecorded: (life, upTo) => {
-            for (const done of dones) {
-                const counts = done.life === life && done.number <= upTo && !(life.lapsedEnd >= done.number);
-                if (counts && !done.recorded) {
-                    done.recorded = true;
-                    noteBreachOf(done);
+            const isRecordedNow = (ended: EndedRun) =>
+                !ended.recorded && ended.life === life && ended.number <= upTo && !(life.lapsedEnd >= ended.number);
+            for (const done of dones.filter(isRecordedNow)) {
+                done.recorded = true;
+                noteBreachOf(done);
+            }
+            for (const ended of failures.values()) {
+                for (const failure of ended.filter(isRecordedNow)) {
+                    failure.recorded = true;
+                    checkFailures(failure.task, failure.maxAttempts);
                 }
             }
         },
--- a/src/emulator/workerLife.ts
+++ b/src/emulator/workerLife.ts
@@ -20,6 +20,8 @@
     readonly dataRack: string | undefined;
     /** Takes its worker down this long after it starts there; `undefined`: does not. */
     readonly crashesAfterMs: number | undefined;
+    /** The task is not started again after so many failed runs; `undefined`: there is no such bound. */
+    readonly maxAttempts: number | undefined;
     /** Whether the run fails at its end. */
     fails(run: number): boolean;
 }
@@ -38,11 +40,16 @@
 
 export interface Life {
     info: leader.WorkerInfo;
+    /** On the wall clock, as the worker tells it. */
+    readonly bornAt: number;
+    /** Our time at which its clock showed 0. */
+    readonly clockZeroAt: number;
     /** What the directory has of it, and since when. */
     report: { readonly info: leader.WorkerInfo; readonly at: number; };
     alive: boolean;
     listed: boolean;
     fence: number;
+    /** Our time at which its lease runs out. */
     deadline: number;
     readonly runs: Map<string, Run>;
     /** Highest run stopped or ended of each task. */
@@ -58,6 +65,11 @@
     succeeded: boolean;
 }
 
+/** What the life's clock shows at our time `now`. */
+export function readClock(life: Life, now: number): number {
+    return now - life.clockZeroAt;
+}
+
 /** The capacity that starts may still count on: the largest since that time, in each dimension. */
 export function getCapacitySince(life: Life, since: number): work.Room {
     const counted = life.earlierCapacities.filter(entry => entry.until >= since).map(entry => entry.capacity);
--- a/src/emulator/workerOrders.ts
+++ b/src/emulator/workerOrders.ts
@@ -48,13 +48,13 @@
         }
         const present = life.runs.get(order.task);
         if (present?.run === order.run) {
-            return { kind: "accepted", workerClock: time.now() };
+            return { kind: "accepted", workerClock: workerLife.readClock(life, time.now()) };
         }
         if (present || order.run <= (life.closedRuns.get(order.task) ?? 0)) {
-            return { kind: "refused", reason: "old", workerClock: time.now() };
+            return { kind: "refused", reason: "old", workerClock: workerLife.readClock(life, time.now()) };
         }
-        if (order.deadline <= time.now()) {
-            return { kind: "refused", reason: "late", workerClock: time.now() };
+        if (order.deadline <= workerLife.readClock(life, time.now())) {
+            return { kind: "refused", reason: "late", workerClock: workerLife.readClock(life, time.now()) };
         }
         prolong(life, order.deadline);
         const model = options.getModel(order.task);
@@ -70,7 +70,7 @@
         };
         life.runs.set(order.task, run);
         checks.checkStart(life, model, options.onStart(life, run), sentAt);
-        return { kind: "accepted", workerClock: time.now() };
+        return { kind: "accepted", workerClock: workerLife.readClock(life, time.now()) };
     };
     const stop = (life: workerLife.Life, order: leader.RunOrder): leader.OrderAnswer => {
         const refusal = checkFence(life, order.fencingToken);
@@ -82,17 +82,18 @@
             run.stoppingAt ??= time.now() + options.stopMs;
         }
         life.closedRuns.set(order.task, Math.max(order.run, life.closedRuns.get(order.task) ?? 0));
-        return { kind: "accepted", workerClock: time.now() };
+        return { kind: "accepted", workerClock: workerLife.readClock(life, time.now()) };
     };
     const checkFence = (life: workerLife.Life, token: number): leader.OrderAnswer | undefined => {
         if (token < life.fence) {
-            return { kind: "refused", reason: "fence", workerClock: time.now() };
+            return { kind: "refused", reason: "fence", workerClock: workerLife.readClock(life, time.now()) };
         }
         life.fence = token;
         return undefined;
     };
     const prolong = (life: workerLife.Life, deadline: number) => {
-        life.deadline = Math.max(life.deadline, Math.min(deadline, time.now() + options.maxLeaseMs));
+        const until = deadline + life.clockZeroAt;
+        life.deadline = Math.max(life.deadline, Math.min(until, time.now() + options.maxLeaseMs));
     };
     const look = async (life: workerLife.Life, order: leader.LookOrder): Promise<leader.LookAnswer> => {
         const refusal = checkFence(life, order.fencingToken);
@@ -109,8 +110,8 @@
         }
         return {
             kind: "lists",
-            workerClock: time.now(),
-            bornAt: 0,
+            workerClock: workerLife.readClock(life, time.now()),
+            bornAt: life.bornAt,
             running: [...life.runs.values()].map(run => ({
                 task: run.task,
                 run: run.run,
@@ -166,7 +167,11 @@
                 await time.sleep(timeoutMs);
                 return { kind: "unknown", message: "emulated: answer lost" };
             case "late":
-                time.setTimer(faults.lateMs, () => void (life.alive && carryOut(life)));
+                // By whichever life goes on under the id by then.
+                time.setTimer(faults.lateMs, () => {
+                    const later = lives.get(worker.id)!;
+                    void (later.alive && carryOut(later));
+                });
                 await time.sleep(timeoutMs);
                 return { kind: "unknown", message: "emulated: late" };
         }
@@ -179,7 +184,10 @@
         },
         stop: (worker, order, timeoutMs) => call(worker, "stop", timeoutMs, life => stop(life, order)),
         pace: (worker, _order, timeoutMs) =>
-            call(worker, "pace", timeoutMs, () => ({ kind: "accepted" as const, workerClock: time.now() })),
+            call(worker, "pace", timeoutMs, life => ({
+                kind: "accepted" as const,
+                workerClock: workerLife.readClock(life, time.now()),
+            })),
         look: (worker, order, timeoutMs) =>
             call(worker, "look", timeoutMs, life => look(life, order)) as Promise<leader.LookAnswer>,
     };
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -30,6 +30,8 @@
     add(info: leader.WorkerInfo): void;
     /** Begins another life at the address of one that is over, which then says so to whoever calls the old one. */
     succeed(id: string, info: leader.WorkerInfo): void;
+    /** Begins another life under the id of one that is over, or that this ends. */
+    restart(id: string): void;
     /** Changes the worker's capacity; the directory tells of it later. */
     resize(id: string, capacity: work.Room): void;
     /** Ends the worker's life; `listed` says whether the directory still shows it. */
@@ -97,8 +99,10 @@
             how,
             saved: savedMs > 0 ? String(savedMs) : "",
         });
+        if (how === "done" || how === "failed") {
+            checks.noteEnd(life, run, life.nextEnd - 1, how);
+        }
         if (how === "done") {
-            checks.noteDone(life, run, life.nextEnd - 1);
             doneCounts.set(run.task, (doneCounts.get(run.task) ?? 0) + 1);
         }
         [...life.waiters].forEach(wake => wake());
@@ -199,9 +203,11 @@
         },
     });
 
-    const add = (info: leader.WorkerInfo) => {
+    const add = (info: leader.WorkerInfo, clockZeroAt = 0) => {
         lives.set(info.id, {
             info,
+            bornAt: Math.floor(time.wallTime()),
+            clockZeroAt,
             report: { info, at: time.now() },
             alive: true,
             listed: true,
@@ -217,6 +223,19 @@
             succeeded: false,
         });
     };
+    const kill = (id: string, listed: boolean) => {
+        const life = lives.get(id)!;
+        life.listed = listed;
+        if (!life.alive) {
+            return;
+        }
+        life.alive = false;
+        lossTimes.push(time.now());
+        for (const task of life.runs.keys()) {
+            lossCounts.set(task, (lossCounts.get(task) ?? 0) + 1);
+        }
+        life.runs.clear();
+    };
     return {
         breaches: checks.breaches,
         starts,
@@ -226,7 +245,11 @@
         lossTimes,
         lossCounts,
         doneCounts,
-        add,
+        add: info => add(info),
+        restart: id => {
+            kill(id, false);
+            add({ ...lives.get(id)!.info, draining: false, remainingMs: 0 }, time.now());
+        },
         succeed: (id, info) => {
             lives.get(id)!.succeeded = true;
             add(info);
@@ -236,16 +259,7 @@
             life.earlierCapacities.push({ capacity: life.info.capacity, until: time.now() });
             life.info = { ...life.info, capacity };
         },
-        kill: (id, listed) => {
-            const life = lives.get(id)!;
-            life.alive = false;
-            lossTimes.push(time.now());
-            life.listed = listed;
-            for (const task of life.runs.keys()) {
-                lossCounts.set(task, (lossCounts.get(task) ?? 0) + 1);
-            }
-            life.runs.clear();
-        },
+        kill,
         getRunningTasks: () => [...lives.values()].flatMap(life => [...life.runs.keys()]),
         findAt: address => [...lives.values()].find(life => life.alive && life.info.address === address)?.info.id,
         getInfo: id => lives.get(id)!.info,
@@ -274,8 +288,8 @@
     };
 }
 
-function toListed({ report }: workerLife.Life): leader.ListedWorker {
-    return { ...report.info, reportedAt: report.at };
+function toListed({ report, bornAt }: workerLife.Life): leader.ListedWorker {
+    return { ...report.info, bornAt, reportedAt: report.at };
 }
 
 /** Breaches in words, where nothing holds orders up. */
--- a/src/leader/directory.ts
+++ b/src/leader/directory.ts
@@ -7,6 +7,8 @@
 }
 
 export interface ListedWorker extends entries.WorkerInfo {
+    /** When its life began, in Unix milliseconds; 0 where it does not tell. */
+    readonly bornAt: number;
     /** Monotonic time after which the worker said so of itself. */
     readonly reportedAt: number;
 }
--- /dev/null
+++ b/src/scheduler/__tests__/restarts.test.ts
@@ -0,0 +1,69 @@
+import type * as emulator from "../../emulator/index";
+import * as fixtures from "./fixtures";
+
+const WORKERS = 2;
+/** Enough for several ends on each worker before it starts again. */
+const EARLIER_JOB = fixtures.createJob(1, { count: 12, estimateMs: 500 });
+const EARLIER_MS = 3_000;
+const DOWN_MS = 750;
+
+/** A site whose workers have all started again under their ids, after ends that were recorded. */
+async function openRestartedSite(): Promise<fixtures.TestSite> {
+    const site = await fixtures.openWithJobs({ workers: WORKERS }, [EARLIER_JOB]);
+    await site.clock.advance(EARLIER_MS);
+    for (let number = 0; number < WORKERS; number++) {
+        site.restartWorker(fixtures.createWorkerInfo(number).id, DOWN_MS);
+    }
+    await site.clock.advance(2 * DOWN_MS);
+    return site;
+}
+
+interface Case {
+    readonly failure: string;
+    readonly job: emulator.EmulatedJob;
+    readonly state: string;
+    /** Of its first task. */
+    readonly runs: number;
+}
+
+// Each guards against ends of a worker's next life that are passed over, and acknowledged by the numbers of the life before.
+const cases: readonly Case[] = [
+    {
+        failure: "a task that ended well on a restarted worker is started again",
+        job: fixtures.createJob(2, { estimateMs: 1_200 }),
+        state: "completed",
+        runs: 1,
+    },
+    {
+        failure: "a run that failed on a restarted worker is not counted",
+        job: fixtures.createJob(2, { estimateMs: 1_200 }, { fails: () => true }),
+        state: "failed",
+        runs: 2,
+    },
+    {
+        failure: "a step is not started though the one before has ended on a restarted worker",
+        job: {
+            ...fixtures.createJob(2),
+            spec: {
+                payload: "p",
+                steps: [fixtures.createStep({ count: 2 }), fixtures.createStep({ after: [0] })],
+                repeats: 0,
+                firstDueAt: 0,
+                periodMs: 0,
+            },
+            durationsMs: [1_200, 1_200],
+        },
+        state: "completed",
+        runs: 1,
+    },
+];
+
+test.each(cases)("$failure", async ({ job, state, runs }) => {
+    const site = await openRestartedSite();
+    await fixtures.settle(site.clock, site.submit(job, 1));
+    await site.clock.advance(6_000);
+    expect(site.workers.breaches).toEqual([]);
+    expect(await fixtures.settle(site.clock, site.getState(job.jobId, 0))).toMatchObject({ state });
+    expect(site.workers.starts.filter(start => start.task === `${job.jobId}.0.0.0`)).toHaveLength(runs);
+    site.close();
+});
