A worker is known by its life, not by its id

Callers saw tasks started again after they had ended well, a task started again after it had failed as often as it may, and steps that were never started though the step before had ended, all on workers that had started again under their ids.

Cause: what is known of one life of a worker was kept under an id that outlives it. Ends are numbered from 1 in each life, so those of the next life were taken for ends seen before, and the next look acknowledged them by the higher number of the life before. Their tasks were missing from the list, taken back as never begun, and started again.

Ruled out: incomplete lists (none held 500 ends), a row that was lost (one leader, no conflict), workers that are set aside (others of the same needs were placed on them).

Now the id of a worker inside is that of one life: its name and when it was born (life.ts). Stored rows, tickets, failures and losses name lives with it. workerRegistry.ts decides which life is the present one, whichever source told of it first, and an older one that is told late does not come back. A session whose look is answered by the next life ends; what that life lists moves to it, what the old one was seen to run is lost with it, and a start that either may have got is closed on the next life before its task is free again. A look acknowledges only while no start has gone out since the life was last heard: the next life can then have no end that the number could meet.

--- a/src/emulator/machines.ts
+++ b/src/emulator/machines.ts
@@ -117,7 +117,7 @@
                         id,
                         up: machine.downFor === undefined,
                         inUpkeep: machine.downFor !== undefined,
-                        workerId: machine.downFor === undefined ? machine.info.id : "",
+                        workerName: machine.downFor === undefined ? machine.info.id : "",
                     })),
                 };
             },
--- a/src/emulator/workerOrders.ts
+++ b/src/emulator/workerOrders.ts
@@ -141,9 +141,9 @@
         timeoutMs: number,
         carryOut: (life: workerLife.Life) => T | Promise<T>,
     ): Promise<T | leader.OrderAnswer> => {
-        const fault = faults.decide(worker.id, kind);
+        const fault = faults.decide(worker.name, kind);
         await time.sleep(options.latencyMs);
-        const life = lives.get(worker.id);
+        const life = lives.get(worker.name);
         if (life?.succeeded && fault !== "cut") {
             return { kind: "otherLife" };
         }
@@ -169,7 +169,7 @@
             case "late":
                 // By whichever life goes on under the id by then.
                 time.setTimer(faults.lateMs, () => {
-                    const later = lives.get(worker.id)!;
+                    const later = lives.get(worker.name)!;
                     void (later.alive && carryOut(later));
                 });
                 await time.sleep(timeoutMs);
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -289,7 +289,8 @@
 }
 
 function toListed({ report, bornAt }: workerLife.Life): leader.ListedWorker {
-    return { ...report.info, bornAt, reportedAt: report.at };
+    const { id, ...info } = report.info;
+    return { ...info, name: id, bornAt, reportedAt: report.at };
 }
 
 /** Breaches in words, where nothing holds orders up. */
--- a/src/leader/__tests__/upkeepRows.test.ts
+++ b/src/leader/__tests__/upkeepRows.test.ts
@@ -14,7 +14,7 @@
     return new Map(Array.from({ length: machines }, (_, number): [string, stagesOfWave.Stage] => {
         const id = `m-${String(number).padStart(10, "0")}`;
         const stages: readonly stagesOfWave.Stage[] = [
-            { kind: "ordered", workerId: `i-${number}`, confirmedAt: undefined },
+            { kind: "ordered", workerName: `i-${number}`, confirmedAt: undefined },
             { kind: "done" },
             { kind: "pending" },
         ];
@@ -61,7 +61,7 @@
             const expected = new Map([...stages].map(([id, stage]): [string, stagesOfWave.Stage] => [
                 id,
                 // What is done is stored as ordered in an earlier life, and confirmed.
-                stage.kind === "done" ? { kind: "ordered", workerId: "", confirmedAt: NOW } : stage,
+                stage.kind === "done" ? { kind: "ordered", workerName: "", confirmedAt: NOW } : stage,
             ]));
             expect(read).toEqual(expected);
             const lengths = store.getRows("upkeep").map(row => Buffer.byteLength(row.value));
--- a/src/leader/__tests__/workerSession.test.ts
+++ b/src/leader/__tests__/workerSession.test.ts
@@ -23,7 +23,8 @@
         look: async () => ({ kind: "lists", workerClock: getWorkerClock(), bornAt: 0, running: [], ended: [] }),
     };
     const session = workerSession.createWorkerSession({
-        worker: { id: "w", address: "a:1" },
+        worker: { name: "w", address: "a:1" },
+        life: { name: "w", bornAt: 0 },
         port: worker,
         clock: time,
         log: LOG,
@@ -42,6 +43,7 @@
         getWaitMs: () => 0,
         onLists: async () => undefined,
         onGone: () => undefined,
+        onNextLife: () => undefined,
         onHeard: () => undefined,
         onFenced: () => undefined,
     });
--- a/src/leader/advice.ts
+++ b/src/leader/advice.ts
@@ -36,7 +36,7 @@
         const terms = step.occurrence.job.queue.advice!;
         const sentAt = options.clock.now();
         const timeoutMs = terms.decideMs + terms.eachMs * workers.length + CALL_SLACK_MS;
-        const result = await options.adviser.advise(name, workers.map(worker => worker.id), timeoutMs);
+        const result = await options.adviser.advise(name, workers.map(worker => worker.life.name), timeoutMs);
         if (options.signal.aborted) {
             return;
         }
@@ -47,9 +47,14 @@
         else {
             const bad = refused.get(step) ?? new Set<string>();
             workers.forEach(worker => bad.add(worker.id));
+            const asked = new Map(workers.map(worker => [worker.life.name, worker.id]));
             for (const good of result.good) {
-                bad.delete(good.workerId);
-                step.tickets.set(good.workerId, {
+                const workerId = asked.get(good.workerName);
+                if (workerId === undefined) {
+                    continue;
+                }
+                bad.delete(workerId);
+                step.tickets.set(workerId, {
                     ticket: good.ticket,
                     until: sentAt + (result.validMs || terms.validMs) - TICKET_MARGIN_MS,
                 });
--- a/src/leader/book.ts
+++ b/src/leader/book.ts
@@ -61,7 +61,11 @@
     /** Takes note of a task's progress, as its worker tells it. */
     takeProgress(task: entries.TaskEntry, told: port.RunningTask): void;
     /** The worker's life is over, or all that ran there has lapsed. */
-    loseTasksOf(worker: entries.WorkerEntry, reason: lossesOfWorkers.LossReason): void;
+    loseTasksOf(
+        worker: entries.WorkerEntry,
+        reason: lossesOfWorkers.LossReason,
+        next?: lossesOfWorkers.NextLife,
+    ): void;
     /** Learns whether workers that were lost have crashed. */
     readonly crashJudge: crashes.CrashJudge;
     /** Drops a job that is over and that nothing runs for. */
@@ -156,6 +160,7 @@
         countThrownAway,
         toWaiting,
         breakGang,
+        stopWanted: listener.stopWanted,
         giveUp: task => endFailed(task.step.occurrence),
         occurrenceChanged: listener.occurrenceChanged,
     });
@@ -340,6 +345,7 @@
             keepSaved(task, told.saved);
             task.recentFigure = told.recentFigure;
             task.toldAt = time.now();
+            task.worker?.doubtfulStarts.delete(task.name);
             decisions.takeSample(task.speed, told.percent, time.now());
             if (task.phase === "ordered") {
                 book.confirmRunning(task);
--- a/src/leader/directory.ts
+++ b/src/leader/directory.ts
@@ -6,7 +6,9 @@
     follow(signal: AbortSignal, onWorkers: (listed: readonly ListedWorker[]) => void): void;
 }
 
-export interface ListedWorker extends entries.WorkerInfo {
+export interface ListedWorker extends Omit<entries.WorkerInfo, "id"> {
+    /** Of the worker; its next life has it too. */
+    readonly name: string;
     /** When its life began, in Unix milliseconds; 0 where it does not tell. */
     readonly bornAt: number;
     /** Monotonic time after which the worker said so of itself. */
@@ -17,11 +19,11 @@
 export type AdviceResult =
     | {
         readonly kind: "advised";
-        readonly good: ReadonlyArray<{ readonly workerId: string; readonly ticket: string; }>;
+        readonly good: ReadonlyArray<{ readonly workerName: string; readonly ticket: string; }>;
         readonly validMs: number;
     }
     | { readonly kind: "unavailable"; readonly message: string; };
 
 export interface Adviser {
-    advise(step: string, workerIds: readonly string[], timeoutMs: number): Promise<AdviceResult>;
+    advise(step: string, workerNames: readonly string[], timeoutMs: number): Promise<AdviceResult>;
 }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -2,6 +2,7 @@
 import type * as catalog from "../catalog/index";
 import * as decisions from "../decisions/index";
 import * as work from "../work/index";
+import * as lives from "./life";
 
 /**
  * - waiting: on no worker.
@@ -111,6 +112,7 @@
 }
 
 export interface WorkerInfo {
+    /** Of one life of the worker, see `life.ts`. */
     readonly id: string;
     readonly address: string;
     readonly zone: string;
@@ -124,7 +126,9 @@
 }
 
 export interface WorkerEntry {
+    /** Of one life of the worker: nothing here outlives it. */
     readonly id: string;
+    readonly life: lives.Life;
     info: WorkerInfo;
     /** After this time it said of itself what `info` says; `undefined`: it is not listed. */
     reportedAt: number | undefined;
@@ -145,6 +149,8 @@
     readonly used: decisions.MutableRoom;
     /** Tasks that run there without our knowledge; none is started until they are gone. */
     strangers: number;
+    /** Starts that got no answer, by task: the run of each. They may be carried out late, also by the next life. */
+    readonly doubtfulStarts: Map<string, number>;
     /** Consecutive failed runs without a success; more for those that failed as soon as they began. */
     failuresInRow: number;
 }
@@ -233,6 +239,7 @@
 export function createWorkerEntry(info: WorkerInfo): WorkerEntry {
     return {
         id: info.id,
+        life: lives.parseLifeId(info.id),
         info,
         reportedAt: undefined,
         listed: true,
@@ -245,6 +252,7 @@
         tasks: new Set(),
         used: decisions.copyRoom(work.EMPTY_ROOM),
         strangers: 0,
+        doubtfulStarts: new Map(),
         failuresInRow: 0,
     };
 }
--- a/src/leader/knownServices.ts
+++ b/src/leader/knownServices.ts
@@ -6,7 +6,6 @@
  */
 import type * as catalogs from "../catalog/index";
 import type * as observe from "../observe/index";
-import type * as directory from "./directory";
 import type * as entries from "./entries";
 
 export interface KnownServicesOptions {
@@ -20,7 +19,7 @@
 /** Returns those of the listed workers that a queue may use. Before there is a configuration these are all. */
 export function createServiceFilter(
     { catalog, log, meter, isInUse }: KnownServicesOptions,
-): (listed: readonly directory.ListedWorker[]) => readonly directory.ListedWorker[] {
+): <T extends entries.WorkerInfo>(listed: readonly T[]) => readonly T[] {
     let told: ReadonlySet<string> = new Set();
     return listed => {
         const services = catalog.get()?.services.map(service => service.name);
--- a/src/leader/losses.ts
+++ b/src/leader/losses.ts
@@ -5,6 +5,7 @@
 import * as crashRecord from "./crashRecord";
 import * as entries from "./entries";
 import type * as lostRuns from "./lostRuns";
+import type * as workerSession from "./workerSession";
 
 export interface LossesOptions {
     readonly clock: clock.Clock;
@@ -16,6 +17,8 @@
     countThrownAway(task: entries.TaskEntry, cause: string): void;
     toWaiting(task: entries.TaskEntry): void;
     breakGang(task: entries.TaskEntry, reason: string): void;
+    /** The task is now `stopping`: its run must be stopped and settled. */
+    stopWanted(task: entries.TaskEntry): void;
     /** Its occurrence ends as failed. */
     giveUp(task: entries.TaskEntry): void;
     occurrenceChanged(occurrence: entries.OccurrenceEntry): void;
@@ -24,8 +27,15 @@
 /** Why the worker counts as lost: another life has answered, or its leases ran out in silence. */
 export type LossReason = "otherLife" | "lapsed";
 
+/** The life that has followed under the worker's name, and may have got starts that were meant for the one before. */
+export interface NextLife {
+    readonly worker: entries.WorkerEntry;
+    /** What it has told, if it has answered. */
+    readonly lists: workerSession.WorkerLists | undefined;
+}
+
 export interface Losses {
-    loseTasksOf(worker: entries.WorkerEntry, reason: LossReason): void;
+    loseTasksOf(worker: entries.WorkerEntry, reason: LossReason, next?: NextLife): void;
     /** Gives the task up, unless it runs, if too many workers have crashed under it. */
     judge(task: entries.TaskEntry): void;
     /** The task's current run has not begun and never will. */
@@ -87,12 +97,32 @@
         task.crashWeight -= task.startCharge;
         task.startCharge = 0;
     };
-    /** `evidence` is undefined for a run that cannot have taken the worker down. */
+    const moveTo = (next: entries.WorkerEntry, task: entries.TaskEntry) => {
+        entries.unassign(task);
+        entries.assign(task, next);
+        options.occurrenceChanged(task.step.occurrence);
+        if (task.phase === "stopping") {
+            task.stopAcceptedAt = undefined;
+            options.stopWanted(task);
+        }
+    };
+    /** After a stop the next life refuses the run, however late its start comes; only then is the task free again. */
+    const settleOn = (next: entries.WorkerEntry, task: entries.TaskEntry) => {
+        task.startCharge = 0;
+        task.phase = "stopping";
+        task.stopReason = entries.MISSING;
+        moveTo(next, task);
+    };
+    /**
+     * `evidence` is undefined for a run that cannot have taken the worker down; `next` is the life that its start may
+     * still reach.
+     */
     const lose = (
         task: entries.TaskEntry,
         worker: entries.WorkerEntry,
         reason: LossReason,
         evidence: lostRuns.Evidence | undefined,
+        next: entries.WorkerEntry | undefined,
     ) => {
         entries.unassign(task);
         if (task.phase === "done") {
@@ -109,19 +139,29 @@
             options.countThrownAway(task, reason);
             tell(task, worker, reason);
         }
+        if (next) {
+            settleOn(next, task);
+            return;
+        }
         options.toWaiting(task);
     };
     return {
         crashJudge,
         judge,
         refund,
-        loseTasksOf: (worker, reason) => {
+        loseTasksOf: (worker, reason, next) => {
+            if (next?.lists) {
+                listTold(worker, next.lists).forEach(task => moveTo(next.worker, task));
+            }
             const lost = [...worker.tasks];
             if (lost.length > 0) {
                 log.warn("tasksLost", { worker: worker.id, reason, tasks: lost.length });
             }
             const evidence = crashJudge.weigh(worker, reason === "otherLife");
-            lost.forEach(task => lose(task, worker, reason, evidence.get(task)));
+            for (const task of lost) {
+                const later = next && mayReachNextLife(task, next.lists) ? next.worker : undefined;
+                lose(task, worker, reason, evidence.get(task), later);
+            }
             lost.forEach(task => options.breakGang(task, "gang member lost"));
             // Those that were weighed are judged when their loss is reviewed.
             lost.filter(task => !evidence.has(task)).forEach(judge);
@@ -133,3 +173,33 @@
     task.crashWeight += weight;
     task.lostRuns += lostRuns;
 }
+
+/** Tasks of the worker of which a look's answer tells, as running or as ended. */
+function listTold(
+    worker: entries.WorkerEntry,
+    { running, ended }: workerSession.WorkerLists,
+): readonly entries.TaskEntry[] {
+    const runs = new Map([...running, ...ended].map(({ task, run }) => [task, run]));
+    return [...worker.tasks].filter(task => runs.get(task.name) === task.run);
+}
+
+/**
+ * Whether the next life may still get the start of a run that it has not told of: the life before never told of it
+ * either, nor was the start answered before the next life was asked.
+ */
+function mayReachNextLife(task: entries.TaskEntry, lists: workerSession.WorkerLists | undefined): boolean {
+    switch (task.phase) {
+        case "waiting":
+        case "recording":
+        case "done":
+            return false;
+        case "ordered":
+            return true;
+        case "running":
+        case "stopping": {
+            const isTold = task.toldAt >= entries.getStartedAt(task);
+            const isAnswered = !task.inherited && task.runningSince >= task.orderedAt;
+            return !isTold && !(isAnswered && lists !== undefined && task.runningSince < lists.sentAt);
+        }
+    }
+}
--- a/src/leader/machines.ts
+++ b/src/leader/machines.ts
@@ -5,8 +5,8 @@
     readonly up: boolean;
     /** Down for its upkeep. */
     readonly inUpkeep: boolean;
-    /** The worker that is the machine's present life; empty while it is not up. */
-    readonly workerId: string;
+    /** Name of the worker that is the machine's present life; empty while it is not up. */
+    readonly workerName: string;
 }
 
 export type MachinesResult =
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -34,6 +34,8 @@
     /** Tells a running task at which share of its speed it may work. */
     pace(task: entries.TaskEntry, percent: number): void;
     stopStranger(worker: entries.WorkerEntry, told: port.RunningTask): void;
+    /** After it the worker refuses that run, however late its start comes. */
+    closeRun(worker: entries.WorkerEntry, task: string, run: number): void;
 }
 
 /** A worker that was unwell or out of reach gets no new task for this long. */
@@ -143,6 +145,7 @@
                 takeBackStart(task);
                 break;
             case "unknown":
+                worker.doubtfulStarts.set(task.name, task.run);
                 if (task.phase === "ordered") {
                     void settleUnanswered(task, worker);
                 }
@@ -222,7 +225,22 @@
         }
     };
 
+    const closeRun = async (worker: entries.WorkerEntry, task: string, run: number) => {
+        while (!options.signal.aborted) {
+            const session = options.getSession(worker);
+            if (!session) {
+                return;
+            }
+            const answer = options.mayOrder() ? await session.stop({ task, run }) : undefined;
+            if (answer?.kind === "accepted" || answer?.kind === "refused" || answer?.kind === "otherLife") {
+                return;
+            }
+            await time.sleep(STOP_RETRY_MS, options.signal);
+        }
+    };
+
     return {
+        closeRun: (worker, task, run) => void closeRun(worker, task, run),
         pace: (task, percent) => void paceOne(task, percent),
         start: placed => {
             waiting.push(...placed);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -31,6 +31,7 @@
 import * as waits from "./waits";
 import * as watch from "./watch";
 import type * as port from "./workerPort";
+import * as workerRegistry from "./workerRegistry";
 import * as workerSession from "./workerSession";
 
 export interface TermOptions {
@@ -85,8 +86,6 @@
     const { signal } = leadership;
     const { leftOut } = options.policy;
     const lookWaitMs = Math.round(Math.min(MOST_LOOK_WAIT_MS, LOOK_SHARE * options.maxLeaseMs));
-    const workers = new Map<string, entries.WorkerEntry>();
-    const sessions = new Map<string, workerSession.WorkerSession>();
     const predictor = decisions.createPredictor();
     const firstLooks = firstLooksOfTerm.createFirstLooks(
         time,
@@ -112,7 +111,7 @@
         getQueue: name => options.catalog.getQueue(name),
         getExpected: job => units.getExpected(job, expect),
         expectRun: step => expect(step),
-        getWorkers: () => workers.values(),
+        getWorkers: () => registry.all.values(),
         leftOut,
         thrownAway,
         listener: {
@@ -128,7 +127,7 @@
         log,
         meter,
         signal,
-        getSession: worker => sessions.get(worker.id),
+        getSession: worker => registry.getSession(worker),
         mayOrder: leadership.mayOrder,
         mayStart: worker => mayStart(worker, time.now()),
         leftOut,
@@ -141,19 +140,10 @@
         onTickets: () => planPass(PASS_DELAY_MS),
     });
 
-    const getWorker = (id: string): entries.WorkerEntry => {
-        let worker = workers.get(id);
-        if (!worker) {
-            // Named by a stored row, but not in the directory (yet): nothing is known of it but its id.
-            worker = entries.createWorkerEntry(entries.createUnknownWorker(id));
-            worker.listed = false;
-            workers.set(id, worker);
-        }
-        return worker;
-    };
-    const openSession = (worker: entries.WorkerEntry) => {
-        const session = workerSession.createWorkerSession({
-            worker: { id: worker.id, address: worker.info.address },
+    const openSession = (worker: entries.WorkerEntry) =>
+        workerSession.createWorkerSession({
+            worker: { name: worker.life.name, address: worker.info.address },
+            life: worker.life,
             port: options.workers,
             clock: time,
             log,
@@ -178,12 +168,8 @@
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
             },
-            onGone: how => {
-                book.loseTasksOf(worker, how);
-                if (how === "otherLife") {
-                    forgetWorker(worker);
-                }
-            },
+            onGone: how => registry.onGone(worker, how),
+            onNextLife: (next, lists) => registry.onNextLife(worker, next, lists),
             onHeard: heard => {
                 const before = worker.heard;
                 entries.noteHeard(worker, heard, time.now());
@@ -194,13 +180,6 @@
             },
             onFenced: () => options.onDeposed(`worker ${worker.id} has seen a higher fencing token`),
         });
-        sessions.set(worker.id, session);
-    };
-    const forgetWorker = (worker: entries.WorkerEntry) => {
-        sessions.get(worker.id)?.close();
-        sessions.delete(worker.id);
-        workers.delete(worker.id);
-    };
     const learn = (end: port.TaskEnd) => {
         const task = book.getTask(end.task);
         if (end.how === "done" && task && task.run === end.run && task.saved === "" && task.runningSince > 0) {
@@ -216,54 +195,30 @@
         catalog: options.catalog,
         log,
         meter,
-        isInUse: id => (workers.get(id)?.tasks.size ?? 0) > 0,
+        isInUse: id => (registry.all.get(id)?.tasks.size ?? 0) > 0,
+    });
+    const registry = workerRegistry.createWorkerRegistry({
+        clock: time,
+        log,
+        leadership,
+        maxLeaseMs: options.maxLeaseMs,
+        book,
+        leaveOutUnknown,
+        openSession,
+        closeRun: orders.closeRun,
+        onChanged: () => planPass(PASS_DELAY_MS),
     });
-    const takeDirectory = (all: readonly directory.ListedWorker[]) => {
-        const listed = leaveOutUnknown(all);
-        const present = new Set(listed.map(info => info.id));
-        for (const info of listed) {
-            const worker = getWorker(info.id);
-            worker.info = info;
-            worker.reportedAt = info.reportedAt;
-            worker.listed = true;
-            if (info.draining && worker.drainingSince === undefined) {
-                worker.drainingSince = time.now();
-                log.info("workerDraining", { worker: info.id, remainingMs: info.remainingMs });
-            }
-            if (!sessions.has(info.id)) {
-                book.crashJudge.noteWorker(info);
-                openSession(worker);
-            }
-        }
-        for (const worker of [...workers.values()]) {
-            if (present.has(worker.id)) {
-                continue;
-            }
-            if (worker.listed) {
-                log.info("workerUnlisted", { worker: worker.id, tasks: worker.tasks.size });
-            }
-            worker.listed = false;
-            if (worker.tasks.size === 0) {
-                forgetWorker(worker);
-            }
-            else if (!sessions.has(worker.id)) {
-                // Not listed since before the takeover: it cannot be reached, only waited for.
-                watch.loseWhenLapsed(worker, { clock: time, leadership, maxLeaseMs: options.maxLeaseMs, book });
-            }
-        }
-        planPass(PASS_DELAY_MS);
-    };
     const followDirectory = async () => {
         let listed: readonly directory.ListedWorker[] | undefined;
         options.directory.follow(signal, workersListed => {
             listed = workersListed;
-            takeDirectory(listed);
+            registry.takeDirectory(listed);
         });
         while (!signal.aborted) {
             await time.sleep(DIRECTORY_CHECK_MS, signal);
             // What is left of workers that are no longer listed ends without a change of the directory.
             if (listed && !signal.aborted) {
-                takeDirectory(listed);
+                registry.takeDirectory(listed);
             }
         }
     };
@@ -282,7 +237,7 @@
         catalog: options.catalog,
         capacityMs: options.capacityMs,
         leftOut,
-        hasSession: worker => sessions.has(worker.id),
+        hasSession: worker => registry.getSession(worker) !== undefined,
     });
 
     const runPass = () => {
@@ -296,12 +251,12 @@
         book.releaseDue();
         const now = time.now();
         const view = createView(guarantees.findGuaranteed(book.active, options.catalog.getAccount));
-        watch.stopWhatCannotGoOn([...workers.values()], { now, expect, book, log, leftOut });
+        watch.stopWhatCannotGoOn([...registry.all.values()], { now, expect, book, log, leftOut });
         const waiting = units.collectUnits(book.active, view);
         if (waiting.length === 0) {
             return;
         }
-        const usable = [...workers.values()].filter(worker => isPlaceable(worker, now));
+        const usable = [...registry.all.values()].filter(worker => isPlaceable(worker, now));
         adviceDesk.ask(waiting, usable);
         let groups: ReadonlyMap<string, units.GroupOfTasks> = new Map();
         const plan = decisions.plan({
@@ -314,7 +269,11 @@
                 return [...groups.values()].map(item => item.group);
             },
         });
-        execution.carryOut({ book, orders, log, meter, getWorker, flush: writer.flush }, { plan, waiting, groups });
+        execution.carryOut({ book, orders, log, meter, getWorker: registry.getLife, flush: writer.flush }, {
+            plan,
+            waiting,
+            groups,
+        });
         const passMs = time.now() - now;
         passes.noteDuration(passMs);
         meter.record("pass_duration_ms", {}, passMs);
@@ -328,7 +287,7 @@
             now,
             log,
             waiting: units.collectUnits(book.active, createView(new Set())),
-            workers: [...workers.values()],
+            workers: [...registry.all.values()],
             isPlaceable: worker => isPlaceable(worker, now),
         });
     };
@@ -352,7 +311,7 @@
             log,
             signal,
             book,
-            getWorker,
+            getWorker: registry.getLife,
             onOrphans: keys => void retention.removeOrphans({ store: options.store, log, leadership }, keys),
         });
         if (version === undefined) {
@@ -372,7 +331,7 @@
             holder: options.life,
             upkeepMs: options.upkeepMs,
             book,
-            getWorker: id => workers.get(id),
+            getWorker: registry.findPresent,
             onFenced: () => options.onDeposed("a machine has seen a higher fencing token"),
         });
         void retention.runRetention({
@@ -400,15 +359,13 @@
     const endGauges = meter.registerGauges(() =>
         gauges.readGauges({
             active: book.active,
-            workers: workers.values(),
+            workers: registry.all.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
         })
     );
     signal.addEventListener("abort", () => {
         endGauges();
-        for (const session of sessions.values()) {
-            session.close();
-        }
+        registry.closeSessions();
     });
     void run();
 
--- a/src/leader/upkeep.ts
+++ b/src/leader/upkeep.ts
@@ -26,7 +26,7 @@
     /** How long a machine is down for its upkeep. */
     readonly upkeepMs: number;
     readonly book: book.Book;
-    getWorker(id: string): entries.WorkerEntry | undefined;
+    getWorker(name: string): entries.WorkerEntry | undefined;
     onFenced(): void;
 }
 
@@ -106,7 +106,7 @@
     for (const [machineId, stage] of current.stages) {
         const mayOrder = stage.kind === "emptying" || (stage.kind === "ordered" && stage.confirmedAt === undefined);
         if (mayOrder && present.get(machineId)?.up && isEmpty(options, current, stage)) {
-            await orderDown(options, current, machineId, stage.workerId);
+            await orderDown(options, current, machineId, stage.workerName);
         }
     }
 }
@@ -116,15 +116,15 @@
     const room = Math.max(0, wave.maxCount - stagesOfWave.countTaken(stages, present));
     const candidates = [...stages]
         .filter(([id, stage]) => stage.kind === "pending" && present.get(id)?.up)
-        .map(([id]) => ({ id, workerId: present.get(id)!.workerId }))
-        .map(({ id, workerId }) => ({ id, workerId, tasks: options.getWorker(workerId)?.tasks.size ?? 0 }))
+        .map(([id]) => ({ id, workerName: present.get(id)!.workerName }))
+        .map(({ id, workerName }) => ({ id, workerName, tasks: options.getWorker(workerName)?.tasks.size ?? 0 }))
         .sort((a, b) => a.tasks - b.tasks);
-    for (const { id, workerId, tasks } of candidates.slice(0, room)) {
-        stages.set(id, { kind: "emptying", workerId, since: options.clock.now() });
+    for (const { id, workerName, tasks } of candidates.slice(0, room)) {
+        stages.set(id, { kind: "emptying", workerName, since: options.clock.now() });
         options.log.info("machineEmptying", {
             wave: wave.number,
             machine: id,
-            worker: workerId,
+            worker: workerName,
             tasks,
             patienceMs: Math.round(getPatienceMs(options, current)),
         });
@@ -135,7 +135,7 @@
 function reserveWorkers(options: UpkeepOptions, stages: ReadonlyMap<string, stagesOfWave.Stage>): void {
     for (const stage of stages.values()) {
         const worker = stage.kind === "emptying" || stage.kind === "ordered"
-            ? options.getWorker(stage.workerId)
+            ? options.getWorker(stage.workerName)
             : undefined;
         if (worker) {
             worker.reserved = true;
@@ -157,7 +157,7 @@
     current: RunningWave,
     stage: Extract<stagesOfWave.Stage, { kind: "emptying" | "ordered"; }>,
 ): boolean {
-    const worker = options.getWorker(stage.workerId);
+    const worker = options.getWorker(stage.workerName);
     if (!worker || worker.tasks.size === 0) {
         return true;
     }
@@ -171,10 +171,10 @@
     options: UpkeepOptions,
     { wave, stages }: RunningWave,
     machineId: string,
-    workerId: string,
+    workerName: string,
 ): Promise<void> {
     const before = stages.get(machineId)!;
-    stages.set(machineId, { kind: "ordered", workerId, confirmedAt: undefined });
+    stages.set(machineId, { kind: "ordered", workerName, confirmedAt: undefined });
     if (!await upkeepRows.writeStages(toRows(options), wave.number, stages)) {
         options.log.warn("waveProgressNotWritten", { wave: wave.number, machine: machineId });
         stages.set(machineId, before);
@@ -192,7 +192,7 @@
     options.log.info("upkeepOrdered", { wave: wave.number, machine: machineId, answer: answer.kind });
     switch (answer.kind) {
         case "accepted":
-            stages.set(machineId, { kind: "ordered", workerId, confirmedAt: options.clock.now() });
+            stages.set(machineId, { kind: "ordered", workerName, confirmedAt: options.clock.now() });
             await upkeepRows.writeStages(toRows(options), wave.number, stages);
             break;
         case "busy":
@@ -201,7 +201,7 @@
             break;
         case "unknownMachine": {
             stages.set(machineId, { kind: "gone" });
-            const worker = options.getWorker(workerId);
+            const worker = options.getWorker(workerName);
             if (worker) {
                 worker.reserved = false;
             }
--- a/src/leader/upkeepRows.ts
+++ b/src/leader/upkeepRows.ts
@@ -49,7 +49,7 @@
             return [id, { kind: "pending" }];
         }
         const confirmedAt = stored.confirmed ? now : undefined;
-        return [id, { kind: "ordered", workerId: stored.worker, confirmedAt }];
+        return [id, { kind: "ordered", workerName: stored.worker, confirmedAt }];
     }));
 }
 
@@ -74,7 +74,7 @@
     const ordered: Record<string, { worker: string; confirmed: boolean; }> = {};
     for (const [id, stage] of entries) {
         if (stage.kind === "ordered") {
-            ordered[id] = { worker: stage.workerId, confirmed: stage.confirmedAt !== undefined };
+            ordered[id] = { worker: stage.workerName, confirmed: stage.confirmedAt !== undefined };
         }
         else if (stage.kind === "done") {
             ordered[id] = { worker: EARLIER_LIFE, confirmed: true };
--- a/src/leader/upkeepStages.ts
+++ b/src/leader/upkeepStages.ts
@@ -4,9 +4,9 @@
 export type Stage =
     | { readonly kind: "pending"; }
     /** Gets no new work, until nothing runs there. */
-    | { readonly kind: "emptying"; readonly workerId: string; readonly since: number; }
+    | { readonly kind: "emptying"; readonly workerName: string; readonly since: number; }
     /** The order is stored, and may be under way; since `confirmedAt` the upkeep is known to have begun, or to be over. */
-    | { readonly kind: "ordered"; readonly workerId: string; readonly confirmedAt: number | undefined; }
+    | { readonly kind: "ordered"; readonly workerName: string; readonly confirmedAt: number | undefined; }
     | { readonly kind: "done"; }
     /** No longer the platform's, or not of this wave. */
     | { readonly kind: "gone"; };
@@ -32,8 +32,8 @@
                 stages.set(id, noteOrdered(stage, machine, now, longestMs));
                 break;
             case "emptying":
-                if (machine.up && machine.workerId !== stage.workerId) {
-                    stages.set(id, { ...stage, workerId: machine.workerId });
+                if (machine.up && machine.workerName !== stage.workerName) {
+                    stages.set(id, { ...stage, workerName: machine.workerName });
                 }
                 break;
             case "gone":
@@ -58,10 +58,10 @@
     if (!machine.up) {
         return stage;
     }
-    const isNewLife = machine.workerId !== stage.workerId;
+    const isNewLife = machine.workerName !== stage.workerName;
     if (stage.confirmedAt === undefined) {
         // The worker may have crashed before the order arrived: what runs on its new life must not end by the order.
-        return isNewLife ? { kind: "emptying", workerId: machine.workerId, since: now } : stage;
+        return isNewLife ? { kind: "emptying", workerName: machine.workerName, since: now } : stage;
     }
     return isNewLife || now - stage.confirmedAt > longestMs ? { kind: "done" } : stage;
 }
--- a/src/leader/watch.ts
+++ b/src/leader/watch.ts
@@ -53,7 +53,7 @@
         readonly clock: clock.Clock;
         readonly leadership: heldLease.Leadership;
         readonly maxLeaseMs: number;
-        readonly book: book.Book;
+        readonly book: Pick<book.Book, "loseTasksOf">;
     },
 ): void {
     if (options.clock.now() > lapse.getLapsedAt(options.leadership.othersSilentAt, options.maxLeaseMs)) {
--- a/src/leader/workerPort.ts
+++ b/src/leader/workerPort.ts
@@ -1,7 +1,8 @@
 /** The orders that the leader gives to workers, and their answers. No call rejects. */
 
 export interface WorkerAddress {
-    readonly id: string;
+    /** The worker's name: a call to one life may be carried out by the next one, see `life.ts`. */
+    readonly name: string;
     readonly address: string;
 }
 
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -9,6 +9,7 @@
 import * as firstLooks from "./firstLooks";
 import type * as heldLease from "./heldLease";
 import * as lapse from "./lapse";
+import * as lives from "./life";
 import * as port from "./workerPort";
 
 export interface WorkerLists {
@@ -23,6 +24,8 @@
 
 export interface WorkerSessionOptions {
     readonly worker: port.WorkerAddress;
+    /** The life that is meant: all that the session knows is known of it alone. */
+    readonly life: lives.Life;
     readonly port: port.WorkerPort;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
@@ -36,8 +39,10 @@
     getWaitMs(): number;
     /** Takes note of a look; resolves when what it said is stored. */
     onLists(lists: WorkerLists): Promise<void>;
-    /** The worker's life is over: it answered as another, or all that it could run has lapsed. */
+    /** Another worker answers at the address, or all that could run there has lapsed. */
     onGone(how: "otherLife" | "lapsed"): void;
+    /** The worker's next life has answered: this one is over. */
+    onNextLife(next: lives.Life, lists: WorkerLists): void;
     onHeard(heard: boolean): void;
     onFenced(): void;
 }
@@ -65,19 +70,24 @@
 const LONGEST_CLOCK_AGE_MS = 10_000;
 
 export function createWorkerSession(options: WorkerSessionOptions): WorkerSession {
-    const { worker, clock: time, leadership } = options;
+    const { worker, life, clock: time, leadership } = options;
+    const id = lives.getLifeId(life);
     const controller = new AbortController();
     const { signal } = controller;
     let workerClock: lapse.ClockReading | undefined;
     /** Our time by which everything there has lapsed unless it is prolonged. */
     let lapsedAt = lapse.getLapsedAt(Math.max(leadership.othersSilentAt, time.now()), options.maxLeaseMs);
-    let bornAt = 0;
     let lastEnd = 0;
     let recordedUpTo = 0;
     let acknowledgedUpTo = 0;
     let mustLook = true;
     let lookNowWanted = false;
     let lastLookAt = -Infinity;
+    /** When the latest look was sent that this life has answered. */
+    let provenAt = -Infinity;
+    let startsUnderWay = 0;
+    /** When a start last went out, was answered or was given up. */
+    let lastStartAt = -Infinity;
     let heard = false;
     let fenced = false;
     /** A first look went out before. */
@@ -103,7 +113,7 @@
     const setHeard = (next: boolean) => {
         if (heard !== next) {
             heard = next;
-            options.log.info(next ? "workerHeard" : "workerSilent", { worker: worker.id });
+            options.log.info(next ? "workerHeard" : "workerSilent", { worker: id });
         }
         options.onHeard(next);
     };
@@ -135,10 +145,15 @@
                 break;
         }
     };
+    /**
+     * An acknowledgement goes by number, and is carried out by whichever life it meets. It is safe while the next life
+     * cannot have an end yet: no start has gone out since this one was last heard.
+     */
+    const mayAcknowledge = () => heard && startsUnderWay === 0 && provenAt > lastStartAt;
     const look = async (waitMs: number): Promise<boolean> => {
         const sentAt = time.now();
         lastLookAt = sentAt;
-        const acknowledged = recordedUpTo;
+        const acknowledged = mayAcknowledge() ? recordedUpTo : 0;
         const answer = await options.port.look(worker, {
             fencingToken: leadership.token,
             recordedUpTo: acknowledged,
@@ -150,23 +165,25 @@
         if (signal.aborted) {
             return false;
         }
+        if (answer.kind === "lists" && answer.bornAt !== 0 && answer.bornAt !== life.bornAt) {
+            takeAnswerOfOtherLife(answer, sentAt);
+            return false;
+        }
         takeNote(answer);
         if (answer.kind !== "lists") {
+            provenAt = -Infinity;
             if (answer.kind !== "otherLife") {
-                options.log.info("lookFailed", { worker: worker.id, answer: answer.kind });
+                options.log.info("lookFailed", { worker: id, answer: answer.kind });
             }
             return false;
         }
+        provenAt = Math.max(provenAt, sentAt);
         if (!fenced) {
             // From here on the worker obeys no earlier leader, so only our own grants count.
             fenced = true;
             lapsedAt = lapse.getLapsedAt(time.now(), options.maxLeaseMs);
         }
         mustLook = false;
-        if (answer.bornAt !== bornAt) {
-            options.log.info("workerLifeSeen", { worker: worker.id, bornAt: answer.bornAt, before: bornAt, lastEnd });
-            bornAt = answer.bornAt;
-        }
         acknowledgedUpTo = Math.max(acknowledgedUpTo, acknowledged);
         const fresh = takeFresh(answer.ended);
         lastEnd = fresh.reduce((max, end) => Math.max(max, end.number), lastEnd);
@@ -183,13 +200,27 @@
         });
         return true;
     };
+    const takeAnswerOfOtherLife = (answer: Extract<port.LookAnswer, { kind: "lists"; }>, sentAt: number) => {
+        const { bornAt, running, ended } = answer;
+        if (bornAt < life.bornAt) {
+            options.log.warn("lookOutdated", { worker: id, bornAt });
+            return;
+        }
+        if (!gone) {
+            gone = true;
+            options.onNextLife(
+                { name: life.name, bornAt },
+                { sentAt, running, ended, complete: ended.length < port.MAX_ENDS_LISTED },
+            );
+        }
+    };
     /** Ends not seen before, as they count. */
     const takeFresh = (listed: readonly port.TaskEnd[]): readonly port.TaskEnd[] => {
         const unseen = listed.filter(end => end.number > lastEnd);
         const counted = lapse.voidLapsedEnds(unseen);
         const voided = unseen.filter((end, index) => end.how !== counted[index]!.how).map(end => end.task);
         if (voided.length > 0) {
-            options.log.warn("endsVoid", { worker: worker.id, tasks: voided });
+            options.log.warn("endsVoid", { worker: id, tasks: voided });
         }
         return counted;
     };
@@ -237,7 +268,8 @@
                 await pause(RETRY_PAUSE_MS);
                 continue;
             }
-            const waitMs = busy && !mustLook && workerClock ? options.getWaitMs() : 0;
+            const isAcknowledging = !unacknowledged || mayAcknowledge();
+            const waitMs = busy && !mustLook && workerClock && isAcknowledging ? options.getWaitMs() : 0;
             if (!await (fenced ? look(waitMs) : takeFirstLook())) {
                 if (signal.aborted || gone) {
                     return;
@@ -262,6 +294,14 @@
             await look(0);
         }
     };
+    const sendStart = async (request: port.StartOrder) => {
+        startsUnderWay++;
+        lastStartAt = time.now();
+        const answer = await options.port.start(worker, request, ORDER_TIMEOUT_MS);
+        startsUnderWay--;
+        lastStartAt = time.now();
+        return answer;
+    };
     const order = async <T extends port.OrderAnswer>(send: () => Promise<T>): Promise<port.OrderAnswer> => {
         if (!leadership.mayOrder()) {
             return { kind: "unreachable", message: "the lease is not certain" };
@@ -287,9 +327,7 @@
                 return { kind: "unreachable", message: "the worker's clock is not known yet" };
             }
             wake?.();
-            return order(() =>
-                options.port.start(worker, { ...request, fencingToken: leadership.token, deadline }, ORDER_TIMEOUT_MS)
-            );
+            return order(() => sendStart({ ...request, fencingToken: leadership.token, deadline }));
         },
         stop: request =>
             order(() => options.port.stop(worker, { ...request, fencingToken: leadership.token }, ORDER_TIMEOUT_MS)),
--- a/src/scheduler/__tests__/advice.test.ts
+++ b/src/scheduler/__tests__/advice.test.ts
@@ -11,7 +11,7 @@
     readonly story: string;
     readonly workers: number;
     readonly members: number;
-    readonly isGood: (workerId: string) => boolean;
+    readonly isGood: (workerName: string) => boolean;
     readonly endsWithinMs: number;
     readonly fails?: (run: number) => boolean;
 }
@@ -46,11 +46,11 @@
         });
         const step = `${job.jobId}.0.0`;
         const adviser: leader.Adviser = {
-            advise: async (name, workerIds) =>
+            advise: async (name, workerNames) =>
                 name === step
                     ? {
                         kind: "advised",
-                        good: workerIds.filter(isGood).map(workerId => ({ workerId, ticket: `t-${workerId}` })),
+                        good: workerNames.filter(isGood).map(workerName => ({ workerName, ticket: `t-${workerName}` })),
                         validMs: ADVICE.validMs,
                     }
                     : { kind: "unavailable", message: `no such step: ${name}` },
--- a/src/scheduler/__tests__/duties.test.ts
+++ b/src/scheduler/__tests__/duties.test.ts
@@ -178,10 +178,10 @@
                 })),
             },
             adviser: {
-                advise: async (_step, workerIds) => {
-                    asked.push([...workerIds]);
-                    const good = workerIds.filter(id => id === "worker-2");
-                    return { kind: "advised", good: good.map(id => ({ workerId: id, ticket: "t" })), validMs: 3_000 };
+                advise: async (_step, workerNames) => {
+                    asked.push([...workerNames]);
+                    const good = workerNames.filter(id => id === "worker-2");
+                    return { kind: "advised", good: good.map(id => ({ workerName: id, ticket: "t" })), validMs: 3_000 };
                 },
             },
         }, [fixtures.createJob(1, { count: 3 })]);
