Fuzz: workers start again under their ids, at random moments

Half of the workers that a task takes down come back under their ids, and up to six times one worker, a rack or all of them do so after 0.1 to 3 s.

--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -11,16 +11,21 @@
             "--no-hazards",
             "leave out tasks that take workers down, workers that crash, and capacities that change",
         )
+        .option("--no-restarts", "leave out workers that start again under their ids")
         .option("--log", "print the log lines of sites that broke a promise")
         .parse();
     const options = program.opts<
-        { runs: string; seed: string; log?: boolean; slowStore: boolean; hazards: boolean; }
+        { runs: string; seed: string; log?: boolean; slowStore: boolean; hazards: boolean; restarts: boolean; }
     >();
     const first = Number(options.seed);
     let broken = 0;
     let soundGivenUp = 0;
     for (let seed = first; seed < first + Number(options.runs); seed++) {
-        const report = await emulator.runChaos(seed, { slowStore: options.slowStore, hazards: options.hazards });
+        const report = await emulator.runChaos(seed, {
+            slowStore: options.slowStore,
+            hazards: options.hazards,
+            restarts: options.restarts,
+        });
         soundGivenUp += report.soundGivenUp;
         if (report.breaches.length === 0) {
             continue;
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -50,11 +50,12 @@
 
 /**
  * With `slowStore` the store is also slow for a while, and then takes the transactions of a part one by one; with
- * `hazards` tasks take workers down, workers crash and come back, and capacities change.
+ * `hazards` tasks take workers down, workers crash and come back, and capacities change; with `restarts` workers start
+ * again under their ids.
  */
 export async function runChaos(
     seed: number,
-    { slowStore = false, hazards: withHazards = false } = {},
+    { slowStore = false, hazards: withHazards = false, restarts: withRestarts = false } = {},
 ): Promise<ChaosReport> {
     const source = random.createRandom(seed);
     const time = clocks.createManualClock(1_700_000_000_000);
@@ -76,8 +77,12 @@
     const hazards = withHazards
         ? hazardsOfWorkers.drawHazards({ seed, forMs: TROUBLE_MS, clock: time, racks: RACKS })
         : undefined;
+    const restarts = withRestarts
+        ? hazardsOfWorkers.drawRestarts({ seed, forMs: TROUBLE_MS, racks: RACKS })
+        : undefined;
     const site = sites.createSite({
         clock: time,
+        comesBackUnderId: restarts?.comesBackUnderId,
         workerRestartMs: hazards?.workerRestartMs,
         isDirectoryAway: hazards?.isDirectoryAway,
         log: createLog(time, lines),
@@ -105,7 +110,7 @@
     const acknowledged = new Set<string>();
     const runOn = new Set<string>();
     const events = createEvents(source, site, jobs, { accepted, cancelled, acknowledged });
-    for (const { at, act } of hazards?.events ?? []) {
+    for (const { at, act } of [...hazards?.events ?? [], ...restarts?.events ?? []]) {
         events.push({ at, act: () => act(site), done: false });
     }
     while (time.now() < TROUBLE_MS + RECOVERY_MS) {
--- a/src/emulator/hazards.ts
+++ b/src/emulator/hazards.ts
@@ -61,6 +61,38 @@
     return { from, to: Math.min(forMs, from + source.nextInt(LONGEST_AWAY_MS)) };
 }
 
+/** Workers that start again under their ids; drawn apart, so that the other hazards of a seed stay as they were. */
+export function drawRestarts({ seed, forMs, racks }: Omit<HazardOptions, "clock">): Restarts {
+    const source = random.createRandom(seed + FIRST_RESTART_SEED);
+    return {
+        comesBackUnderId: () => source.nextInt(2) === 0,
+        events: drawEach(source, MOST_RESTARTS, () => drawRestart(source, forMs, racks)),
+    };
+}
+
+export interface Restarts extends Pick<Hazards, "events"> {
+    /** Whether a worker that a task has taken down starts again under its id. */
+    comesBackUnderId(): boolean;
+}
+
+/** Far from the seeds of sites, and of what else is drawn apart. */
+const FIRST_RESTART_SEED = 17_000_000;
+const MOST_RESTARTS = 6;
+
+/** One worker, a rack, or all; back after 0.1 to 3 s. */
+function drawRestart(source: random.Random, forMs: number, racks: ReadonlyArray<readonly string[]>) {
+    const rack = source.pick(racks);
+    const addresses = source.pick([[source.pick(rack)], [source.pick(rack)], rack, racks.flat()]);
+    const downMs = addresses.map(() => 100 + source.nextInt(2_900));
+    return {
+        at: 1_000 + source.nextInt(forMs - 1_000),
+        act: (site: sites.Site) =>
+            addresses.forEach((address, index) =>
+                withWorker(site, address, id => site.restartWorker(id, downMs[index]!))
+            ),
+    };
+}
+
 /** The job, one of so many with tasks that take their workers down. */
 export function poisonSome(source: random.Random, job: jobModel.EmulatedJob): jobModel.EmulatedJob {
     return source.nextInt(POISON_EVERY) === 0 ? poisonJob(source, job) : job;
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -38,6 +38,8 @@
     isDirectoryAway?(): boolean;
     /** How long a worker is down that a task has taken down. */
     readonly workerRestartMs?: number;
+    /** Whether such a worker starts again under its id; by default none does. */
+    comesBackUnderId?(): boolean;
 }
 
 export interface Site {
@@ -56,7 +58,7 @@
     isAlive(instance: number): boolean;
     /** Ends an instance without a word. */
     kill(instance: number): void;
-    /** Ends a worker's life; another one begins at its address some seconds later. */
+    /** Ends a worker's life; another one begins at its address some seconds later, as a rule under another id. */
     crashWorker(id: string): void;
     /** Ends a worker's life; the next one begins under its id `afterMs` later. */
     restartWorker(id: string, afterMs: number): void;
@@ -118,8 +120,16 @@
         canReport: () => !options.isDirectoryAway?.(),
     });
     options.workers.forEach(workers.add);
+    const restartWorker = (id: string, afterMs: number) => {
+        workers.kill(id, true);
+        time.setTimer(afterMs, () => workers.restart(id));
+    };
     /** The worker is silent for some seconds, and then another life of it begins at its address. */
     const crashWorker = (id: string) => {
+        if (options.comesBackUnderId?.()) {
+            restartWorker(id, options.workerRestartMs ?? WORKER_RESTART_MS);
+            return;
+        }
         const info = { ...workers.getInfo(id), id: `${id}-again`, draining: false, remainingMs: 0 };
         workers.kill(id, true);
         time.setTimer(options.workerRestartMs ?? WORKER_RESTART_MS, () => {
@@ -128,11 +138,6 @@
         });
     };
 
-    const restartWorker = (id: string, afterMs: number) => {
-        workers.kill(id, true);
-        time.setTimer(afterMs, () => workers.restart(id));
-    };
-
     interface Instance {
         readonly scheduler: schedulers.Scheduler;
         readonly controller: AbortController;
