Emulator: what a worker leaves lying is lost with its life, its machine stays

An order that a worker has taken and left unanswered was carried out by its next life, which no scheduler could rule out: the run was closed on the life that had it.

--- a/src/emulator/workerOrders.ts
+++ b/src/emulator/workerOrders.ts
@@ -167,11 +167,8 @@
                 await time.sleep(timeoutMs);
                 return { kind: "unknown", message: "emulated: answer lost" };
             case "late":
-                // By whichever life goes on under the id by then.
-                time.setTimer(faults.lateMs, () => {
-                    const later = lives.get(worker.name)!;
-                    void (later.alive && carryOut(later));
-                });
+                // What a worker leaves lying is lost with its life.
+                time.setTimer(faults.lateMs, () => void (life.alive && carryOut(life)));
                 await time.sleep(timeoutMs);
                 return { kind: "unknown", message: "emulated: late" };
         }
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -248,7 +248,10 @@
         add: info => add(info),
         restart: id => {
             kill(id, false);
-            add({ ...lives.get(id)!.info, draining: false, remainingMs: 0 }, time.now());
+            const { info, earlierCapacities } = lives.get(id)!;
+            add({ ...info, draining: false, remainingMs: 0 }, time.now());
+            // The machine beneath stays.
+            lives.get(id)!.earlierCapacities.push(...earlierCapacities);
         },
         succeed: (id, info) => {
             lives.get(id)!.succeeded = true;
