A start that met its worker weighs, also where its answer was lost with it

Cause: its worker crashes before it has answered the start. Such a start weighed little, as one that may never have begun, although the worker had answered a look just before; and nothing at all while it was under way, as the life that answers next was taken for another worker that had refused it. A worker that starts again under its id says nothing of the kind.

Now a start counts as a doubtful loss where its worker had answered at most 100 ms before, and one under way counts where the worker has a next life. The case "whose start was never confirmed" is split: 3 where the worker had not answered for a second, 4 where it just had.

--- a/src/leader/__tests__/crashes.test.ts
+++ b/src/leader/__tests__/crashes.test.ts
@@ -37,6 +37,7 @@
     /** Of the worker that is lost, of which the first task is looked at. */
     readonly put: (worker: entries.WorkerEntry) => void;
     readonly restarted?: boolean;
+    readonly hasNextLife?: boolean;
     /** Meanwhile, with the other workers of its rack. */
     readonly meanwhile?: (judge: crashes.CrashJudge, workers: readonly entries.WorkerEntry[]) => void;
     /** When the worker is lost, and after the review. */
@@ -81,8 +82,19 @@
     },
     { name: "that an earlier leader ordered", put: worker => addTask(worker, 0, { inherited: true }), weights: [4, 4] },
     {
-        name: "whose start was never confirmed",
+        name: "whose start was never confirmed, and went to a worker that had not answered for a second",
+        put: worker => addTask(worker, 0, { phase: "stopping", runningSince: 0, orderedAt: CRASHED_AT + 1_000 }),
+        weights: [3, 3],
+    },
+    {
+        name: "whose start was never confirmed, and went to a worker that had just answered",
         put: worker => addTask(worker, 0, { phase: "stopping", runningSince: 0 }),
+        weights: [4, 4],
+    },
+    {
+        name: "whose start is still under way, on a worker that has started again under its name",
+        put: worker => addTask(worker, 0, { phase: "ordered", runningSince: 0, orderedAt: CRASHED_AT + 1_000 }),
+        hasNextLife: true,
         weights: [3, 3],
     },
     {
@@ -148,7 +160,9 @@
 ];
 
 describe("the loss of a worker weighs against a run", () => {
-    test.each(cases)("$name", async ({ put, restarted = true, meanwhile, weights: [atOnce, reviewed] }) => {
+    test.each(cases)("$name", async (
+        { put, restarted = true, hasNextLife = false, meanwhile, weights: [atOnce, reviewed] },
+    ) => {
         const time = clocks.createManualClock();
         const workers = Array.from({ length: RACK }, (_, number) => createWorker(number));
         const changes: Array<readonly [entries.TaskEntry, lostRuns.Evidence]> = [];
@@ -161,7 +175,7 @@
         put(workers[0]!);
         const task = [...workers[0]!.tasks][0]!;
         entries.noteHeard(workers[0]!, false, CRASHED_AT);
-        const weight = judge.weigh(workers[0]!, restarted).get(task)?.weight;
+        const weight = judge.weigh(workers[0]!, { restarted, hasNextLife }).get(task)?.weight;
         expect(weight).toBe(atOnce);
         await time.advance(200);
         meanwhile?.(judge, workers);
--- a/src/leader/crashRecord.ts
+++ b/src/leader/crashRecord.ts
@@ -10,7 +10,7 @@
     Excused: 2,
     /** It may never have begun. */
     Unconfirmed: 3,
-    /** The worker may not have crashed, its rack went down as the run began, or the run's age is not known. */
+    /** It may not have begun, the worker may not have crashed, its rack went down as it began, or its age is not known. */
     Doubtful: 4,
     Usual: 5,
     /** Nothing else can have taken the worker down. */
@@ -20,6 +20,8 @@
 /** From so much and so many lost runs on each further start counts as a doubtful one, however it ends. */
 const CHARGED_FROM = 3 * Weight.Doubtful;
 const CHARGED_FROM_RUNS = 3;
+/** A worker that is to start a task whose earlier runs were lost has answered no longer ago than this. */
+export const SUSPECT_SILENCE_MS = 100;
 /** A worker tells of its runs every 2 s at least. */
 const OUTLIVED_BY_MS = 2_500;
 /** A task with this much against it is started apart from others that have just begun. */
--- a/src/leader/crashes.ts
+++ b/src/leader/crashes.ts
@@ -47,12 +47,19 @@
 }
 
 export interface CrashJudge {
-    /** Of the runs that are lost with the worker now; `restarted`: another life of it has answered. */
-    weigh(worker: entries.WorkerEntry, restarted: boolean): ReadonlyMap<entries.TaskEntry, lostRuns.Evidence>;
+    /** Of the runs that are lost with the worker now. */
+    weigh(worker: entries.WorkerEntry, how: HowLost): ReadonlyMap<entries.TaskEntry, lostRuns.Evidence>;
     /** The directory lists the worker, or it answers. */
     noteWorker(worker: Place & Pick<entries.WorkerInfo, "id">): void;
 }
 
+interface HowLost {
+    /** Another life of it is there, or another worker at its address. */
+    readonly restarted: boolean;
+    /** It has started again under its name. */
+    readonly hasNextLife: boolean;
+}
+
 type Place = Pick<entries.WorkerInfo, "address" | "rack">;
 
 export function createCrashJudge(options: CrashJudgeOptions): CrashJudge {
@@ -127,13 +134,13 @@
         }
     };
     return {
-        weigh: (worker, restarted) => {
+        weigh: (worker, { restarted, hasNextLife }) => {
             forgetOld();
             if (restarted) {
                 noteRestart(worker.info);
             }
             const leaves = worker.info.draining || worker.reserved;
-            const runs = lostRuns.listRuns(worker).filter(run => !leaves || run.charge > 0);
+            const runs = lostRuns.listRuns(worker, hasNextLife).filter(run => !leaves || run.charge > 0);
             if (runs.length === 0) {
                 return new Map();
             }
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -330,3 +330,8 @@
 
 /** Why a run is stopped that its worker does not list any more. */
 export const MISSING = "missing";
+
+/** Whether nothing of the run is there any more, as far as is known, and its worker is only to refuse a late start. */
+export function isClosing(task: TaskEntry): boolean {
+    return task.phase === "stopping" && task.stopReason === MISSING;
+}
--- a/src/leader/losses.ts
+++ b/src/leader/losses.ts
@@ -135,7 +135,7 @@
             count(task, evidence);
             task.longestLostMs = Math.max(task.longestLostMs, entries.getSeenMs(task));
         }
-        if (task.phase !== "recording") {
+        if (task.phase !== "recording" && !entries.isClosing(task)) {
             options.countThrownAway(task, reason);
             tell(task, worker, reason);
         }
@@ -157,7 +157,10 @@
             if (lost.length > 0) {
                 log.warn("tasksLost", { worker: worker.id, reason, tasks: lost.length });
             }
-            const evidence = crashJudge.weigh(worker, reason === "otherLife");
+            const evidence = crashJudge.weigh(worker, {
+                restarted: reason === "otherLife",
+                hasNextLife: next !== undefined,
+            });
             for (const task of lost) {
                 const later = next && mayReachNextLife(task, next.lists) ? next.worker : undefined;
                 lose(task, worker, reason, evidence.get(task), later);
--- a/src/leader/lostRuns.ts
+++ b/src/leader/lostRuns.ts
@@ -12,11 +12,17 @@
  */
 type RunAge = "fresh" | "settled" | "inherited";
 
+/**
+ * - confirmed: by the worker.
+ * - likely: the worker had answered just before, so the start met it.
+ * - doubtful: the worker may have been down by then.
+ */
+type RunStart = "confirmed" | "likely" | "doubtful";
+
 export interface LostRun {
     readonly task: entries.TaskEntry;
     readonly age: RunAge;
-    /** The worker had confirmed its start; otherwise it may never have begun. */
-    readonly isConfirmed: boolean;
+    readonly start: RunStart;
     readonly isSuspect: boolean;
     /** What its start was counted for when it was placed. */
     readonly charge: number;
@@ -33,30 +39,40 @@
 
 const NO_EVIDENCE: Evidence = { weight: crashRecord.Weight.None, lostRuns: 0 };
 
-/** Those that may have been on the worker when it was lost. */
-export function listRuns(worker: entries.WorkerEntry): LostRun[] {
-    return [...worker.tasks].filter(mayHaveRun).map(task => ({
+/**
+ * Those that may have been on the worker when it was lost; `hasNextLife`: the worker has started again under its name,
+ * so it may have taken a start that is still without an answer.
+ */
+export function listRuns(worker: entries.WorkerEntry, hasNextLife = false): LostRun[] {
+    return [...worker.tasks].filter(task => mayHaveRun(task, hasNextLife)).map(task => ({
         task,
         age: getAge(task),
-        isConfirmed: task.phase !== "ordered" && task.runningSince >= task.orderedAt,
+        start: getStart(task, worker),
         isSuspect: crashRecord.isSuspect(task),
         charge: task.startCharge,
         isProven: task.step.spec.lasting && entries.getSeenMs(task) >= PROVEN_MS,
     }));
 }
 
+function getStart(task: entries.TaskEntry, { heardAt }: entries.WorkerEntry): RunStart {
+    if (task.phase !== "ordered" && task.runningSince >= task.orderedAt) {
+        return "confirmed";
+    }
+    return heardAt !== undefined && heardAt >= task.orderedAt - crashRecord.SUSPECT_SILENCE_MS ? "likely" : "doubtful";
+}
+
 /**
- * Not a run that its worker no longer listed, nor a start that is without an answer when another life answers: it was
- * sent to that one, which did not take it.
+ * Not a run that its worker no longer listed, nor a start that is without an answer when another worker answers at the
+ * address: it was sent to that one, which did not take it.
  */
-function mayHaveRun(task: entries.TaskEntry): boolean {
+function mayHaveRun(task: entries.TaskEntry, hasNextLife: boolean): boolean {
     switch (task.phase) {
         case "running":
             return true;
         case "stopping":
-            return task.stopReason !== entries.MISSING;
+            return !entries.isClosing(task);
         case "ordered":
-            return task.unansweredAt !== undefined;
+            return hasNextLife || task.unansweredAt !== undefined;
         case "waiting":
         case "recording":
         case "done":
@@ -108,11 +124,11 @@
         if (isRackBack && run.age !== "fresh") {
             return crashRecord.Weight.Excused;
         }
-        if (!run.isConfirmed) {
+        if (run.start === "doubtful") {
             return crashRecord.Weight.Unconfirmed;
         }
         // A rack seldom goes down just as a task begins.
-        if (!restarted || isRackBack || run.age === "inherited") {
+        if (run.start === "likely" || !restarted || isRackBack || run.age === "inherited") {
             return crashRecord.Weight.Doubtful;
         }
         return isClear && blamed.includes(run) ? crashRecord.Weight.Strong : crashRecord.Weight.Usual;
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -3,6 +3,7 @@
 import type * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as book from "./book";
+import * as crashRecord from "./crashRecord";
 import type * as entries from "./entries";
 import type * as port from "./workerPort";
 import type * as workerSession from "./workerSession";
@@ -50,15 +51,13 @@
 const MAX_STARTS_IN_FLIGHT = 32;
 /** For a look that is lost as well; members of a gang wait 3 s for each other. */
 const UNANSWERED_PATIENCE_MS = 1_000;
-/** Of a worker that is to start a task whose earlier runs were lost with their workers. */
-const SUSPECT_SILENCE_MS = 100;
 
 /** A start that never began, as its worker was down already, would look like one more crash under its task. */
 async function findOutWhetherItAnswers(
     task: entries.TaskEntry,
     session: workerSession.WorkerSession,
 ): Promise<boolean> {
-    return task.crashWeight === 0 || session.makeContact(SUSPECT_SILENCE_MS);
+    return task.crashWeight === 0 || session.makeContact(crashRecord.SUSPECT_SILENCE_MS);
 }
 
 export function createOrders(options: OrdersOptions): Orders {
