A run that is only to be refused by its worker's next life is stored as such

Cause: a run that had been counted as lost, and was being closed on the worker's next life, was stored like any that is placed; each new leader took it for a run under way, and counted it again when that life ended.

--- a/src/leader/__tests__/restore.test.ts
+++ b/src/leader/__tests__/restore.test.ts
@@ -3,6 +3,7 @@
 import type * as work from "../../work/index";
 import * as bookOfTasks from "../book";
 import * as entries from "../entries";
+import * as lostRuns from "../lostRuns";
 import * as thrownAway from "../thrownAway";
 import * as fixtures from "./fixtures";
 
@@ -54,6 +55,13 @@
         expect(restore(progress).state).toBe(state);
     });
 
+    // Guards against a run that is counted as lost again by each leader that reads it.
+    test("with a run that is only to be refused by its worker's next life", () => {
+        const task = restore({ ...WAITING, kind: "closing", workerId: "w" }).occurrences.get(0)!.steps[0]!.tasks[0]!;
+        expect(task.phase).toBe("stopping");
+        expect(lostRuns.listRuns(task.worker!, true)).toEqual([]);
+    });
+
     test("with many failures, and lasts", () => {
         expect(restore({ ...WAITING, failures: 9 }, true).state).toBe("running");
     });
--- a/src/leader/restore.ts
+++ b/src/leader/restore.ts
@@ -47,8 +47,17 @@
         task.crashWeight = stored.crashWeight;
         task.lostRuns = stored.lostRuns;
         task.saved = stored.saved;
-        if (stored.kind === "placed") {
-            takeForRunning(task, getWorker(stored.workerId), options.clock.now());
+        switch (stored.kind) {
+            case "waiting":
+                break;
+            case "placed":
+                takeForRunning(task, getWorker(stored.workerId), options.clock.now());
+                break;
+            case "closing":
+                takeForRunning(task, getWorker(stored.workerId), options.clock.now());
+                task.startCharge = 0;
+                options.requestStop(task, entries.MISSING);
+                break;
         }
     };
     /** The leader that counted its last attempt may have been lost before it stored the end of the job. */
--- a/src/leader/rowsOf.ts
+++ b/src/leader/rowsOf.ts
@@ -1,6 +1,6 @@
 /** Entries as rows and back. */
 import * as work from "../work/index";
-import type * as entries from "./entries";
+import * as entries from "./entries";
 
 export function encodeJob(job: entries.JobEntry): string {
     const progress: work.JobProgress = {
@@ -25,7 +25,9 @@
     if (task.phase === "done") {
         return { kind: "done", run };
     }
-    return task.worker
-        ? { kind: "placed", run, failures, crashWeight, lostRuns, saved, workerId: task.worker.id }
-        : { kind: "waiting", run, failures, crashWeight, lostRuns, saved };
+    const attempts = { run, failures, crashWeight, lostRuns, saved };
+    if (!task.worker) {
+        return { kind: "waiting", ...attempts };
+    }
+    return { kind: entries.isClosing(task) ? "closing" : "placed", ...attempts, workerId: task.worker.id };
 }
--- a/src/work/progress.ts
+++ b/src/work/progress.ts
@@ -34,6 +34,8 @@
     | { readonly kind: "waiting"; } & Attempts
     /** Ordered or running on that worker under that run. */
     | { readonly kind: "placed"; readonly workerId: string; } & Attempts
+    /** Counted as lost, or as never begun; its start may still come to that worker, which has to refuse it first. */
+    | { readonly kind: "closing"; readonly workerId: string; } & Attempts
     | { readonly kind: "done"; readonly run: number; };
 
 /** The tasks of each step. */
@@ -48,6 +50,7 @@
         worker: number,
         crashWeight?: number,
         lostRuns?: number,
+        closing?: 1,
     ];
 
 interface EncodedOccurrence {
@@ -61,16 +64,22 @@
 /** Short, since wide steps are written again with each start and end; a done task takes its run number alone. */
 export function encodeOccurrence(progress: OccurrenceProgress): string {
     const workers = new Map<string, number>();
+    const getIndex = (workerId: string) => {
+        const index = workers.get(workerId) ?? workers.size;
+        workers.set(workerId, index);
+        return index;
+    };
     const encodeTask = (task: TaskProgress): EncodedTask => {
         switch (task.kind) {
             case "done":
                 return [task.run];
             case "waiting":
                 return encodeAttempts(task, NO_WORKER);
-            case "placed": {
-                const index = workers.get(task.workerId) ?? workers.size;
-                workers.set(task.workerId, index);
-                return encodeAttempts(task, index);
+            case "placed":
+                return encodeAttempts(task, getIndex(task.workerId));
+            case "closing": {
+                const { run, failures, saved, crashWeight, lostRuns } = task;
+                return [run, failures, saved, getIndex(task.workerId), crashWeight, lostRuns, 1];
             }
         }
     };
@@ -91,12 +100,12 @@
         if (task.length === 1) {
             return { kind: "done", run: task[0] };
         }
-        const [run, failures, saved, worker, crashWeight = 0, lostRuns = 0] = task;
+        const [run, failures, saved, worker, crashWeight = 0, lostRuns = 0, closing] = task;
         const attempts = { run, failures, crashWeight, lostRuns, saved };
         const workerId = encoded.workers[worker];
         return workerId === undefined
             ? { kind: "waiting", ...attempts }
-            : { kind: "placed", ...attempts, workerId };
+            : { kind: closing ? "closing" : "placed", ...attempts, workerId };
     };
     return encoded.steps.map(tasks => tasks.map(decodeTask));
 }
