--- a/src/leader/__tests__/workerSession.test.ts
+++ b/src/leader/__tests__/workerSession.test.ts
@@ -78,3 +78,91 @@
         session.close();
     });
 });
+
+/** A session with a worker that a test ends and begins again; ends that a life has forgotten are in `forgotten`. */
+async function openRestartable() {
+    const time = clocks.createManualClock();
+    const over = new AbortController();
+    const begin = (bornAt: number) => ({ bornAt, ends: [] as port.TaskEnd[], forgotten: [] as port.TaskEnd[] });
+    const worker = { life: begin(FIRST_BORN_AT) };
+    const nextLives: Array<{ bornAt: number; lists: workerSession.WorkerLists; }> = [];
+    const taken: port.TaskEnd[] = [];
+    const accepted = async () => ({ kind: "accepted", workerClock: 1 + time.now() } as const);
+    const session = workerSession.createWorkerSession({
+        worker: { name: "w", address: "a:1" },
+        life: { name: "w", bornAt: FIRST_BORN_AT },
+        port: {
+            start: accepted,
+            stop: accepted,
+            pace: accepted,
+            look: async (_worker, { recordedUpTo, waitMs }) => {
+                const { life } = worker;
+                life.forgotten.push(...life.ends.filter(end => end.number <= recordedUpTo));
+                life.ends = life.ends.filter(end => end.number > recordedUpTo);
+                if (life.ends.length === 0) {
+                    await time.sleep(waitMs);
+                }
+                return life === worker.life
+                    ? { kind: "lists", workerClock: 1 + time.now(), bornAt: life.bornAt, running: [], ended: life.ends }
+                    : { kind: "unknown", message: "its life is over" };
+            },
+        },
+        clock: time,
+        log: LOG,
+        leadership: {
+            token: 1,
+            guard: { table: "t", part: "", key: "k", version: 1 },
+            signal: over.signal,
+            transact: async () => ({ kind: "refused", message: "" }),
+            mayOrder: () => true,
+            mayProlong: () => true,
+            othersSilentAt: 0,
+        },
+        firstLooks: firstLooks.createFirstLooks(time),
+        maxLeaseMs: MAX_LEASE_MS,
+        isBusy: () => true,
+        getWaitMs: () => 500,
+        onLists: async ({ ended }) => void taken.push(...ended),
+        onGone: () => undefined,
+        onNextLife: ({ bornAt }, lists) => nextLives.push({ bornAt, lists }),
+        onHeard: () => undefined,
+        onFenced: () => undefined,
+    });
+    const end = (number: number) => worker.life.ends.push({ number, task: "t", run: 1, how: "done", saved: "" });
+    const restart = () => {
+        worker.life = begin(FIRST_BORN_AT + time.now());
+    };
+    await time.advance(100);
+    return { time, session, worker, taken, nextLives, end, restart };
+}
+
+const FIRST_BORN_AT = 1_000;
+
+// Guards against an acknowledgement by number that meets the ends of the worker's next life.
+describe("ends are acknowledged", () => {
+    test("to the life that listed them", async () => {
+        const { time, session, worker, taken, end } = await openRestartable();
+        end(1);
+        await time.advance(1_500);
+        expect(taken).toHaveLength(1);
+        expect(worker.life.forgotten).toHaveLength(1);
+        session.close();
+    });
+
+    const pauses: readonly number[] = [0, 1, 50, 400, 600, 1_200];
+    test.each(pauses)("never to the next life, which gets a start and ends it %d ms later", async pauseMs => {
+        const { time, session, worker, taken, nextLives, end, restart } = await openRestartable();
+        [1, 2, 3].forEach(end);
+        await time.advance(600);
+        restart();
+        const { life } = worker;
+        void session.start({ task: "t", run: 2, payload: "", saved: "" });
+        await time.advance(pauseMs);
+        end(1);
+        await time.advance(3_000);
+        expect(taken).toHaveLength(3);
+        expect(life.forgotten).toEqual([]);
+        expect(nextLives).toMatchObject([{ bornAt: life.bornAt }]);
+        session.close();
+    });
+});
