Soak: half of the workers that are lost start again under their ids

Starts and drains are told by the worker's life: a worker that was draining and has started again takes work. The entry of a worker that is back is not removed for the silence of the life before.

--- a/soak/__tests__/verdict.test.ts
+++ b/soak/__tests__/verdict.test.ts
@@ -51,7 +51,7 @@
 }
 
 function startAt(at: number, workerId = "w") {
-    return { task: TASKS[0]!, run: 1, workerId, at };
+    return { task: TASKS[0]!, run: 1, workerId, lifeId: workerId, at };
 }
 
 interface Case {
@@ -142,7 +142,7 @@
     const breaches = verdict.findBreaches({
         jobs: [createRecord(record)],
         workers: createWorkers(workers),
-        drains: drainedAt === undefined ? [] : [{ workerId: "w", at: drainedAt }],
+        drains: drainedAt === undefined ? [] : [{ lifeId: "w", at: drainedAt }],
         calm,
     });
     expect(breaches).toEqual(breach === undefined ? [] : [expect.stringContaining(breach)]);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -92,7 +92,9 @@
     ];
     const board = troubles.createFaultBoard(createSource(1));
     const jobs = new Map<string, emulator.EmulatedJob>();
-    const site = await sites.createSite({ ...options, ...board, jobs });
+    const idSource = createSource(0);
+    const comesBackUnderId = () => idSource.nextInt(2) === 0;
+    const site = await sites.createSite({ ...options, ...board, jobs, comesBackUnderId });
     const operator = operators.createOperator(site, time, createSource(2), options.otherQueues);
     const balancer = balancers.createBalancer(site, time, createSource(3));
     const callers = callersOfSite.createCallers({
@@ -181,11 +183,11 @@
 const RESTART_EVERY_MS = 1_500;
 
 /** A worker that drains in calm shows whether anything is started there later. */
-function drainOne(site: sites.Site, time: clocks.Clock): Array<{ workerId: string; at: number; }> {
+function drainOne(site: sites.Site, time: clocks.Clock): Array<{ lifeId: string; at: number; }> {
     const place = site.places.at(-1)!;
-    const workerId = place.getId();
+    const lifeId = place.getLifeId();
     place.drain(CALM_MS);
-    return workerId === undefined ? [] : [{ workerId, at: time.now() }];
+    return lifeId === undefined ? [] : [{ lifeId, at: time.now() }];
 }
 
 function createCalm(plan: readonly troubles.TimedTrouble[], startedAt: number): verdict.Calm {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -10,7 +10,7 @@
 import type * as catalogs from "../src/catalog/index";
 import * as clocks from "../src/clock/index";
 import * as emulator from "../src/emulator/index";
-import type * as leader from "../src/leader/index";
+import * as leader from "../src/leader/index";
 import * as instances from "./instance";
 import * as links from "./link";
 
@@ -24,6 +24,8 @@
     readonly storeFaults: emulator.StoreFaults;
     readonly workerFaults: emulator.WorkerFaults;
     readonly jobs: ReadonlyMap<string, emulator.EmulatedJob>;
+    /** Whether a worker that was lost starts again under its id. */
+    comesBackUnderId(): boolean;
 }
 
 /** One address at which workers live, one after another. */
@@ -31,6 +33,8 @@
     readonly link: links.Link;
     /** The worker that lives there now. */
     getId(): string | undefined;
+    /** Of the life that goes on there now. */
+    getLifeId(): string | undefined;
     drain(remainingMs: number): void;
     /** Changes the capacity of the life there to that share of what its place has; the directory learns of it later. */
     resize(share: number): void;
@@ -106,6 +110,9 @@
         const address = `${getAddress(Block.WorkerLink, number)}:${WORKER_PORT}`;
         let lives = 0;
         let info: leader.WorkerInfo | undefined;
+        let lastId: string | undefined;
+        const tellDirectory = ({ id }: leader.WorkerInfo) =>
+            store.put(standin.encodeWorkerRow(workers.getInfo(id), workers.getBornAt(id)));
         await openServer(
             standin.createWorkerServer({ port: workers.port, getWorkerId: () => info?.id }),
             server,
@@ -114,11 +121,12 @@
         const place: WorkerPlace = {
             link,
             getId: () => info?.id,
+            getLifeId: () => info && leader.getLifeId({ name: info.id, bornAt: workers.getBornAt(info.id) }),
             drain: remainingMs => {
                 if (info && !info.draining) {
-                    info = { ...info, draining: true, remainingMs };
                     workers.drain(info.id, remainingMs);
-                    store.put(standin.encodeWorkerRow(info));
+                    info = workers.getInfo(info.id);
+                    tellDirectory(info);
                 }
             },
             kill: tell => {
@@ -128,7 +136,12 @@
                 const { id } = info;
                 info = undefined;
                 workers.kill(id, false);
-                time.setTimer(tell ? 0 : DIRECTORY_SILENCE_MS, () => store.remove(standin.getWorkerRowKey(id)));
+                const forget = () => {
+                    if (info?.id !== id) {
+                        store.remove(standin.getWorkerRowKey(id));
+                    }
+                };
+                time.setTimer(tell ? 0 : DIRECTORY_SILENCE_MS, forget);
             },
             resize: share => {
                 if (info) {
@@ -136,19 +149,27 @@
                 }
             },
             revive: () => {
-                if (!info) {
+                if (info) {
+                    return;
+                }
+                if (lastId !== undefined && options.comesBackUnderId()) {
+                    workers.restart(lastId);
+                    info = workers.getInfo(lastId);
+                }
+                else {
                     lives++;
                     info = createWorker(number, lives, address);
                     workers.add(info);
-                    store.put(standin.encodeWorkerRow(info));
                 }
+                lastId = info.id;
+                tellDirectory(info);
             },
         };
         place.revive();
         const report = () => {
             if (info) {
                 info = workers.getInfo(info.id);
-                store.put(standin.encodeWorkerRow(info));
+                tellDirectory(info);
             }
         };
         const reporting = setInterval(report, REPORT_EVERY_MS);
--- a/soak/verdict.ts
+++ b/soak/verdict.ts
@@ -27,7 +27,7 @@
 export interface VerdictInput {
     readonly jobs: readonly JobRecord[];
     readonly workers: emulator.EmulatedWorkers;
-    readonly drains: ReadonlyArray<{ readonly workerId: string; readonly at: number; }>;
+    readonly drains: ReadonlyArray<{ readonly lifeId: string; readonly at: number; }>;
     readonly calm: Calm;
 }
 
@@ -117,12 +117,10 @@
 function checkDrained({ drains, workers, calm }: VerdictInput): string[] {
     return drains.flatMap(drain =>
         workers.starts
-            .filter(start => start.workerId === drain.workerId)
+            .filter(start => start.lifeId === drain.lifeId)
             .filter(start => start.at > drain.at + DRAIN_MS + SLACK_MS && calm.isCalm(drain.at, start.at))
             .map(start =>
-                `${start.task} started on ${drain.workerId} ${
-                    Math.round(start.at - drain.at)
-                } ms after it began to drain`
+                `${start.task} started on ${drain.lifeId} ${Math.round(start.at - drain.at)} ms after it began to drain`
             )
     );
 }
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -9,7 +9,7 @@
     type MachineFault,
 } from "./machines";
 export { createRandomJob, getOutcomes, mayBeGivenUp } from "./randomJob";
-export { createSite, getInstanceName, type Site, type SiteOptions } from "./site";
+export { createSite, getFirstWorkerId, getInstanceName, type Site, type SiteOptions } from "./site";
 export { type StartRecord } from "./startChecks";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
 export { type TaskModel } from "./workerLife";
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -130,7 +130,7 @@
             restartWorker(id, options.workerRestartMs ?? WORKER_RESTART_MS);
             return;
         }
-        const info = { ...workers.getInfo(id), id: `${id}-again`, draining: false, remainingMs: 0 };
+        const info = { ...workers.getInfo(id), id: `${id}${NEXT_ID_SUFFIX}`, draining: false, remainingMs: 0 };
         workers.kill(id, true);
         time.setTimer(options.workerRestartMs ?? WORKER_RESTART_MS, () => {
             workers.kill(id, false);
@@ -289,6 +289,13 @@
     };
 }
 
+const NEXT_ID_SUFFIX = "-again";
+
+/** The id of the first worker at the address of that one, before crashes brought others. */
+export function getFirstWorkerId(id: string): string {
+    return id.split(NEXT_ID_SUFFIX)[0]!;
+}
+
 export function getInstanceName(number: number): string {
     return `instance-${number}`;
 }
--- a/src/emulator/startChecks.ts
+++ b/src/emulator/startChecks.ts
@@ -7,6 +7,8 @@
     readonly task: string;
     readonly run: number;
     readonly workerId: string;
+    /** Of the worker's life on which it began. */
+    readonly lifeId: string;
     readonly at: number;
 }
 
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -37,6 +37,8 @@
     /** Ends the worker's life; `listed` says whether the directory still shows it. */
     kill(id: string, listed: boolean): void;
     drain(id: string, remainingMs: number): void;
+    /** When the worker's present life began, or its last. */
+    getBornAt(id: string): number;
     /** What the worker says of itself, or said last. */
     getInfo(id: string): leader.WorkerInfo;
     /** The worker that lives at the address now. */
@@ -141,7 +143,13 @@
             }
             if (gang.length < run.model.gangSize) {
                 if (time.now() - run.startedAt >= gangTimeoutMs) {
-                    aloneEnds.push({ task: run.task, run: run.run, workerId: life.info.id, at: time.now() });
+                    aloneEnds.push({
+                        task: run.task,
+                        run: run.run,
+                        workerId: life.info.id,
+                        lifeId: getLifeId(life),
+                        at: time.now(),
+                    });
                     end(life, run, "alone");
                 }
                 continue;
@@ -193,7 +201,13 @@
         checks,
         getModel: options.getModel,
         onStart: (life, run) => {
-            const record = { task: run.task, run: run.run, workerId: life.info.id, at: time.now() };
+            const record = {
+                task: run.task,
+                run: run.run,
+                workerId: life.info.id,
+                lifeId: getLifeId(life),
+                at: time.now(),
+            };
             starts.push(record);
             const { crashesAfterMs } = run.model;
             if (crashesAfterMs !== undefined) {
@@ -265,6 +279,7 @@
         kill,
         getRunningTasks: () => [...lives.values()].flatMap(life => [...life.runs.keys()]),
         findAt: address => [...lives.values()].find(life => life.alive && life.info.address === address)?.info.id,
+        getBornAt: id => lives.get(id)!.bornAt,
         getInfo: id => lives.get(id)!.info,
         getRunning: id => lives.get(id)!.runs.size,
         getUsed: id => {
@@ -291,6 +306,10 @@
     };
 }
 
+function getLifeId({ info, bornAt }: workerLife.Life): string {
+    return leader.getLifeId({ name: info.id, bornAt });
+}
+
 function toListed({ report, bornAt }: workerLife.Life): leader.ListedWorker {
     const { id, ...info } = report.info;
     return { ...info, name: id, bornAt, reportedAt: report.at };
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -7,6 +7,7 @@
 export { type HolderWatch } from "./holderWatch";
 export { createLease, type Lease, type LeaseObservation } from "./lease";
 export { type LeaseRecord } from "./leaseRecord";
+export { getLifeId } from "./life";
 export type { Machine, MachineService, MachinesResult, UpkeepAnswer, UpkeepOrder, Wave, WaveBoard } from "./machines";
 export { createTerm, type Term, type TermOptions } from "./term";
 export type {
