Random deployments: restarted workers work, and half of them keep their ids

Found on the way: the speed of a worker was looked up by an id that a restarted one did not have, so its tasks never came to an end; each was stopped as standing still.

--- a/src/experiment/drawnLoad.ts
+++ b/src/experiment/drawnLoad.ts
@@ -69,13 +69,14 @@
  */
 export function addHazards(load: loads.Load, seed: number): loads.Load {
     const source = generate.createSource(seed + FIRST_HAZARD_SEED);
+    const ids = generate.createSource(seed + FIRST_ID_SEED);
     const crashing = source.pick([0, 0.02, 0.05]);
     const hazards = Array.from({ length: 1 + source.nextInt(MOST_HAZARDS) }, (): loads.Trouble => {
         const atMs = 2_000 + source.nextInt(FOR_MS - 8_000);
         const share = 0.05 + 0.3 * source.nextFloat();
         const racks = source.nextInt(2) === 0;
         return source.nextInt(2) === 0
-            ? { kind: "restart", atMs, share, racks }
+            ? { kind: "restart", atMs, share, racks, underId: ids.nextInt(2) === 0 }
             : { kind: "shrink", atMs, forMs: 3_000 + source.nextInt(6_000), share, left: source.pick([0, 0.25, 0.5]) };
     });
     return {
@@ -87,6 +88,8 @@
 
 /** Far from the seeds of loads, and of what else is drawn apart. */
 const FIRST_HAZARD_SEED = 11_000_000;
+/** Of what restarted workers are called. */
+const FIRST_ID_SEED = 19_000_000;
 const MOST_HAZARDS = 4;
 
 /** Workers of one speed, or of several kinds. */
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -64,7 +64,13 @@
     /** A share of the workers drains, and leaves `leftMs` later. */
     | { readonly kind: "leave"; readonly atMs: number; readonly share: number; readonly leftMs: number; }
     /** Racks with about a share of the workers, or that share of any workers, crash and are back some seconds later. */
-    | { readonly kind: "restart"; readonly atMs: number; readonly share: number; readonly racks: boolean; }
+    | {
+        readonly kind: "restart";
+        readonly atMs: number;
+        readonly share: number;
+        readonly racks: boolean;
+        readonly underId: boolean;
+    }
     /** The capacity of a share of the workers shrinks to `left` of what it was. */
     | { readonly kind: "shrink"; readonly atMs: number; readonly forMs: number; readonly share: number; left: number; }
     /** The store turns every call away. */
--- a/src/experiment/troubles.ts
+++ b/src/experiment/troubles.ts
@@ -1,5 +1,5 @@
 /** Which workers a load's troubles strike, and how. */
-import type * as emulator from "../emulator/index";
+import * as emulator from "../emulator/index";
 import type * as leader from "../leader/index";
 import type * as random from "../random/index";
 import type * as work from "../work/index";
@@ -15,6 +15,9 @@
     apply(site: emulator.Site, atMs: number): void;
 }
 
+/** How long a worker is down that starts again under its id. */
+const RESTART_MS = 1_000;
+
 interface Strike {
     readonly trouble: loads.Trouble;
     readonly workerIds: ReadonlySet<string>;
@@ -47,7 +50,8 @@
         workers.filter(worker => ids.has(worker.id)).map(worker => worker.address);
     const isStruck = (kind: loads.Trouble["kind"], workerId: string, at: number) =>
         strikes.find(({ trouble, workerIds }) =>
-            trouble.kind === kind && workerIds.has(workerId) && "forMs" in trouble && isDuring(trouble, at)
+            trouble.kind === kind && workerIds.has(emulator.getFirstWorkerId(workerId)) && "forMs" in trouble
+            && isDuring(trouble, at)
         );
     return {
         faults: {
@@ -61,7 +65,7 @@
                     return Infinity;
                 }
                 const slow = isStruck("slow", workerId, now())?.trouble;
-                return (slow?.kind === "slow" ? slow.times : 1) / speedById.get(workerId)!;
+                return (slow?.kind === "slow" ? slow.times : 1) / speedById.get(emulator.getFirstWorkerId(workerId))!;
             },
             isFailing: workerId => isStruck("fail", workerId, now()) !== undefined,
         },
@@ -97,7 +101,10 @@
                 }
                 strike.applied = true;
                 if (trouble.kind === "restart") {
-                    addresses(workerIds).forEach(address => withWorkerAt(emulated, address, site.crashWorker));
+                    const restart = trouble.underId
+                        ? (id: string) => site.restartWorker(id, RESTART_MS)
+                        : site.crashWorker;
+                    addresses(workerIds).forEach(address => withWorkerAt(emulated, address, restart));
                 }
                 if (trouble.kind === "shrink") {
                     addresses(workerIds).forEach(address =>
