Only looks that have something to acknowledge carry a number

An acknowledgement that is under way when a worker starts again may be carried out by its next life. Looks repeated the last number each time, so one was under way nearly always; now a look carries it once, and again only if it got no answer.

--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -145,6 +145,7 @@
                 break;
         }
     };
+    const isUnacknowledged = () => recordedUpTo > acknowledgedUpTo;
     /**
      * An acknowledgement goes by number, and is carried out by whichever life it meets. It is safe while the next life
      * cannot have an end yet: no start has gone out since this one was last heard.
@@ -153,7 +154,7 @@
     const look = async (waitMs: number): Promise<boolean> => {
         const sentAt = time.now();
         lastLookAt = sentAt;
-        const acknowledged = mayAcknowledge() ? recordedUpTo : 0;
+        const acknowledged = isUnacknowledged() && mayAcknowledge() ? recordedUpTo : 0;
         const answer = await options.port.look(worker, {
             fencingToken: leadership.token,
             recordedUpTo: acknowledged,
@@ -246,7 +247,7 @@
         let idleSince: number | undefined;
         while (!signal.aborted && !gone) {
             const busy = options.isBusy();
-            const unacknowledged = lastEnd > acknowledgedUpTo && recordedUpTo > acknowledgedUpTo;
+            const unacknowledged = isUnacknowledged();
             if (busy) {
                 idleSince = undefined;
             }
