--- a/src/leader/__tests__/book.test.ts
+++ b/src/leader/__tests__/book.test.ts
@@ -1,31 +1,10 @@
-import * as clocks from "../../clock/index";
-import * as telemetry from "../../telemetry/index";
-import * as bookOfTasks from "../book";
 import * as entries from "../entries";
 import * as lostRuns from "../lostRuns";
-import * as thrownAway from "../thrownAway";
 import * as fixtures from "./fixtures";
 
 /** A gang of two, each on a worker of its own. */
 function openBookWithGang() {
-    const book = bookOfTasks.createBook({
-        clock: clocks.createManualClock(),
-        log: fixtures.LOG,
-        meter: telemetry.createMetrics().meter,
-        signal: new AbortController().signal,
-        listener: {
-            occurrenceChanged: () => undefined,
-            jobChanged: () => undefined,
-            stopWanted: () => undefined,
-            changed: () => undefined,
-        },
-        getQueue: () => fixtures.QUEUE,
-        getExpected: () => ({ objectiveMs: 0, chainMs: 0 }),
-        expectRun: () => 1_000,
-        getWorkers: () => [],
-        leftOut: new Set(),
-        thrownAway: thrownAway.createThrownAway(),
-    });
+    const book = fixtures.createBook();
     const job = book.addJob(fixtures.createSubmission("job", { count: 2, gang: true }));
     book.releaseDue();
     const members = job.occurrences.get(0)!.steps[0]!.tasks;
--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -1,7 +1,12 @@
 import type * as catalogs from "../../catalog/index";
+import * as clocks from "../../clock/index";
 import type * as observe from "../../observe/index";
+import * as telemetry from "../../telemetry/index";
 import * as work from "../../work/index";
+import * as bookOfTasks from "../book";
 import * as entries from "../entries";
+import type * as heldLease from "../heldLease";
+import * as thrownAway from "../thrownAway";
 
 export const QUEUE: catalogs.Queue = {
     name: "plan",
@@ -34,3 +39,41 @@
     const job = entries.createJobEntry(createSubmission(jobId, step), QUEUE, 0);
     return entries.createOccurrenceEntry(job, 0, 0).steps[0]!.tasks[0]!;
 }
+
+/** A lease that is held for good. */
+export const LEADERSHIP: heldLease.Leadership = {
+    token: 1,
+    guard: { table: "t", part: "", key: "k", version: 1 },
+    signal: new AbortController().signal,
+    transact: async () => ({ kind: "refused", message: "" }),
+    mayOrder: () => true,
+    mayProlong: () => true,
+    othersSilentAt: 0,
+};
+
+/** An empty book; `stopWanted` is told of each task that is to be stopped. */
+export function createBook(
+    { getWorkers = () => [], stopWanted = () => undefined }: {
+        getWorkers?(): Iterable<entries.WorkerEntry>;
+        stopWanted?(task: entries.TaskEntry): void;
+    } = {},
+): bookOfTasks.Book {
+    return bookOfTasks.createBook({
+        clock: clocks.createManualClock(),
+        log: LOG,
+        meter: telemetry.createMetrics().meter,
+        signal: new AbortController().signal,
+        listener: {
+            occurrenceChanged: () => undefined,
+            jobChanged: () => undefined,
+            stopWanted,
+            changed: () => undefined,
+        },
+        getQueue: () => QUEUE,
+        getExpected: () => ({ objectiveMs: 0, chainMs: 0 }),
+        expectRun: () => 1_000,
+        getWorkers,
+        leftOut: new Set(),
+        thrownAway: thrownAway.createThrownAway(),
+    });
+}
--- a/src/leader/__tests__/restore.test.ts
+++ b/src/leader/__tests__/restore.test.ts
@@ -1,10 +1,6 @@
-import * as clocks from "../../clock/index";
-import * as telemetry from "../../telemetry/index";
 import type * as work from "../../work/index";
-import * as bookOfTasks from "../book";
 import * as entries from "../entries";
 import * as lostRuns from "../lostRuns";
-import * as thrownAway from "../thrownAway";
 import * as fixtures from "./fixtures";
 
 const WAITING = { kind: "waiting", run: 4, failures: 0, crashWeight: 0, lostRuns: 0, saved: "" } as const;
@@ -12,24 +8,7 @@
 const RUNNING = { state: "running", ended: [], failed: false, endedAt: 0 } as const;
 
 function restore(progress: work.TaskProgress, lasting = false): entries.JobEntry {
-    const book = bookOfTasks.createBook({
-        clock: clocks.createManualClock(),
-        log: fixtures.LOG,
-        meter: telemetry.createMetrics().meter,
-        signal: new AbortController().signal,
-        listener: {
-            occurrenceChanged: () => undefined,
-            jobChanged: () => undefined,
-            stopWanted: () => undefined,
-            changed: () => undefined,
-        },
-        getQueue: () => fixtures.QUEUE,
-        getExpected: () => ({ objectiveMs: 0, chainMs: 0 }),
-        expectRun: () => 1_000,
-        getWorkers: () => [],
-        leftOut: new Set(),
-        thrownAway: thrownAway.createThrownAway(),
-    });
+    const book = fixtures.createBook();
     const job = book.addJob(fixtures.createSubmission("job", { lasting }));
     book.restoreJob(job, RUNNING, 1);
     const worker = entries.createWorkerEntry(entries.createUnknownWorker("w"));
--- a/src/leader/__tests__/workerRegistry.test.ts
+++ b/src/leader/__tests__/workerRegistry.test.ts
@@ -1,9 +1,6 @@
 import * as clocks from "../../clock/index";
-import * as telemetry from "../../telemetry/index";
-import * as bookOfTasks from "../book";
 import type * as directory from "../directory";
 import * as entries from "../entries";
-import * as thrownAway from "../thrownAway";
 import * as workerRegistry from "../workerRegistry";
 import type * as workerSession from "../workerSession";
 import * as fixtures from "./fixtures";
@@ -30,36 +27,14 @@
     const stops: string[] = [];
     const closed: string[] = [];
     const looks: string[] = [];
-    const book = bookOfTasks.createBook({
-        clock: time,
-        log: fixtures.LOG,
-        meter: telemetry.createMetrics().meter,
-        signal: new AbortController().signal,
-        listener: {
-            occurrenceChanged: () => undefined,
-            jobChanged: () => undefined,
-            stopWanted: task => stops.push(task.worker!.id),
-            changed: () => undefined,
-        },
-        getQueue: () => fixtures.QUEUE,
-        getExpected: () => ({ objectiveMs: 0, chainMs: 0 }),
-        expectRun: () => 1_000,
+    const book = fixtures.createBook({
         getWorkers: () => registry.all.values(),
-        leftOut: new Set(),
-        thrownAway: thrownAway.createThrownAway(),
+        stopWanted: task => stops.push(task.worker!.id),
     });
     const registry: workerRegistry.WorkerRegistry = workerRegistry.createWorkerRegistry({
         clock: time,
         log: fixtures.LOG,
-        leadership: {
-            token: 1,
-            guard: { table: "t", part: "", key: "k", version: 1 },
-            signal: new AbortController().signal,
-            transact: async () => ({ kind: "refused", message: "" }),
-            mayOrder: () => true,
-            mayProlong: () => true,
-            othersSilentAt: 0,
-        },
+        leadership: fixtures.LEADERSHIP,
         maxLeaseMs: 6_000,
         book,
         leaveOutUnknown: listed => listed,
--- a/src/leader/__tests__/workerSession.test.ts
+++ b/src/leader/__tests__/workerSession.test.ts
@@ -3,6 +3,7 @@
 import * as lapse from "../lapse";
 import type * as port from "../workerPort";
 import * as workerSession from "../workerSession";
+import * as fixtures from "./fixtures";
 
 const MAX_LEASE_MS = 6_000;
 const LOG = { info: () => undefined, warn: () => undefined, error: () => undefined };
@@ -11,7 +12,6 @@
 async function openSession(rate: number) {
     const time = clocks.createManualClock();
     const deadlines: number[] = [];
-    const over = new AbortController();
     const getWorkerClock = () => 5_000 + time.now() * rate;
     const worker: port.WorkerPort = {
         start: async (_worker, order) => {
@@ -28,15 +28,7 @@
         port: worker,
         clock: time,
         log: LOG,
-        leadership: {
-            token: 1,
-            guard: { table: "t", part: "", key: "k", version: 1 },
-            signal: over.signal,
-            transact: async () => ({ kind: "refused", message: "" }),
-            mayOrder: () => true,
-            mayProlong: () => true,
-            othersSilentAt: 0,
-        },
+        leadership: fixtures.LEADERSHIP,
         firstLooks: firstLooks.createFirstLooks(time),
         maxLeaseMs: MAX_LEASE_MS,
         isBusy: () => false,
@@ -51,10 +43,7 @@
     return { time, session, deadlines, getWorkerClock };
 }
 
-// Symptom: a task runs on two workers, or one of a cancelled job runs though nobody knows of it. Sequence: a worker with
-// a slow clock is idle for long, a start is sent to it and not answered, the worker is cut off until all that it could
-// run counts as lapsed, and then it carries the start out. Cause: the start's deadline was made from the worker's clock
-// as it was long before, which by now shows less, so it lay beyond the time at which the start counts as lapsed.
+// Guards against a start that is carried out after it counts as lapsed, since a slow clock made its deadline too late.
 describe("a start sent after a long idle time", () => {
     const idle: readonly number[] = [0, 20_000, 3_600_000];
     test.each(idle)("of %d ms has lapsed when we count on it, at a clock that is 2%% slow", async idleMs => {
@@ -82,7 +71,6 @@
 /** A session with a worker that a test ends and begins again; ends that a life has forgotten are in `forgotten`. */
 async function openRestartable() {
     const time = clocks.createManualClock();
-    const over = new AbortController();
     const begin = (bornAt: number) => ({ bornAt, ends: [] as port.TaskEnd[], forgotten: [] as port.TaskEnd[] });
     const worker = { life: begin(FIRST_BORN_AT) };
     const nextLives: Array<{ bornAt: number; lists: workerSession.WorkerLists; }> = [];
@@ -109,15 +97,7 @@
         },
         clock: time,
         log: LOG,
-        leadership: {
-            token: 1,
-            guard: { table: "t", part: "", key: "k", version: 1 },
-            signal: over.signal,
-            transact: async () => ({ kind: "refused", message: "" }),
-            mayOrder: () => true,
-            mayProlong: () => true,
-            othersSilentAt: 0,
-        },
+        leadership: fixtures.LEADERSHIP,
         firstLooks: firstLooks.createFirstLooks(time),
         maxLeaseMs: MAX_LEASE_MS,
         isBusy: () => true,
