A start that was never confirmed is not charged to a task when another crashed the worker

Callers saw a job that could be done shown as failed (fuzz): one task of a gang reached the budget of five with knownCrashes 0.5.

Cause: a start without an answer counts as a possible crash of its worker. Two of the five went to workers that a task of another job had just crashed: worker-3 held confirmed runs of job 9, worker-4-again confirmed runs of job b, and both jobs were given up as crashing their workers. Nothing that was learned of those was ever applied to the loss that they shared.

Fix: a loss that was never confirmed asks what is known of the other runs that were lost with the worker. It does not count once the step of a confirmed run of another job was given up with a certain crash.

Before: "job 3 is failed; expected completed". The new cases of crashHistory and crashAttribution fail before.

--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -45,6 +45,7 @@
     [811079, "an unanswered start was hardly counted, although its worker had just answered"],
     [811329, "a withdrawn start counted as lost, since its leader was lost before the withdrawal was stored"],
     [9_143_791, "starts that counted against a task's crash limit were preempted by other work"],
+    [9_400_139, "unanswered starts on workers that another task had crashed were counted as crashes of a healthy task"],
 ];
 /** Seeds that failed once with faults delayed by `shiftMs`, with the fault that they guard against. */
 const SHIFTED_SEEDS: ReadonlyArray<readonly [seed: number, shiftMs: number, cause: string]> = [
--- a/src/leader/__tests__/crashAttribution.test.ts
+++ b/src/leader/__tests__/crashAttribution.test.ts
@@ -267,3 +267,53 @@
     const { knownCrashes, crashBudgetUsed } = crashHistory.getCounts(task.crashes);
     return [knownCrashes - before.knownCrashes, crashBudgetUsed - before.crashBudgetUsed];
 }
+
+const UNCONFIRMED = { phase: "stopping", runningSince: 0, lastReportAt: 0 } as const;
+
+// Guards against giving up a healthy task whose unanswered starts went to workers that another task had crashed.
+describe("a lost run beside one of another job that is a likely crash", () => {
+    const { OtherCause } = crashHistory;
+    test.each([
+        { name: "may be due to it while it is open", fields: UNCONFIRMED, cause: OtherCause.Possible },
+        {
+            name: "is not due to it once it has ended otherwise",
+            fields: UNCONFIRMED,
+            end: (other: entries.TaskEntry) => {
+                other.step.occurrence.isEnded = true;
+            },
+            cause: OtherCause.None,
+        },
+        {
+            name: "is due to it once it was given up for its crashes",
+            fields: UNCONFIRMED,
+            end: (other: entries.TaskEntry) => {
+                other.step.crashesWorkers = true;
+                other.step.occurrence.isEnded = true;
+            },
+            cause: OtherCause.Known,
+        },
+        { name: "is not due to it if the lost run was confirmed", fields: {}, cause: OtherCause.None },
+        {
+            name: "is not due to it if an earlier leader ordered the lost run",
+            fields: { ...UNCONFIRMED, inherited: true },
+            cause: OtherCause.None,
+        },
+    ])("$name", async ({ fields, end, cause }) => {
+        const time = clocks.createManualClock();
+        await time.advance(CRASHED_AT);
+        const worker = createWorker(0);
+        const attribution = crashAttribution.createCrashAttribution({
+            clock: time,
+            getWorkers: () => [worker],
+            estimateRunMs: ({ spec }) => spec.estimateMs,
+            onReviewed: () => undefined,
+        });
+        const task = addTask(worker, 10, fields);
+        const other = addTask(worker, 10);
+        entries.setReachable(worker, false, CRASHED_AT);
+        const losses = attribution.attributeLoss(worker, { restarted: true, hasNextIncarnation: false });
+        losses.forEach((loss, { crashes }) => crashHistory.recordLoss(crashes, loss));
+        end?.(other);
+        expect(losses.get(task)?.findOtherCause()).toBe(cause);
+    });
+});
--- a/src/leader/__tests__/crashHistory.test.ts
+++ b/src/leader/__tests__/crashHistory.test.ts
@@ -11,14 +11,15 @@
     readonly isBeyondLimit?: boolean;
 }
 
-const { Certainty } = crashHistory;
+const { Certainty, OtherCause } = crashHistory;
 
 function lose(
     history: crashHistory.CrashHistory,
     maxAgeMs: number,
     certainty: crashHistory.Certainty = Certainty.None,
+    otherCause: crashHistory.OtherCause = OtherCause.None,
 ): crashHistory.RunLoss {
-    const loss = { maxAgeMs, certainty, isDisproved: false };
+    const loss = { maxAgeMs, certainty, isDisproved: false, findOtherCause: () => otherCause };
     crashHistory.recordStart(history);
     crashHistory.recordLoss(history, loss);
     return loss;
@@ -83,6 +84,19 @@
         },
         ...counts(0, 1),
     },
+    {
+        name: "of which one was lost with a worker that another task may have crashed",
+        act: history => lose(history, 100, Certainty.None, OtherCause.Possible),
+        ...counts(0, 1),
+    },
+    {
+        name: "of which one was lost with a worker that another task has crashed",
+        act: history => {
+            lose(history, 100);
+            lose(history, 100, Certainty.None, OtherCause.Known);
+        },
+        ...counts(0, 1),
+    },
     {
         name: "of which a later one runs for much longer than the lost ones",
         act: history => {
@@ -133,7 +147,12 @@
         stored: counts(0, 4),
         isPlaced: true,
         act: history =>
-            crashHistory.recordLoss(history, { maxAgeMs: Infinity, certainty: Certainty.None, isDisproved: false }),
+            crashHistory.recordLoss(history, {
+                maxAgeMs: Infinity,
+                certainty: Certainty.None,
+                isDisproved: false,
+                findOtherCause: () => OtherCause.None,
+            }),
         ...counts(0, 4),
     },
 ];
@@ -149,3 +168,23 @@
         expect(crashHistory.isCrashLimitReached(history)).toBe(isBeyondLimit);
     });
 });
+
+// Guards against giving up a healthy task for crashes of which another task is the likelier cause.
+describe("giving up a task waits for other jobs", () => {
+    test.each([
+        { name: "if they may have caused a loss", certainty: Certainty.None, cause: OtherCause.Possible, waits: true },
+        { name: "not if they cannot have", certainty: Certainty.None, cause: OtherCause.None, waits: false },
+        {
+            name: "not if the task has certainly crashed two workers",
+            certainty: Certainty.Certain,
+            cause: OtherCause.Possible,
+            waits: false,
+        },
+    ])("$name", ({ certainty, cause, waits }) => {
+        const history = crashHistory.createCrashHistory();
+        times(4, () => lose(history, 100, certainty));
+        lose(history, 100, Certainty.None, cause);
+        expect(crashHistory.isCrashLimitReached(history)).toBe(true);
+        expect(crashHistory.mayBelongToOthers(history)).toBe(waits);
+    });
+});
--- a/src/leader/crashAttribution.ts
+++ b/src/leader/crashAttribution.ts
@@ -82,6 +82,18 @@
     /** When another worker or incarnation was last found at each address, and its rack. */
     const restarts = new Map<string, { readonly at: number; readonly rack: string; }>();
 
+    const createRunLosses = (runs: readonly lostRuns.LostRun[]) => {
+        const runLosses = new Map<lostRuns.LostRun, crashHistory.RunLoss>();
+        for (const run of runs) {
+            runLosses.set(run, {
+                maxAgeMs: run.maxAgeMs,
+                certainty: crashHistory.Certainty.None,
+                isDisproved: false,
+                findOtherCause: () => findOtherCause(run, runLosses),
+            });
+        }
+        return runLosses;
+    };
     const dropExpired = () => {
         const since = time.now() - LOSS_RETENTION_MS;
         dropBefore(losses, since);
@@ -179,7 +191,7 @@
                 wasLeaving,
                 restarted,
                 isDisproved: false,
-                runLosses: new Map(runs.map(run => [run, createLoss(run)])),
+                runLosses: createRunLosses(runs),
             };
             setLast(losses, worker.id, loss);
             setLast(lossesByAddress, worker.info.address, loss);
@@ -202,8 +214,29 @@
     };
 }
 
-function createLoss({ maxAgeMs }: lostRuns.LostRun): crashHistory.RunLoss {
-    return { maxAgeMs, certainty: crashHistory.Certainty.None, isDisproved: false };
+/**
+ * Finds out whether a run that was never confirmed was lost to the crash of another job's run, which its worker had
+ * confirmed.
+ */
+function findOtherCause(
+    run: lostRuns.LostRun,
+    runLosses: ReadonlyMap<lostRuns.LostRun, crashHistory.RunLoss>,
+): crashHistory.OtherCause {
+    const { Certainty, OtherCause } = crashHistory;
+    if (run.isConfirmed || run.task.inherited) {
+        return OtherCause.None;
+    }
+    const { job } = run.task.step.occurrence;
+    const steps = [...runLosses]
+        .filter(([{ task }, loss]) =>
+            task.step.occurrence.job !== job && loss.certainty > Certainty.None
+            && crashHistory.isUpheld(task.crashes, loss)
+        )
+        .map(([{ task }]) => task.step);
+    if (steps.some(step => step.crashesWorkers)) {
+        return OtherCause.Known;
+    }
+    return steps.some(step => !step.occurrence.isEnded) ? OtherCause.Possible : OtherCause.None;
 }
 
 /** Sets the entry and moves it to the end of the map's order. */
--- a/src/leader/crashHistory.ts
+++ b/src/leader/crashHistory.ts
@@ -28,6 +28,16 @@
 } as const;
 export type Certainty = typeof Certainty[keyof typeof Certainty];
 
+/** Whether a run of another job that was lost with the worker has crashed it. */
+export const OtherCause = {
+    None: "none",
+    /** The other run is the likelier cause, but its job has not ended. */
+    Possible: "possible",
+    /** The other run's step was given up because it crashes workers. */
+    Known: "known",
+} as const;
+export type OtherCause = typeof OtherCause[keyof typeof OtherCause];
+
 /** A run that was lost with its worker. */
 export interface RunLoss {
     /** Maximum age of the run when its worker's incarnation ended, in milliseconds; `Infinity` if unknown. */
@@ -35,6 +45,8 @@
     certainty: Certainty;
     /** Whether the worker turned out to have been merely unreachable. */
     isDisproved: boolean;
+    /** What is known now of the other runs that were lost with the worker. */
+    findOtherCause(): OtherCause;
 }
 
 /** The losses and charged starts of a task. */
@@ -86,16 +98,28 @@
     };
 }
 
-/** Returns the current counts, without disproved losses and those that a later run has outlived. */
-export function getCounts({ stored, losses, chargedStarts, longestRunMs }: CrashHistory): CrashCounts {
-    const upheld = losses.filter(loss => !loss.isDisproved && loss.maxAgeMs + CRASH_AGE_TOLERANCE_MS >= longestRunMs);
-    const crashes = stored.crashBudgetUsed + upheld.length;
+/** Returns the current counts, without disproved losses, those that a later run has outlived, and those of others. */
+export function getCounts(history: CrashHistory): CrashCounts {
+    const { stored, losses, chargedStarts } = history;
+    const own = losses.filter(loss => isUpheld(history, loss) && loss.findOtherCause() !== OtherCause.Known);
+    const crashes = stored.crashBudgetUsed + own.length;
     return {
-        knownCrashes: upheld.reduce((sum, loss) => sum + loss.certainty, stored.knownCrashes),
+        knownCrashes: countKnownCrashes(history),
         crashBudgetUsed: crashes > 0 ? crashes + chargedStarts : 0,
     };
 }
 
+/** Whether the loss is neither disproved nor outlived by a later run of the task. */
+export function isUpheld({ longestRunMs }: CrashHistory, loss: RunLoss): boolean {
+    return !loss.isDisproved && loss.maxAgeMs + CRASH_AGE_TOLERANCE_MS >= longestRunMs;
+}
+
+/** Returns the lower bound alone, which does not depend on the losses of other tasks. */
+function countKnownCrashes(history: CrashHistory): number {
+    const upheld = history.losses.filter(loss => isUpheld(history, loss));
+    return upheld.reduce((sum, loss) => sum + loss.certainty, history.stored.knownCrashes);
+}
+
 /** Records a start of the task, and charges it if too many workers may have crashed. */
 export function recordStart(history: CrashHistory): void {
     history.isStartCharged = getCounts(history).crashBudgetUsed >= CRASHES_BEFORE_CHARGE;
@@ -130,6 +154,17 @@
     return knownCrashes >= KNOWN_CRASH_LIMIT || crashBudgetUsed >= CRASH_BUDGET;
 }
 
+/** Whether the crash limit is reached by possible crashes of which another task may turn out to be the cause. */
+export function mayBelongToOthers(history: CrashHistory): boolean {
+    return countKnownCrashes(history) < KNOWN_CRASH_LIMIT
+        && history.losses.some(loss => isUpheld(history, loss) && loss.findOtherCause() === OtherCause.Possible);
+}
+
+/** Whether at least one crash of a worker is certainly the task's. */
+export function hasCrashedWorker(history: CrashHistory): boolean {
+    return countKnownCrashes(history) >= Certainty.Certain;
+}
+
 /** Whether the task is isolated from other runs that have just begun. */
 export function isSuspect(history: CrashHistory): boolean {
     const { knownCrashes, crashBudgetUsed } = getCounts(history);
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -78,6 +78,8 @@
     doneCount: number;
     /** Latest gang run that was counted as failed, so that the other members' ends are not counted again. */
     lastFailedRun: number;
+    /** Whether one of its tasks was given up after it had certainly crashed a worker. */
+    crashesWorkers: boolean;
     /** Ids of workers that were quarantined because the step failed there right after its start. */
     readonly earlyFailureWorkers: Set<string>;
     /** When all steps that it depends on were done; `undefined` while the step may not start. */
@@ -201,6 +203,7 @@
             tasks: [],
             doneCount: 0,
             lastFailedRun: 0,
+            crashesWorkers: false,
             earlyFailureWorkers: new Set(),
             readySince: spec.after.length === 0 ? now : undefined,
             tickets: new Map(),
--- a/src/leader/workerLosses.ts
+++ b/src/leader/workerLosses.ts
@@ -48,10 +48,35 @@
     readonly crashAttribution: crashes.CrashAttribution;
 }
 
+/** Longest time for which a task at its crash limit waits for others; each of their runs takes about 3 s. */
+const MAX_DEFERRAL_MS = 15_000;
+const DEFERRED_CHECK_MS = 500;
+
 /** Creates the handling of lost workers for one term. */
 export function createWorkerLosses(options: WorkerLossesOptions): WorkerLosses {
     const { clock: time, log, meter } = options;
 
+    /** When each task that waits for the end of other jobs began to wait. */
+    const deferredSince = new Map<entries.TaskEntry, number>();
+    const isDeferred = (task: entries.TaskEntry) =>
+        crashHistory.mayBelongToOthers(task.crashes)
+        && time.now() - (deferredSince.get(task) ?? time.now()) < MAX_DEFERRAL_MS;
+    /** Waits for the end of other jobs, which may turn out to have crashed the task's workers. */
+    const defer = async (task: entries.TaskEntry) => {
+        if (deferredSince.has(task)) {
+            return;
+        }
+        deferredSince.set(task, time.now());
+        log.info("giveUpDeferred", { task: task.name, ...crashHistory.getCounts(task.crashes) });
+        while (!options.signal.aborted && isDeferred(task)) {
+            await time.sleep(DEFERRED_CHECK_MS, options.signal);
+        }
+        if (!options.signal.aborted) {
+            enforceCrashLimit(task);
+            deferredSince.delete(task);
+            options.onOccurrenceChanged(task.step.occurrence);
+        }
+    };
     const enforceCrashLimit = (task: entries.TaskEntry) => {
         if (
             !crashHistory.isCrashLimitReached(task.crashes) || task.worker || task.phase === "done"
@@ -59,6 +84,11 @@
         ) {
             return;
         }
+        if (isDeferred(task)) {
+            void defer(task);
+            return;
+        }
+        task.step.crashesWorkers = crashHistory.hasCrashedWorker(task.crashes);
         log.warn("taskGivenUp", {
             task: task.name,
             runs: task.run,
