The start of a task that may crash its worker expires after 0.5 s

Callers saw a job that could be done shown as failed (fuzz): knownCrashes 0, crashBudgetUsed 5.

Cause: run 2 was sent to worker-3 at 4,302 ms and got no answer. A poll answered at 4,931 listed neither the run nor an end, so it had not been carried out, but the order was valid for a whole lease and could still be. The stop got no answer, the worker restarted at 9,317, and the run was charged as a possible crash.

Fix: the start of a task with losses carries a deadline of 0.5 s. A worker refuses it afterwards, so a poll sent later that does not list the run proves that it never ran there: the run is only closed (a restart may still receive the order) and a loss of the worker is not charged. The next poll extends the lease as before. Tasks without losses keep the full deadline.

Ruled out: taking the task back without a stop (the next incarnation's clock begins anew, so the expired order may be valid there).

Before: "job c is failed; expected completed".

--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -46,6 +46,7 @@
     [811329, "a withdrawn start counted as lost, since its leader was lost before the withdrawal was stored"],
     [9_143_791, "starts that counted against a task's crash limit were preempted by other work"],
     [9_400_139, "unanswered starts on workers that another task had crashed were counted as crashes of a healthy task"],
+    [9_401_160, "an unanswered start that a poll had shown not to have been carried out counted as a lost run"],
 ];
 /** Seeds that failed once with faults delayed by `shiftMs`, with the fault that they guard against. */
 const SHIFTED_SEEDS: ReadonlyArray<readonly [seed: number, shiftMs: number, cause: string]> = [
--- a/src/leader/__tests__/orders.test.ts
+++ b/src/leader/__tests__/orders.test.ts
@@ -14,12 +14,19 @@
     readonly answers?: boolean;
     readonly mayStartThen?: boolean;
     readonly calls: readonly string[];
+    /** How long the start order is valid; `undefined` if it is valid as long as a lease. */
+    readonly validMs?: number;
     readonly isSetAside?: boolean;
 }
 
 const cases: readonly Case[] = [
     { name: "without losses is started without a poll", crashBudgetUsed: 0, calls: ["start"] },
-    { name: "that was lost before is started after a poll", crashBudgetUsed: 1, calls: ["poll", "start"] },
+    {
+        name: "that was lost before is started after a poll",
+        crashBudgetUsed: 1,
+        calls: ["poll", "start"],
+        validMs: 500,
+    },
     {
         name: "that was lost before is taken back from a worker that does not answer, which is quarantined",
         crashBudgetUsed: 1,
@@ -40,7 +47,7 @@
 describe("a task that is placed", () => {
     test.each(cases)(
         "$name",
-        async ({ crashBudgetUsed, answers = true, mayStartThen = true, calls, isSetAside = false }) => {
+        async ({ crashBudgetUsed, answers = true, mayStartThen = true, calls, validMs, isSetAside = false }) => {
             const time = clocks.createManualClock(1_000);
             const worker = entries.createWorkerEntry(entries.createUnknownWorkerInfo("w"));
             const task = fixtures.createTask("job");
@@ -55,8 +62,9 @@
                     mayStart = mayStartThen;
                     return answers;
                 },
-                start: async () => {
+                start: async (_order, sentValidMs) => {
                     called.push("start");
+                    expect(sentValidMs).toBe(validMs);
                     return { kind: "accepted", workerClock: 0 };
                 },
             };
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -35,6 +35,8 @@
     /** Monotonic times at which the current run was ordered and confirmed, in milliseconds. */
     orderedAt: number;
     runningSince: number;
+    /** When the start order can no longer be carried out by the incarnation that it was sent to; `Infinity` if never. */
+    startExpiresAt: number;
     /** When the start order timed out without an answer; `undefined` if it was answered or is still in flight. */
     startTimedOutAt: number | undefined;
     /** When the worker accepted the stop order; `undefined` before that. */
@@ -231,6 +233,7 @@
         worker: undefined,
         orderedAt: 0,
         runningSince: 0,
+        startExpiresAt: Infinity,
         startTimedOutAt: undefined,
         stopAcceptedAt: undefined,
         stopReason: "",
@@ -327,6 +330,12 @@
     return Math.max(task.orderedAt, task.runningSince);
 }
 
+/** Whether a poll sent at `sentAt` that does not list the run proves that its start was and will not be carried out. */
+export function isStartExpired(task: TaskEntry, sentAt: number): boolean {
+    const isConfirmed = task.runningSince >= task.orderedAt || task.lastReportAt >= task.orderedAt;
+    return !task.inherited && !isConfirmed && task.startExpiresAt < sentAt;
+}
+
 /** Time from the start of the current run to its worker's latest report of it, in milliseconds; 0 without a report. */
 export function getObservedMs(task: TaskEntry): number {
     return Math.max(0, task.lastReportAt - getStartedAt(task));
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -321,8 +321,13 @@
                     // Only this member is missing; the others may still run on their workers.
                     stopOtherMembers(task, reason === entries.MISSING_RUN_REASON ? "gangIncomplete" : reason);
                     break;
-                case "waiting":
                 case "stopping":
+                    if (reason === entries.MISSING_RUN_REASON && !entries.isClosing(task)) {
+                        task.stopReason = reason;
+                        listener.onOccurrenceChanged(task.step.occurrence);
+                    }
+                    break;
+                case "waiting":
                 case "done":
                     break;
             }
--- a/src/leader/leaseExpiry.ts
+++ b/src/leader/leaseExpiry.ts
@@ -15,6 +15,11 @@
     return grantedAt + maxLeaseMs * MAX_LEASE_STRETCH + MAX_TRANSIT_MS;
 }
 
+/** Returns the time, on the leader's clock, from which a start sent at `sentAt` with that validity is refused. */
+export function getStartExpiresAt(sentAt: number, validMs: number): number {
+    return sentAt + validMs * MAX_LEASE_STRETCH;
+}
+
 /** A reading of a worker's clock, and the leader's time at which it was read, in milliseconds. */
 export interface ClockReading {
     readonly value: number;
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -5,6 +5,7 @@
 import * as crashHistory from "./crashHistory";
 import type * as entries from "./entries";
 import type * as jobRegistry from "./jobRegistry";
+import * as leaseExpiry from "./leaseExpiry";
 import * as reachabilityCheck from "./reachabilityCheck";
 import * as suspects from "./suspects";
 import type * as port from "./workerPort";
@@ -54,6 +55,11 @@
  * a core would stop healthy runs whose answers it has not read in time.
  */
 const MAX_STARTS_IN_FLIGHT = 32;
+/**
+ * How long the start of a task that may crash its worker is valid. A poll afterwards proves whether it was carried out,
+ * and so whether a later loss of the worker counts against the task.
+ */
+const SUSPECT_START_VALID_MS = 500;
 /** Time to resolve a start without an answer, even if one poll is lost; gang members wait 3 s for each other. */
 const UNANSWERED_TIMEOUT_MS = 1_000;
 
@@ -112,6 +118,8 @@
         task.phase = "ordered";
         task.startTimedOutAt = undefined;
         task.orderedAt = time.now();
+        const validMs = crashHistory.mayHaveCrashedWorker(task.crashes) ? SUSPECT_START_VALID_MS : undefined;
+        task.startExpiresAt = leaseExpiry.getStartExpiresAt(task.orderedAt, validMs ?? Infinity);
         const { submission } = task.step.occurrence.job;
         const answer = await session.start({
             task: task.name,
@@ -119,7 +127,7 @@
             payload: submission.spec.payload,
             saved: task.saved,
             ticket: task.step.tickets.get(worker.id)?.ticket,
-        });
+        }, validMs);
         meter.increment("start_orders_total", { answer: answer.kind });
         if (task.worker !== worker || task.run !== run) {
             return;
--- a/src/leader/reconcile.ts
+++ b/src/leader/reconcile.ts
@@ -71,10 +71,17 @@
                     options.log.info("orderSettled", { task: task.name, run: task.run, worker: worker.id });
                     options.jobRegistry.revertPlacement(task);
                 }
+                else if (entries.isStartExpired(task, sentAt)) {
+                    options.jobRegistry.requestStop(task, entries.MISSING_RUN_REASON);
+                }
                 break;
             case "ordered":
                 if (task.startTimedOutAt !== undefined && task.startTimedOutAt < sentAt) {
-                    options.jobRegistry.requestStop(task, "startUnanswered");
+                    const isExpired = entries.isStartExpired(task, sentAt);
+                    options.jobRegistry.requestStop(
+                        task,
+                        isExpired ? entries.MISSING_RUN_REASON : "startUnanswered",
+                    );
                 }
                 break;
             case "waiting":
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -59,8 +59,14 @@
     hasAnsweredWithin(maxSilenceMs: number): boolean;
     /** Like `hasAnsweredWithin`, but polls the worker once if it has not. */
     ensureReachable(maxSilenceMs: number): Promise<boolean>;
-    /** Sends a start order with the leader's token and a new deadline; never rejects. */
-    start(order: Omit<port.StartOrder, "fencingToken" | "deadline">): Promise<port.OrderAnswer>;
+    /**
+     * Sends a start order with the leader's token and a new deadline; never rejects. The worker refuses the order after
+     * `validMs`, and the next poll extends the lease.
+     */
+    start(
+        order: Omit<port.StartOrder, "fencingToken" | "deadline">,
+        validMs?: number,
+    ): Promise<port.OrderAnswer>;
     stop(order: Omit<port.RunOrder, "fencingToken">): Promise<port.OrderAnswer>;
     pace(order: Omit<port.PaceOrder, "fencingToken">): Promise<port.OrderAnswer>;
     /** Polls at once, beside a poll of the loop that may be in flight. */
@@ -118,13 +124,13 @@
             workerClock = { value, readAt: time.now() };
         }
     };
-    const getDeadline = () => {
+    const getDeadline = (leaseMs = options.maxLeaseMs) => {
         if (!workerClock) {
             return undefined;
         }
         const now = time.now();
-        expiresAt = Math.max(expiresAt, leaseExpiry.getExpiresAt(now, options.maxLeaseMs));
-        return Math.floor(leaseExpiry.getMinClock(workerClock, now) + options.maxLeaseMs);
+        expiresAt = Math.max(expiresAt, leaseExpiry.getExpiresAt(now, leaseMs));
+        return Math.floor(leaseExpiry.getMinClock(workerClock, now) + leaseMs);
     };
     const setReachable = (next: boolean) => {
         if (isReachable !== next) {
@@ -334,11 +340,11 @@
     return {
         hasAnsweredWithin,
         ensureReachable,
-        start: async request => {
+        start: async (request, validMs) => {
             if (workerClock && !await ensureReachable(MAX_CLOCK_AGE_MS)) {
                 return { kind: "unreachable", message: "the last reading of the worker's clock is too old" };
             }
-            const deadline = getDeadline();
+            const deadline = getDeadline(validMs);
             if (deadline === undefined) {
                 return { kind: "unreachable", message: "no reading of the worker's clock yet" };
             }
