--- a/verdict/__tests__/verdict.test.ts
+++ b/verdict/__tests__/verdict.test.ts
@@ -4,14 +4,20 @@
 const FAILURE: verdict.KnownFailure = {
     test: "a.test.ts › one",
     command: "npx jest a -t one",
+    isRunByHand: false,
     seen: "it waits for ever",
     issue: "7",
 };
+const BY_HAND: verdict.KnownFailure = { ...FAILURE, isRunByHand: true };
 
 describe("the list of known failures", () => {
     const cases: ReadonlyArray<readonly [name: string, text: string, expected: verdict.ParsedList]> = [
         ["is empty", "", { kind: "list", failures: [] }],
         ["has an entry and comments", `# why\n\n${ENTRY}\n\n\n# end\n`, { kind: "list", failures: [FAILURE] }],
+        ["has an entry of a check that is run by hand", ENTRY.replace("test: ", "test: by hand: "), {
+            kind: "list",
+            failures: [BY_HAND],
+        }],
         ["names no issue", ENTRY.replace("issue: 7", "issue: "), {
             kind: "invalid",
             problems: ["an entry does not consist of the four lines test, command, seen, issue: test: a.test.ts › one"],
@@ -71,6 +77,20 @@
             problems: [`listed as a known failure, but not run: ${FAILURE.test}`],
             known: 0,
         },
+        {
+            name: "a listed one that is run by hand is not run",
+            outcomes: [],
+            listed: [BY_HAND],
+            problems: [],
+            known: 1,
+        },
+        {
+            name: "a listed one that is run by hand passes",
+            outcomes: [one("passed")],
+            listed: [BY_HAND],
+            problems: [`listed as a known failure, but passed: ${FAILURE.test}`],
+            known: 0,
+        },
         {
             name: "two tests of the listed name, of which one passes",
             outcomes: [one("failed"), one("passed")],
--- a/verdict/evaluateResults.ts
+++ b/verdict/evaluateResults.ts
@@ -1,7 +1,7 @@
 /**
  * Compares the results of a run with the list of known failures.
  *
- * A listed check that passes, is skipped or is missing fails the run as well. Otherwise a fixed test could stay listed
+ * A listed check that passes, is skipped or is missing fails the run as well, unless it is only run by hand. Otherwise a fixed test could stay listed
  * and hide the next regression, and a test that was renamed or skipped would no longer run without anyone noticing.
  */
 import type * as checkResult from "./checkResult";
@@ -10,7 +10,7 @@
 export interface Evaluation {
     /** Reasons why the run fails; empty if it passes. */
     readonly problems: readonly string[];
-    /** The known failures that failed again. */
+    /** The known failures that failed again, and those that are only run by hand. */
     readonly known: readonly knownFailures.KnownFailure[];
     readonly passed: number;
 }
@@ -29,6 +29,10 @@
     ];
     for (const entry of listed) {
         const outcomes = results.filter(result => result.name === entry.test).map(result => result.outcome);
+        if (entry.isRunByHand && outcomes.length === 0) {
+            known.push(entry);
+            continue;
+        }
         if (outcomes.length === 0) {
             problems.push(`listed as a known failure, but not run: ${entry.test}`);
             continue;
--- a/verdict/knownFailures.ts
+++ b/verdict/knownFailures.ts
@@ -3,6 +3,8 @@
 export interface KnownFailure {
     /** Name of the check, as `CheckResult.name`. */
     readonly test: string;
+    /** Whether the check is only run by hand, such as a long soak: a CI run has no result for it. */
+    readonly isRunByHand: boolean;
     /** Command that reproduces the failure, with the seed if there is one. */
     readonly command: string;
     /** Observed failure. */
@@ -16,10 +18,11 @@
     | { readonly kind: "invalid"; readonly problems: readonly string[]; };
 
 const FIELDS = ["test", "command", "seen", "issue"] as const;
+const BY_HAND_PREFIX = "by hand: ";
 
 /**
  * Parses the list. Entries are blocks of `field: text` lines, separated by empty lines; lines that begin with # are
- * comments.
+ * comments. The name of a check that CI does not run begins with "by hand: ".
  */
 export function parseKnownFailures(text: string): ParsedList {
     const blocks = text.split("\n")
@@ -55,5 +58,6 @@
         return undefined;
     }
     const [test, command, seen, issue] = values as [string, string, string, string];
-    return { test, command, seen, issue };
+    const isRunByHand = test.startsWith(BY_HAND_PREFIX);
+    return { test: isRunByHand ? test.slice(BY_HAND_PREFIX.length) : test, isRunByHand, command, seen, issue };
 }
