Nothing starts in an availability zone that an operator has evacuated

src/evacuation keeps the evacuated zones of each instance from the feed of the operators' table that it follows anyway, with version and age. A row evacuates its zone whatever its value (an error line if the value is unknown); a gap in the history replaces all that is known. Starts are checked when they are placed and when the order goes out. Where the table was last read longer ago than an evacuation may take to be in force, less 0.6 s for the delivery of an order, nothing starts anywhere: an evacuation may be due that was not read.

What runs in the zone goes on.

--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -12,6 +12,7 @@
             "leave out tasks that crash workers, workers that crash, and capacities that change",
         )
         .option("--no-restarts", "leave out workers that restart under the same id")
+        .option("--no-evacuations", "leave out zones that are evacuated")
         .option("--shift <ms>", "delay faults and events by this much relative to the leader's timers", "0")
         .option("--log", "print the log lines of sites with a violation")
         .parse();
@@ -24,6 +25,7 @@
             slowStore: boolean;
             hazards: boolean;
             restarts: boolean;
+            evacuations: boolean;
         }
     >();
     const firstSeed = Number(options.seed);
@@ -34,6 +36,7 @@
             slowStore: options.slowStore,
             hazards: options.hazards,
             restarts: options.restarts,
+            evacuations: options.evacuations,
             shiftMs: Number(options.shift),
         });
         wronglyFailedJobs += report.wronglyFailedJobs;
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -15,6 +15,7 @@
 import type * as stores from "./store";
 import type * as workerOrders from "./workerOrders";
 import * as emulatedWorkers from "./workers";
+import * as zoneEvacuations from "./zoneEvacuations";
 
 /** Result of one chaos run. */
 export interface ChaosReport {
@@ -36,6 +37,8 @@
 /** Time for recovery after the faults. */
 const RECOVERY_MS = 70_000;
 const STEP_MS = 50;
+/** Maximum time from an evacuation until nothing starts in the zone. */
+const EVACUATION_MS = 5_000;
 /**
  * Time after the faults within which the tasks of cancelled jobs must have stopped. The last order may be carried out
  * 6.3 s late, a new leader is elected within 2 s, and a worker that was unreachable answers and gets its stop orders
@@ -57,11 +60,17 @@
  *
  * With `slowStore` the store is also slow for a while, and carries out the transactions of a part one at a time. With
  * `hazards` tasks crash their workers, workers crash and come back, and capacities change. With `restarts` workers
- * restart under the same ids. `shiftMs` delays faults and events, so that they coincide with other timers of the leader.
+ * restart under the same ids. With `evacuations` zones are evacuated and restored. `shiftMs` delays faults and events, so that they coincide with other timers of the leader.
  */
 export async function runChaos(
     seed: number,
-    { slowStore = false, hazards: withHazards = false, restarts: withRestarts = false, shiftMs = 0 } = {},
+    {
+        slowStore = false,
+        hazards: withHazards = false,
+        restarts: withRestarts = false,
+        evacuations: withEvacuations = false,
+        shiftMs = 0,
+    } = {},
 ): Promise<ChaosReport> {
     const source = random.createRandom(seed);
     const time = clocks.createManualClock(1_700_000_000_000);
@@ -86,6 +95,15 @@
     const restarts = withRestarts
         ? workerHazards.createRestarts({ seed, durationMs: FAULTS_MS, racks: RACKS })
         : undefined;
+    const evacuations = withEvacuations
+        ? zoneEvacuations.createEvacuations({
+            seed,
+            durationMs: FAULTS_MS,
+            clock: time,
+            zones: RACKS.map((_, rack) => getZone(rack)),
+            instances: range(INSTANCES).map(sites.getInstanceName),
+        })
+        : undefined;
     const site = sites.createSite({
         clock: time,
         restartsUnderSameId: restarts?.restartsUnderSameId,
@@ -102,6 +120,16 @@
             getSlowdown: () =>
                 slowWindow && time.now() >= slowWindow.from && time.now() < slowWindow.to ? slowWindow.slowdown : 1,
         },
+        evacuations: evacuations && {
+            evacuationMs: EVACUATION_MS,
+            faults: {
+                decide: caller =>
+                    evacuations.isUnreadable(caller)
+                        ? "silent"
+                        : pickFault(evacuations.source, storeWindows, time.now(), caller) ?? "none",
+                lateMs: 0,
+            },
+        },
         storePartBusyMs: slowWindow ? PART_BUSY_MS : undefined,
         workerFaults: {
             decide: worker => pickFault(source, workerWindows, time.now(), worker) ?? "none",
@@ -116,7 +144,7 @@
     const acknowledged = new Set<string>();
     const runningAfterCancel = new Set<string>();
     const events = createEvents(source, site, jobs, { accepted, cancelled, acknowledged });
-    for (const { at, act } of [...hazards?.events ?? [], ...restarts?.events ?? []]) {
+    for (const { at, act } of [...hazards?.events ?? [], ...restarts?.events ?? [], ...evacuations?.events ?? []]) {
         events.push({ at, act: () => act(site), done: false });
     }
     events.forEach(event => event.at += shiftMs);
@@ -324,6 +352,11 @@
     range(WORKERS_PER_RACK).map(number => getWorkerId(rack * WORKERS_PER_RACK + number))
 );
 
+/** Each rack has a zone of its own. */
+function getZone(rack: number): string {
+    return `zone-${rack}`;
+}
+
 function getWorkerId(number: number): string {
     return `worker-${number}`;
 }
@@ -333,7 +366,7 @@
     return {
         id: getWorkerId(number),
         address: `worker-${number}`,
-        zone: "a",
+        zone: getZone(Math.floor(number / WORKERS_PER_RACK)),
         service: "service",
         rack,
         labels: ["a", rack],
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -3,12 +3,14 @@
 import type * as catalogs from "../catalog/index";
 import type * as clock from "../clock/index";
 import * as decisions from "../decisions/index";
+import type * as evacuation from "../evacuation/index";
 import type * as intakes from "../intake/index";
 import type * as leader from "../leader/index";
 import type * as observe from "../observe/index";
 import * as schedulers from "../scheduler/index";
 import * as freezers from "./freezer";
 import * as jobModel from "./jobModel";
+import * as operatorTables from "./operators";
 import * as stores from "./store";
 import type * as workerOrders from "./workerOrders";
 import * as emulatedWorkers from "./workers";
@@ -31,6 +33,8 @@
     readonly adviser?: leader.Adviser;
     readonly machines?: leader.MachineService;
     readonly waves?: leader.WavePort;
+    /** Settings of evacuations; without them no zone can be evacuated. */
+    readonly evacuations?: Pick<operatorTables.OperatorsOptions, "evacuationMs" | "faults">;
     readonly policy?: decisions.Policy;
     /** Maximum duration of the lease under which tasks run on a worker. */
     readonly maxLeaseMs?: number;
@@ -48,6 +52,8 @@
 export interface Site {
     readonly store: stores.EmulatedStore;
     readonly workers: emulatedWorkers.EmulatedWorkers;
+    /** The operators, if the site has `evacuations`. */
+    readonly operators: operatorTables.Operators | undefined;
     /** Makes a job known to the emulator without submitting it, so that its state can be queried. */
     registerJob(job: jobModel.EmulatedJob): void;
     /** Submits a job to an instance. */
@@ -101,6 +107,14 @@
     list: async () => ({ kind: "unavailable", message: "emulated: no machine service" }),
     beginUpkeep: async () => ({ kind: "unknown", message: "emulated: no machine service" }),
 };
+const NO_EVACUATIONS: evacuation.Evacuations = {
+    applySnapshot: () => undefined,
+    applyChanges: () => undefined,
+    mayStartIn: () => true,
+    isEvacuated: () => false,
+    list: () => [],
+    getAgeMs: () => 0,
+};
 const NO_WAVES: leader.WavePort = { getIncomplete: () => [], reportState: async () => true };
 
 /** Creates a site and starts its instances. */
@@ -114,6 +128,8 @@
         faults: options.storeFaults,
     });
     const maxLeaseMs = options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS;
+    const operators = options.evacuations
+        && operatorTables.createOperators({ clock: time, latencyMs: STORE_LATENCY_MS, ...options.evacuations });
     const workers = emulatedWorkers.createEmulatedWorkers({
         clock: time,
         latencyMs: WORKER_LATENCY_MS,
@@ -128,6 +144,7 @@
             ),
         onCrash: id => crashWorker(id),
         canReport: () => !options.isDirectoryUnreachable?.(),
+        isZoneClosed: operators?.isClosed,
     });
     options.workers.forEach(workers.add);
     const restartWorker = (id: string, afterMs: number) => {
@@ -208,6 +225,13 @@
             adviser: options.adviser ?? NO_ADVISER,
             machines: options.machines ?? NO_MACHINES,
             waves: options.waves ?? NO_WAVES,
+            evacuations: operators?.follow({
+                name: getInstanceName(number),
+                freezer,
+                log: options.log,
+                meter: options.meter,
+                signal: controller.signal,
+            }) ?? NO_EVACUATIONS,
             policy: options.policy ?? decisions.POLICIES.worth,
             getSettings: () => ({
                 maxLeaseMs,
@@ -260,6 +284,7 @@
     return {
         store,
         workers,
+        operators,
         registerJob: job => void jobs.set(job.jobId, job),
         submit: (job, instance) => {
             jobs.set(job.jobId, job);
--- a/src/emulator/startChecks.ts
+++ b/src/emulator/startChecks.ts
@@ -62,8 +62,14 @@
 /** Number of further starts of such a task that is a violation. */
 const EXCESSIVE_STARTS = 3;
 
-/** Creates the checks; `incarnations` has the current incarnation of each worker. */
-export function createStartChecks(incarnations: ReadonlyMap<string, workerIncarnation.Incarnation>): StartChecks {
+/**
+ * Creates the checks; `incarnations` has the current incarnation of each worker, and `isZoneClosed` tells whether a start
+ * sent at a time violates an evacuation.
+ */
+export function createStartChecks(
+    incarnations: ReadonlyMap<string, workerIncarnation.Incarnation>,
+    isZoneClosed: (zone: string, sentAt: number) => boolean = () => false,
+): StartChecks {
     const violations: string[] = [];
     const startsAfterShrink: StartRecord[] = [];
     const crashCounts = new Map<string, number>();
@@ -137,6 +143,9 @@
             checkAttempts(start.task, model.maxAttempts);
             checkDuplicateRun(incarnation, start);
             checkCapacity(incarnation, start, sentAt);
+            if (isZoneClosed(incarnation.info.zone, sentAt)) {
+                violations.push(`${start.task} is started in the evacuated zone ${incarnation.info.zone}`);
+            }
             if (model.crashesAfterMs !== undefined) {
                 checkCrashLimit(start.task);
             }
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -24,6 +24,8 @@
     getModel(task: string): workerIncarnation.TaskModel;
     /** Whether workers can reach the directory now; by default they always can. */
     canReport?(): boolean;
+    /** Whether no start sent at `sentAt` may be carried out in the zone now; by default each may. */
+    isZoneClosed?(zone: string, sentAt: number): boolean;
     /** Called when a task crashes its worker; the callee ends it by `kill`, and may call `addSuccessor` or `restart`. */
     onCrash?(workerId: string): void;
 }
@@ -92,7 +94,7 @@
     const gangTimeouts: startChecks.StartRecord[] = [];
     const lossTimes: number[] = [];
     const lossCounts = new Map<string, number>();
-    const checks = startChecks.createStartChecks(incarnations);
+    const checks = startChecks.createStartChecks(incarnations, options.isZoneClosed);
     const gangTimeoutMs = options.gangTimeoutMs ?? Infinity;
 
     const end = (incarnation: workerIncarnation.Incarnation, run: workerIncarnation.Run, how: leader.EndKind) => {
--- a/src/explain/jobReport.ts
+++ b/src/explain/jobReport.ts
@@ -13,7 +13,7 @@
 
 /**
  * Time beyond the expected duration of the work, in milliseconds by cause: `entry` until the job was accepted, `place`
- * until its units were placed, the reason for which a run was lost, or `longRun` for the excess of the last runs over
+ * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, the reason for which a run was lost, or `longRun` for the excess of the last runs over
  * their expected duration, on slow workers, on another rack than their data or because of a wrong estimate.
  */
 export type Delays = Readonly<Record<string, number>>;
@@ -132,7 +132,8 @@
         case "placed": {
             const unit = findUnit(records, fields["unit"], true);
             if (unit) {
-                addDelay(unit, unit.lostReason ?? "place", Number(fields["waitedMs"]) + unit.lostMs);
+                const reason = unit.lostReason ?? (fields["evacuatedZones"] ? "placeWithoutZone" : "place");
+                addDelay(unit, reason, Number(fields["waitedMs"]) + unit.lostMs);
                 unit.lostMs = 0;
                 unit.lostReason = undefined;
             }
--- a/src/leader/__tests__/orders.test.ts
+++ b/src/leader/__tests__/orders.test.ts
@@ -80,7 +80,7 @@
                 signal: new AbortController().signal,
                 getSession: () => session as workerSession.WorkerSession,
                 mayIssueOrders: () => true,
-                mayStart: () => mayStart,
+                findStartObstacle: () => mayStart ? undefined : "draining",
                 disabledMechanisms: new Set(),
             });
             ordersOfTerm.start([{ task, run: 1 }]);
--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -1,5 +1,6 @@
 /** Executes the plan of a scheduling pass: requests stops, and starts tasks once their rows are stored. */
 import * as decisions from "../decisions/index";
+import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import type * as entries from "./entries";
 import type * as jobRegistries from "./jobRegistry";
@@ -14,6 +15,7 @@
     readonly log: observe.Log;
     readonly meter: observe.Meter;
     getWorker(id: string): entries.WorkerEntry;
+    readonly evacuations: Pick<evacuation.Evacuations, "list">;
     /** Resolves when all changes made so far are stored. */
     flush(): Promise<void>;
 }
@@ -56,7 +58,7 @@
 }
 
 function placeUnit(
-    { jobRegistry: registry, log, meter, getWorker }: ExecutionOptions,
+    { jobRegistry: registry, log, meter, getWorker, evacuations }: ExecutionOptions,
     { unit, workerIds }: decisions.PlannedStart,
     tasks: readonly entries.TaskEntry[],
 ): ordersOfTerm.PlacedTask[] {
@@ -67,6 +69,7 @@
         workers: [...new Set(workerIds)],
         waitedMs: Math.round(unit.waitedMs),
         claim: unit.tier,
+        evacuatedZones: evacuations.list().length || undefined,
     });
     meter.record("placement_wait_ms", { queue: tasks[0]!.step.occurrence.job.queue.name }, unit.waitedMs);
     return tasks.map(task => ({ task, run: task.run }));
--- a/src/leader/gauges.ts
+++ b/src/leader/gauges.ts
@@ -6,6 +6,7 @@
     readonly active: Iterable<entries.JobEntry>;
     readonly workers: Iterable<entries.WorkerEntry>;
     isPlaceable(worker: entries.WorkerEntry): boolean;
+    isEvacuated(zone: string): boolean;
 }
 
 /** Counts jobs, tasks, workers and accelerators by their labels. */
@@ -26,7 +27,7 @@
     for (const worker of input.workers) {
         const { service, capacity } = worker.info;
         const placeable = input.isPlaceable(worker);
-        workers.add({ service, state: getState(worker, placeable) });
+        workers.add({ service, state: getState(worker, placeable, input) });
         if (placeable) {
             accelerators.add({ service, state: "used" }, worker.used.accelerators);
             accelerators.add({ service, state: "free" }, capacity.accelerators - worker.used.accelerators);
@@ -35,10 +36,13 @@
     return [jobs, tasks, workers, accelerators].flatMap(tally => tally.list());
 }
 
-function getState(worker: entries.WorkerEntry, placeable: boolean): string {
+function getState(worker: entries.WorkerEntry, placeable: boolean, { isEvacuated }: GaugesInput): string {
     if (placeable) {
         return "placeable";
     }
+    if (isEvacuated(worker.info.zone)) {
+        return "evacuated";
+    }
     if (!worker.reachable) {
         return "silent";
     }
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -6,6 +6,7 @@
 import type * as entries from "./entries";
 import type * as jobRegistry from "./jobRegistry";
 import * as leaseExpiry from "./leaseExpiry";
+import type * as placementFilter from "./placementFilter";
 import * as reachabilityCheck from "./reachabilityCheck";
 import * as suspects from "./suspects";
 import type * as port from "./workerPort";
@@ -20,8 +21,8 @@
     readonly signal: AbortSignal;
     getSession(worker: entries.WorkerEntry): workerSession.WorkerSession | undefined;
     mayIssueOrders(): boolean;
-    /** Whether tasks that were placed on the worker may still be started there. */
-    mayStart(worker: entries.WorkerEntry): boolean;
+    /** Why tasks that were placed on the worker must not be started there any more; `undefined` if they may. */
+    findStartObstacle(worker: entries.WorkerEntry): placementFilter.StartObstacle | undefined;
     readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
 }
 
@@ -104,13 +105,14 @@
         if (task.worker !== worker || task.run !== run) {
             return;
         }
-        const mayStart = answers && worker && session && options.mayIssueOrders() && options.mayStart(worker);
+        const obstacle = worker && options.findStartObstacle(worker);
+        const mayStart = answers && worker && session && options.mayIssueOrders() && obstacle === undefined;
         if (!mayStart || task.phase !== "recording") {
             if (worker && task.phase === "recording") {
                 worker.quarantinedUntil = answers
                     ? worker.quarantinedUntil
                     : time.now() + reachabilityCheck.UNREACHABLE_QUARANTINE_MS;
-                log.info("startWithdrawn", { task: task.name, run, worker: worker.id, answers });
+                log.info("startWithdrawn", { task: task.name, run, worker: worker.id, answers, obstacle });
                 jobs.revertPlacement(task);
             }
             return;
--- a/src/leader/stalledSteps.ts
+++ b/src/leader/stalledSteps.ts
@@ -1,5 +1,6 @@
 /** Logs why steps wait of occurrences that have no placed task, so that an operator sees which resource is missing. */
 import * as decisions from "../decisions/index";
+import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import * as crashHistory from "./crashHistory";
 import * as entries from "./entries";
@@ -11,6 +12,7 @@
     readonly waiting: readonly units.UnitOfTasks[];
     readonly workers: readonly entries.WorkerEntry[];
     isPlaceable(worker: entries.WorkerEntry): boolean;
+    readonly evacuations: Pick<evacuation.Evacuations, "isEvacuated">;
 }
 
 /** Shorter waits are normal on a fully used site. */
@@ -40,7 +42,7 @@
 }
 
 /** Counts the workers of the unit's service that remain after each condition. */
-function countWorkers(unit: decisions.WaitingUnit, { workers, isPlaceable }: StalledStepsOptions) {
+function countWorkers(unit: decisions.WaitingUnit, { workers, isPlaceable, evacuations }: StalledStepsOptions) {
     const ofService = workers.filter(worker => worker.info.service === unit.service);
     const placeable = ofService.filter(isPlaceable);
     const allowed = placeable.filter(({ id, info }) =>
@@ -54,6 +56,7 @@
     });
     return {
         workers: ofService.length,
+        evacuated: ofService.filter(({ info }) => evacuations.isEvacuated(info.zone)).length,
         placeable: placeable.length,
         allowed: allowed.length,
         withRoom: withRoom.length,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -2,6 +2,7 @@
 import type * as catalog from "../catalog/index";
 import type * as clock from "../clock/index";
 import * as decisions from "../decisions/index";
+import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
 import * as advice from "./advice";
@@ -47,6 +48,7 @@
     readonly leadership: heldLease.Leadership;
     readonly machines: machines.MachineService;
     readonly waves: machines.WavePort;
+    readonly evacuations: evacuation.Evacuations;
     readonly policy: decisions.Policy;
     /** Unique to this incarnation of the instance. */
     readonly incarnationId: string;
@@ -133,7 +135,7 @@
         signal,
         getSession: worker => registry.getSession(worker),
         mayIssueOrders: leadership.mayIssueOrders,
-        mayStart: worker => mayStart(worker, time.now()),
+        findStartObstacle: worker => findStartObstacle(worker, time.now()),
         disabledMechanisms,
     });
     const reachability = reachabilityCheck.createReachabilityCheck({
@@ -250,8 +252,9 @@
         isGuaranteed: job => guaranteed.has(job),
     });
 
-    const { isPlaceable, mayStart } = placementFilter.createPlacementFilter({
+    const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
         catalog: options.catalog,
+        evacuations: options.evacuations,
         capacityMs: options.capacityMs,
         disabledMechanisms,
         hasSession: worker => registry.getSession(worker) !== undefined,
@@ -299,6 +302,7 @@
             log,
             meter,
             getWorker: registry.getWorker,
+            evacuations: options.evacuations,
             flush: writer.flush,
         }, {
             plan,
@@ -320,6 +324,7 @@
             waiting: units.collectWaitingUnits(jobRegistry.active, createView(new Set())),
             workers: [...registry.workers.values()],
             isPlaceable: worker => isPlaceable(worker, now),
+            evacuations: options.evacuations,
         });
     };
     const logSummaries = async () => {
@@ -392,6 +397,7 @@
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
+            isEvacuated: options.evacuations.isEvacuated,
         })
     );
     signal.addEventListener("abort", () => {
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -30,6 +30,7 @@
     ready: gauge("1 while the instance takes callers' connections"),
     configuration_version: gauge("version of the configuration in force"),
     configuration_fresh: gauge("1 while callers may be served under the configuration in force"),
+    evacuated_zones: gauge("availability zones that operators have evacuated, as this instance knows them"),
     store_reachable: gauge("1 while the store answers"),
     store_calls_total: counter("calls to the store", "call", "outcome"),
     table_reads_total: counter("reads of a followed table, whole or failed", "table", "outcome"),
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -97,6 +97,9 @@
     readonly storeFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["storeFaults"];
     readonly storePartMs?: number;
     readonly workerFaults?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["workerFaults"];
+    /** Lets operators evacuate zones; each rack is then a zone of the same name. */
+    readonly evacuations?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["evacuations"];
+    readonly workersPerRack?: number;
 }): TestSite {
     const time = clocks.createManualClock(1_000_000);
     const metrics = telemetry.createMetrics();
@@ -105,7 +108,10 @@
         lines.push({ at: Math.round(time.now()), level, event, ...fields });
     };
     const machines = options.machines?.(time);
-    const workers = Array.from({ length: options.workers ?? 4 }, (_, number) => createWorkerInfo(number));
+    const workers = Array.from({ length: options.workers ?? 4 }, (_, number) => {
+        const info = createWorkerInfo(number, options.workersPerRack);
+        return options.evacuations ? { ...info, zone: info.rack } : info;
+    });
     const site = emulator.createSite({
         clock: time,
         log: { info: recordLine("info"), warn: recordLine("warn"), error: recordLine("error") },
@@ -123,6 +129,7 @@
         storeFaults: options.storeFaults?.(time),
         storePartBusyMs: options.storePartMs,
         workerFaults: options.workerFaults?.(time),
+        evacuations: options.evacuations?.(time),
     });
     workers.forEach((info, number) => machines?.addMachine(`m${number}`, info, site.workers));
     return { ...site, clock: time, lines, metrics };
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -16,7 +16,7 @@
     const failing = fixtures.createJob(1, { estimateMs: 500 }, { fails: () => true });
     const serving = { ...fixtures.createStep({ lasting: true, targetMs: 100 }), image: "serves" };
     const filling = fixtures.createStep({ fills: true, estimateMs: 60_000 });
-    const site = await fixtures.openSiteWithJobs({ workers: 2 }, [
+    const site = await fixtures.openSiteWithJobs({ workers: 2, evacuations: () => ({ evacuationMs: 5_000 }) }, [
         failing,
         fixtures.createJob(2, {}, {
             spec: { payload: "", steps: [serving, serving], repeats: 0, firstDueAt: 0, periodMs: 0 },
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -5,6 +5,7 @@
 import * as catalogs from "../catalog/index";
 import type * as clock from "../clock/index";
 import type * as decisions from "../decisions/index";
+import type * as evacuation from "../evacuation/index";
 import * as intakes from "../intake/index";
 import * as leader from "../leader/index";
 import type * as observe from "../observe/index";
@@ -32,6 +33,7 @@
     readonly adviser: leader.Adviser;
     readonly machines: leader.MachineService;
     readonly waves: leader.WavePort;
+    readonly evacuations: evacuation.Evacuations;
     readonly policy: decisions.Policy;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
