An order without an answer is sent again after 0.25 s

Cause: a start without an answer was waited for 0.6 s, looked up, stopped, and the whole gang was stopped with it and placed again, often after waiting for room that others had taken meanwhile.

Change: starts and stops name their run, so a worker that has carried out the first order only confirms the second. The first attempt is waited for 0.25 s, the second 0.6 s as before. Only acceptance, or another incarnation, settles the first: after any other answer it may still be carried out, and is looked up as before. Tasks that may crash their workers are not sent twice. The mechanism is called repeatedOrders.

--- a/src/decisions/mechanism.ts
+++ b/src/decisions/mechanism.ts
@@ -21,6 +21,7 @@
     slowMoves: "tasks on slow workers are moved if that is worthwhile",
     leavingWorkers: "tasks that cannot end before their worker leaves are stopped in time",
     isolation: "a task that may crash its worker is started apart from other tasks",
+    repeatedOrders: "an order without a response is soon sent again to the same worker",
     unansweredLooks: "a start without a response is looked up on the worker before it is stopped",
     relay: "requests that an instance cannot serve are forwarded",
     handover: "a leader that loses the store hands over leadership",
--- a/src/leader/__tests__/orders.test.ts
+++ b/src/leader/__tests__/orders.test.ts
@@ -62,9 +62,9 @@
                     mayStart = mayStartThen;
                     return answers;
                 },
-                start: async (_order, sentValidMs) => {
+                start: async (_order, sent) => {
                     called.push("start");
-                    expect(sentValidMs).toBe(validMs);
+                    expect(sent?.validMs).toBe(validMs);
                     return { kind: "accepted", workerClock: 0 };
                 },
             };
--- a/src/leader/orders.ts
+++ b/src/leader/orders.ts
@@ -61,6 +61,11 @@
  * and so whether a later loss of the worker counts against the task.
  */
 const SUSPECT_START_VALID_MS = 500;
+/**
+ * Time after which an order without an answer is sent again. Orders name the run, so a worker that has carried out the
+ * first one only confirms it.
+ */
+const FIRST_TIMEOUT_MS = 250;
 /** Time to resolve a start without an answer, even if one poll is lost; gang members wait 3 s for each other. */
 const UNANSWERED_TIMEOUT_MS = 1_000;
 
@@ -76,6 +81,14 @@
         || session.ensureReachable(suspects.MAX_SUSPECT_START_SILENCE_MS);
 }
 
+/**
+ * Whether the answer to a repeated start settles the first one too. That one may still be carried out, also where the
+ * worker refuses the second one or is not reached by it.
+ */
+function isConclusive(answer: port.OrderAnswer): boolean {
+    return answer.kind === "accepted" || answer.kind === "otherLife";
+}
+
 /** Creates the orders of one term. */
 export function createOrders(options: OrdersOptions): Orders {
     const { jobRegistry: jobs, clock: time, log, meter } = options;
@@ -123,18 +136,27 @@
         const validMs = crashHistory.mayHaveCrashedWorker(task.crashes) ? SUSPECT_START_VALID_MS : undefined;
         task.startExpiresAt = leaseExpiry.getStartExpiresAt(task.orderedAt, validMs ?? Infinity);
         const { submission } = task.step.occurrence.job;
-        const answer = await session.start({
+        const order = {
             task: task.name,
             run,
             payload: submission.spec.payload,
             saved: task.saved,
             ticket: task.step.tickets.get(worker.id)?.ticket,
-        }, validMs);
+        };
+        const isRepeatable = validMs === undefined && !options.disabledMechanisms.has("repeatedOrders");
+        let answer = await session.start(order, { validMs, timeoutMs: isRepeatable ? FIRST_TIMEOUT_MS : undefined });
         meter.increment("start_orders_total", { answer: answer.kind });
-        if (task.worker !== worker || task.run !== run) {
-            return;
+        const isOpen = () => task.worker === worker && task.run === run;
+        const mayRepeat = () => task.phase === "ordered" && options.findStartObstacle(worker) === undefined;
+        if (isRepeatable && answer.kind === "unknown" && isOpen() && mayRepeat()) {
+            log.info("startRepeated", { task: task.name, run, worker: worker.id });
+            const repeated = await session.start(order);
+            meter.increment("start_orders_total", { answer: repeated.kind });
+            answer = isConclusive(repeated) ? repeated : answer;
+        }
+        if (isOpen()) {
+            handleStartAnswer(task, worker, answer);
         }
-        handleStartAnswer(task, worker, answer);
     };
 
     const handleStartAnswer = (task: entries.TaskEntry, worker: entries.WorkerEntry, answer: port.OrderAnswer) => {
@@ -209,10 +231,11 @@
             !options.signal.aborted && task.worker === worker && task.run === run
             && task.phase === "stopping" && task.stopAcceptedAt === undefined;
         log.info("stopWanted", { task: task.name, run, worker: worker?.id, reason: task.stopReason });
+        let timeoutMs = options.disabledMechanisms.has("repeatedOrders") ? undefined : FIRST_TIMEOUT_MS;
         while (worker && isOpen()) {
             const session = options.getSession(worker);
             const answer = session && options.mayIssueOrders()
-                ? await session.stop({ task: task.name, run })
+                ? await session.stop({ task: task.name, run }, timeoutMs)
                 : undefined;
             if (answer) {
                 meter.increment("stop_orders_total", { answer: answer.kind });
@@ -226,6 +249,10 @@
                 session?.pollNow();
                 return;
             }
+            if (timeoutMs !== undefined && answer?.kind === "unknown") {
+                timeoutMs = undefined;
+                continue;
+            }
             await time.sleep(STOP_RETRY_MS, options.signal);
         }
     };
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -65,9 +65,9 @@
      */
     start(
         order: Omit<port.StartOrder, "fencingToken" | "deadline">,
-        validMs?: number,
+        options?: { readonly validMs?: number; readonly timeoutMs?: number; },
     ): Promise<port.OrderAnswer>;
-    stop(order: Omit<port.RunOrder, "fencingToken">): Promise<port.OrderAnswer>;
+    stop(order: Omit<port.RunOrder, "fencingToken">, timeoutMs?: number): Promise<port.OrderAnswer>;
     pace(order: Omit<port.PaceOrder, "fencingToken">): Promise<port.OrderAnswer>;
     /** Polls at once, beside a poll of the loop that may be in flight. */
     pollNow(): void;
@@ -314,10 +314,10 @@
             await poll(0);
         }
     };
-    const sendStart = async (request: port.StartOrder) => {
+    const sendStart = async (request: port.StartOrder, timeoutMs: number) => {
         startsInFlight++;
         lastStartAt = time.now();
-        const answer = await options.port.start(worker, request, ORDER_TIMEOUT_MS);
+        const answer = await options.port.start(worker, request, timeoutMs);
         startsInFlight--;
         lastStartAt = time.now();
         return answer;
@@ -340,7 +340,7 @@
     return {
         hasAnsweredWithin,
         ensureReachable,
-        start: async (request, validMs) => {
+        start: async (request, { validMs, timeoutMs = ORDER_TIMEOUT_MS } = {}) => {
             if (workerClock && !await ensureReachable(MAX_CLOCK_AGE_MS)) {
                 return { kind: "unreachable", message: "the last reading of the worker's clock is too old" };
             }
@@ -349,12 +349,10 @@
                 return { kind: "unreachable", message: "no reading of the worker's clock yet" };
             }
             wake?.();
-            return sendOrder(() => sendStart({ ...request, fencingToken: leadership.token, deadline }));
+            return sendOrder(() => sendStart({ ...request, fencingToken: leadership.token, deadline }, timeoutMs));
         },
-        stop: request =>
-            sendOrder(() =>
-                options.port.stop(worker, { ...request, fencingToken: leadership.token }, ORDER_TIMEOUT_MS)
-            ),
+        stop: (request, timeoutMs = ORDER_TIMEOUT_MS) =>
+            sendOrder(() => options.port.stop(worker, { ...request, fencingToken: leadership.token }, timeoutMs)),
         pace: request =>
             sendOrder(() =>
                 options.port.pace(worker, { ...request, fencingToken: leadership.token }, ORDER_TIMEOUT_MS)
