Operators of the present interface evacuate and restore zones

plantainchute zone evacuate|restore|list. The evacuated zones lie in the contracts beside the presets, and hold whichever preset is in force; their workers count as drained, so nothing new starts there, evictable work gives way and everything else ends there. A zone that the topology does not list is refused.

--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -1,4 +1,4 @@
-/** The commands `preset`, `account`, `worker` and `status`: calls of the operators' HTTP interface. */
+/** The commands `preset`, `account`, `zone`, `worker` and `status`: calls of the operators' HTTP interface. */
 import * as commander from "commander";
 import * as crypto from "node:crypto";
 import * as fs from "node:fs";
@@ -28,10 +28,11 @@
 const DEFAULT_ORIGINS = "http://127.0.0.1:7201";
 const KEY_ENV_VARIABLE = "PLANTAINCHUTE_OPERATOR_KEY";
 
-/** Registers `preset list|show|set|use`, `account list|set`, `worker list` and `status`. */
+/** Registers `preset list|show|set|use`, `account list|set`, `zone list|evacuate|restore`, `worker list` and `status`. */
 export function register(program: commander.Command): void {
     registerPresets(program.command("preset").description("presets"));
     registerAccounts(program.command("account").description("client accounts"));
+    registerZones(program.command("zone").description("availability zones"));
     const worker = program.command("worker").description("workers");
     addOperatorOptions(worker.command("list"))
         .description("workers of the racks that the given instances own")
@@ -107,6 +108,20 @@
         );
 }
 
+function registerZones(zone: commander.Command): void {
+    addOperatorOptions(zone.command("list")).description("evacuated zones").action(async (options: OperatorOptions) => {
+        const { contracts } = await readConfiguration(options);
+        output.print(contracts.evacuatedZones.map(name => ({ name, evacuated: true })), options);
+    });
+    const addChange = (name: string, description: string, evacuated: boolean) =>
+        addChangeOptions(zone.command(name)).description(description).argument("<zone>").action(
+            async (target: string, options: ChangeOptions) =>
+                applyChange(options, "PUT", "/v1/evacuations", { zone: target, evacuated }),
+        );
+    addChange("evacuate", "start nothing more on the zone's workers", true);
+    addChange("restore", "use the zone's workers again", false);
+}
+
 function addOperatorOptions(command: commander.Command): commander.Command {
     return command
         .option("--operators <origins>", "operators' addresses, comma-separated", DEFAULT_ORIGINS)
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -8,5 +8,5 @@
 } from "./configurationStore";
 export { createKeyring, hashKey, type Keyring } from "./keys";
 export { type Configuration, type ConfigurationHead, headSchema } from "./revision";
-export { checkSite, getPreset, getWorkers, type SiteProblem, type TopologyWorker } from "./site";
+export { checkSite, getPreset, getPresetInForce, getWorkers, type SiteProblem, type TopologyWorker } from "./site";
 export * from "./siteSchema";
--- a/src/configuration/site.ts
+++ b/src/configuration/site.ts
@@ -1,4 +1,5 @@
 /** Consistency checks across the parts of a site, which the schemas cannot express, and look-ups in a site. */
+import type * as revision from "./revision";
 import type * as schema from "./siteSchema";
 
 /** An inconsistency of a site. */
@@ -35,6 +36,18 @@
     return contracts.presets.find(preset => preset.name === name);
 }
 
+/** The preset in force, with the workers of evacuated zones among the drained ones; `undefined` when it is unknown. */
+export function getPresetInForce(
+    { contracts, topology, head }: Pick<revision.Configuration, "contracts" | "topology" | "head">,
+): schema.Preset | undefined {
+    const preset = getPreset(contracts, head.preset);
+    if (!preset || contracts.evacuatedZones.length === 0) {
+        return preset;
+    }
+    const evacuated = getWorkers(topology).filter(worker => contracts.evacuatedZones.includes(worker.zone));
+    return { ...preset, drainedWorkers: [...preset.drainedWorkers, ...evacuated.map(worker => worker.id)] };
+}
+
 /** Returns all problems; empty for a consistent site. Whether the guarantees fit is checked by the placement plan. */
 export function checkSite(contracts: schema.Contracts, topology: schema.Topology, preset: string): SiteProblem[] {
     return [
@@ -47,6 +60,7 @@
         ...findSharedKeys(contracts),
         ...findUnknownZones(topology),
         ...contracts.presets.flatMap((item, index) => checkPreset(contracts, topology, item, `presets.${index}`)),
+        ...findUnknownEvacuatedZones(contracts, topology),
         ...checkReserve(contracts, topology),
         ...(getPreset(contracts, preset) ? [] : [{ path: "preset", message: `there is no preset "${preset}"` }]),
     ];
@@ -76,6 +90,13 @@
     );
 }
 
+function findUnknownEvacuatedZones(contracts: schema.Contracts, topology: schema.Topology): SiteProblem[] {
+    return contracts.evacuatedZones.filter(zone => !topology.zones.includes(zone)).map(zone => ({
+        path: "evacuatedZones",
+        message: `zone "${zone}" is not listed in topology.zones`,
+    }));
+}
+
 function checkPreset(
     contracts: schema.Contracts,
     topology: schema.Topology,
--- a/src/configuration/siteSchema.ts
+++ b/src/configuration/siteSchema.ts
@@ -147,6 +147,8 @@
     accounts: z.array(accountSchema).min(1),
     operators: z.array(operatorSchema).min(1),
     presets: z.array(presetSchema).min(1),
+    /** Availability zones whose workers receive no new work, whichever preset is in force. */
+    evacuatedZones: z.array(nameSchema).default([]),
     policy: policySchema.default({ kind: "guaranteed", completionWeight: 1, fragmentationWeight: 1 }),
     limits: limitsSchema.default(limitsSchema.parse({})),
 });
--- a/src/instance/ownedRoles.ts
+++ b/src/instance/ownedRoles.ts
@@ -2,7 +2,7 @@
 import * as crypto from "node:crypto";
 import type * as platform from "../backing/index";
 import type * as clock from "../clock/index";
-import type * as configuration from "../configuration/index";
+import * as configuration from "../configuration/index";
 import type * as jobs from "../jobs/index";
 import type * as membership from "../membership/index";
 import type * as observe from "../observe/index";
@@ -93,7 +93,7 @@
 
     const isDrained = (workerId: string): boolean => {
         const current = reader.getCurrent();
-        const preset = current?.contracts.presets.find(item => item.name === current.head.preset);
+        const preset = current && configuration.getPresetInForce(current);
         return view.isWorkerLeaving(workerId) || (preset?.drainedWorkers.includes(workerId) ?? false);
     };
 
--- a/src/operator/operatorsHttp.ts
+++ b/src/operator/operatorsHttp.ts
@@ -23,6 +23,7 @@
 const presetChoiceSchema = changeSchema.extend({ preset: z.string() }).strict();
 const presetChangeSchema = changeSchema.extend({ preset: configuration.presetSchema }).strict();
 const accountChangeSchema = changeSchema.extend({ account: configuration.accountSchema }).strict();
+const evacuationSchema = changeSchema.extend({ zone: z.string(), evacuated: z.boolean() }).strict();
 
 interface Edit {
     readonly contracts: configuration.Contracts;
@@ -136,6 +137,18 @@
                 });
             }),
         },
+        {
+            alias: "PUT /v1/evacuations",
+            action: "setEvacuation",
+            handle: withOperator(async call => {
+                const { zone, evacuated, ...base } = evacuationSchema.parse(call.body);
+                return change(base, ({ contracts, head }) => {
+                    const others = contracts.evacuatedZones.filter(name => name !== zone);
+                    const evacuatedZones = evacuated ? [...others, zone] : others;
+                    return result.ok({ contracts: { ...contracts, evacuatedZones }, preset: head.preset });
+                });
+            }),
+        },
     ];
 }
 
--- a/src/queue/zoneQueue.ts
+++ b/src/queue/zoneQueue.ts
@@ -5,7 +5,7 @@
 import * as async from "../async/index";
 import * as platform from "../backing/index";
 import type * as clock from "../clock/index";
-import type * as configuration from "../configuration/index";
+import * as configuration from "../configuration/index";
 import * as jobs from "../jobs/index";
 import type * as observe from "../observe/index";
 import type * as peer from "../peer/index";
@@ -219,8 +219,7 @@
     };
 
     const refreshWorkers = () => {
-        const { contracts, head } = options.getConfiguration();
-        const preset = contracts.presets.find(item => item.name === head.preset);
+        const preset = configuration.getPresetInForce(options.getConfiguration());
         const drained = new Set(preset?.drainedWorkers ?? []);
         for (const worker of scheduler.fleet.workers.values()) {
             const usable = rackReports.isUsable(worker.id)
@@ -237,8 +236,9 @@
     let configKey = "";
     /** Recomputes the guarantee plan when the configuration, or the set of lost workers, has changed. */
     const refreshConfig = () => {
-        const { contracts, topology, head } = options.getConfiguration();
-        const preset = contracts.presets.find(item => item.name === head.preset)!;
+        const current = options.getConfiguration();
+        const { contracts, topology, head } = current;
+        const preset = configuration.getPresetInForce(current)!;
         const lost = new Set([...health.getQuarantined(), ...rackReports.getLostWorkers()]);
         const key = `${head.revision}|${[...lost].sort().join(",")}`;
         if (key === configKey) {
--- a/standins/site/__tests__/embeddedSite.test.ts
+++ b/standins/site/__tests__/embeddedSite.test.ts
@@ -253,6 +253,46 @@
         });
     });
 
+    // Guards against new work on the workers of a zone that an operator has evacuated.
+    test("jobs start only outside an evacuated zone until it is restored", async () => {
+        const setEvacuation = async (zone: string, evacuated: boolean) => {
+            const answer = await callOperatorApi(0, "PUT", "/v1/evacuations", {
+                zone,
+                evacuated,
+                operationId: `${zone}-${evacuated}`,
+            });
+            await waitUntil(async () => {
+                const seen = await Promise.all([0, 1, 2].map(index => callOperatorApi(index, "GET", "/v1/status")));
+                return seen.every(status => Number(status.body["revision"]) >= Number(answer.body["revision"] ?? 0));
+            });
+            return answer;
+        };
+        const runMany = async (prefix: string) => {
+            const names = Array.from({ length: 8 }, (_, number) => `${prefix}-${number}`);
+            const submit = (name: string) => createClient(0).submit(alpha, createSubmission(name, 50), 10_000);
+            await Promise.all(names.map(submit));
+            // The ids of the small site's workers begin with their zone.
+            return names.flatMap(getStarts).map(entry => entry.workerId.split("-r1")[0]);
+        };
+        expect(await setEvacuation("zone-x", true)).toMatchObject({
+            body: { code: result.ResultCode.ConfigurationInvalid },
+        });
+        const [used] = await runMany("before");
+        expect(await setEvacuation(used!, true)).toMatchObject({ status: 200 });
+        const during = await runMany("evacuated");
+        expect(during.length).toBeGreaterThanOrEqual(8);
+        expect(during).not.toContain(used);
+        expect(await setEvacuation(used!, false)).toMatchObject({ status: 200 });
+        const others = ["zone-a", "zone-b", "zone-c"].filter(zone => zone !== used);
+        for (const zone of others) {
+            await setEvacuation(zone, true);
+        }
+        expect(new Set(await runMany("restored"))).toEqual(new Set([used]));
+        for (const zone of others) {
+            await setEvacuation(zone, false);
+        }
+    });
+
     test("a preset whose guarantees do not fit is refused, and the error names the account", async () => {
         const preset = {
             name: "too-much",
