--- a/soak/__tests__/violations.test.ts
+++ b/soak/__tests__/violations.test.ts
@@ -164,6 +164,7 @@
     const violations = violationChecks.findViolations({
         jobs: [createRecord(record)],
         workers: createWorkers(workers),
+        evacuations: [],
         drains: drainedAt === undefined ? [] : [{ incarnationId: "w", at: drainedAt }],
         faultFreeTimes,
     });
--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -47,6 +47,8 @@
 const CONTACT_MS = 3_000;
 const REPORT_MS = 1_500;
 const CONFIGURATION_MS = 2_000;
+/** Longest time from an evacuation until nothing starts in the zone. */
+export const EVACUATION_MS = 5_000;
 
 /** Kills the instances when the soak test exits early, so that no process is left behind. */
 const killOnExit = new Set<() => void>();
@@ -74,6 +76,7 @@
                 upkeepSeconds: UPKEEP_S,
                 statusSeconds: STATUS_S,
                 configurationMs: CONFIGURATION_MS,
+                evacuationMs: EVACUATION_MS,
                 contactMs: CONTACT_MS,
                 reportMs: REPORT_MS,
             },
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -6,6 +6,7 @@
 import type * as emulator from "../src/emulator/index";
 import * as random from "../src/random/index";
 import * as simulatedCallers from "./callers";
+import * as evacuations from "./evacuations";
 import * as faultInjection from "./faultInjection";
 import * as loadBalancers from "./loadBalancer";
 import * as operators from "./operator";
@@ -78,6 +79,7 @@
     readonly operator: operators.Operator;
     readonly balancer: loadBalancers.LoadBalancer;
     readonly callers: simulatedCallers.Callers;
+    readonly evacuator: evacuations.Evacuator;
 }
 
 async function createComponents(options: RunOptions): Promise<Components> {
@@ -112,15 +114,19 @@
         key: operator.key,
         jobs,
     });
-    return { time, schedule, injector, site, operator, balancer, callers };
+    const evacuationSource = random.createRandom(options.seed + EVACUATION_SEED_OFFSET);
+    const evacuator = evacuations.createEvacuator(site, time, evacuationSource);
+    return { time, schedule, injector, site, operator, balancer, callers, evacuator };
 }
 
+/** Keeps the source of evacuations apart from the others, so that they don't change a seed's faults. */
+const EVACUATION_SEED_OFFSET = 29_000_000;
 /** Number of random sources of a run. */
 const SOURCE_COUNT = 8;
 
 /** Runs all phases and returns the violations. */
 async function runPhases(components: Components, options: RunOptions, signal: AbortSignal): Promise<string[]> {
-    const { time, schedule, site, operator, balancer, callers } = components;
+    const { time, schedule, site, operator, balancer, callers, evacuator } = components;
     const timeouts: string[] = [];
     const waitFor = async (activity: string, timeoutMs: number, condition: () => boolean) => {
         const deadline = time.now() + timeoutMs;
@@ -139,17 +145,26 @@
     const callersStopped = createAbortController();
     void operator.run(signal, faultFreeTimes);
     void callers.run(options.jobsPerSecond, callersStopped.signal);
+    evacuator.runRandom(options.faultPhaseMs);
     await injectFaults(components, options.onProgress);
+    const restore = evacuator.evacuate(sites.ZONES[0]!);
     await time.sleep(FAULT_AFTERMATH_MS);
     const drains = drainOneWorker(site, time);
     await time.sleep(FAULT_FREE_PHASE_MS);
     callersStopped.abort();
+    restore();
     await waitFor("the end of the last jobs", FINISH_TIMEOUT_MS, callers.isDone);
     return [
         ...timeouts,
         ...callers.violations,
         ...operator.violations,
-        ...violationChecks.findViolations({ jobs: callers.records, workers: site.workers, drains, faultFreeTimes }),
+        ...violationChecks.findViolations({
+            jobs: callers.records,
+            workers: site.workers,
+            drains,
+            evacuations: evacuator.evacuations,
+            faultFreeTimes,
+        }),
     ];
 }
 
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -59,10 +59,12 @@
     /** Returns the index of the leader among the instances, if there is one. */
     getLeader(): number | undefined;
     configure(catalog: catalogs.Catalog): void;
+    evacuate(zone: string): void;
+    restore(zone: string): void;
     close(): Promise<void>;
 }
 
-const ZONES = ["a", "b", "c"];
+export const ZONES: readonly string[] = ["a", "b", "c"];
 const WORKERS_PER_RACK = 3;
 const CAPACITY = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 };
 const MAX_LEASE_MS = 6_000;
@@ -233,6 +235,8 @@
         workers,
         getLeader: () => findLeader(store, opened.map(item => item.instance.name)),
         configure: catalog => store.put(standin.encodeConfigurationRow(catalog)),
+        evacuate: zone => store.put(standin.encodeEvacuationRow(zone)),
+        restore: zone => store.remove(standin.encodeEvacuationRow(zone)),
         close: async () => {
             await Promise.all(opened.map(item => item.instance.killAndWait()));
             cleanups.forEach(close => close());
--- a/soak/violations.ts
+++ b/soak/violations.ts
@@ -5,6 +5,8 @@
  * are longer, and a command that a link has held may be executed long after it was sent.
  */
 import * as emulator from "../src/emulator/index";
+import type * as evacuations from "./evacuations";
+import * as instances from "./instance";
 
 /** What a caller has observed of a job that it has submitted. */
 export interface JobRecord {
@@ -29,6 +31,7 @@
     readonly jobs: readonly JobRecord[];
     readonly workers: emulator.EmulatedWorkers;
     readonly drains: ReadonlyArray<{ readonly incarnationId: string; readonly at: number; }>;
+    readonly evacuations: readonly evacuations.Evacuation[];
     readonly faultFreeTimes: FaultFreeTimes;
 }
 
@@ -47,6 +50,7 @@
         ...checkStartsAfterCancellation(input),
         ...checkStartsOverCapacity(input),
         ...checkStartsOnDrainingWorkers(input),
+        ...checkStartsInEvacuatedZones(input),
         ...input.workers.gangTimeouts
             .filter(end =>
                 input.faultFreeTimes.isFaultFree(end.at - MAX_GANG_WAIT_MS, end.at)
@@ -140,6 +144,21 @@
     );
 }
 
+/** Orders that a fault has delayed are carried out within this time after it. */
+const MAX_ORDER_DELAY_MS = 1_000;
+
+function checkStartsInEvacuatedZones({ evacuations: all, workers, faultFreeTimes }: RunObservations): string[] {
+    return all.flatMap(({ zone, from, to }) =>
+        workers.starts
+            .filter(start => start.at > from + instances.EVACUATION_MS + TIMER_SLACK_MS && start.at < to)
+            .filter(start => workers.getInfo(start.workerId).zone === zone)
+            .filter(start => faultFreeTimes.isFaultFree(start.at - MAX_ORDER_DELAY_MS, start.at))
+            .map(start =>
+                `${start.task} started in zone ${zone} ${Math.round(start.at - from)} ms after its evacuation`
+            )
+    );
+}
+
 function listTasks(job: emulator.EmulatedJob): string[] {
     return job.spec.steps.flatMap((step, number) =>
         Array.from({ length: step.count }, (_, index) => `${job.jobId}.0.${number}.${index}`)
