Lease and upkeep are rooms of src/leader; two circles of imports are gone

What decides who leads (lease, held lease, its record, renewals, the watch of its holder, the handover, waiting counts) is src/leader/lease, waves of upkeep are src/leader/upkeep, each with its face and its tests; term.ts knows the faces. The type of a log line stands in explain/logLine.ts, the port to the store in rows/rowStore.ts, so that explain and rows have no circles. Nothing else changes.

Left: rooms for losses, orders, workers and progress; crashHistory is imported by entries.ts and lostRuns imports entries.ts, so a face for them would be a circle.

--- a/src/explain/jobReport.ts
+++ b/src/explain/jobReport.ts
@@ -4,8 +4,8 @@
  * The delay of a step is that of the unit whose waits and lost runs took longest, since the step ends with it; the delays
  * of a job's steps are added. The remaining time of a job is that of runs that completed their work.
  */
+import type * as logLine from "./logLine";
 import * as runEnds from "./runEnds";
-import type * as timelines from "./timeline";
 
 /** How a job was served in relation to its objective. The values are output by `--json`. */
 export const Served = { InTime: "inTime", Late: "late", Missed: "missed", Refused: "refused", Open: "open" } as const;
@@ -81,13 +81,13 @@
     /** Units by step and by name; the unit of a gang has the name of its first member. */
     readonly steps: Map<string, Map<string, Unit>>;
     /** The line that reports the end. */
-    ended: timelines.LogLine | undefined;
+    ended: logLine.LogLine | undefined;
 }
 
 /** Creates the report. Cancelled jobs are omitted, since nobody waits for them. */
-export function createJobReport(lines: readonly timelines.LogLine[]): JobReport {
+export function createJobReport(lines: readonly logLine.LogLine[]): JobReport {
     const records = new Map<string, JobRecord>();
-    const preemptions: timelines.LogLine[] = [];
+    const preemptions: logLine.LogLine[] = [];
     const thrownAwayByTerm = new Map<unknown, Readonly<Record<string, number>>>();
     for (const line of [...lines].sort((a, b) => Date.parse(a.time) - Date.parse(b.time))) {
         if (line.event === "preempting") {
@@ -121,7 +121,7 @@
     };
 }
 
-function processLine(records: Map<string, JobRecord>, line: timelines.LogLine): void {
+function processLine(records: Map<string, JobRecord>, line: logLine.LogLine): void {
     const { fields } = line;
     switch (line.event) {
         case "request":
@@ -161,7 +161,7 @@
     }
 }
 
-function processSubmission(records: Map<string, JobRecord>, line: timelines.LogLine): void {
+function processSubmission(records: Map<string, JobRecord>, line: logLine.LogLine): void {
     const { fields } = line;
     const jobId = String(fields["job"]);
     let record = records.get(jobId);
--- a/src/explain/runEnds.ts
+++ b/src/explain/runEnds.ts
@@ -1,8 +1,8 @@
 /** Log lines of runs that ended without completing their task. */
-import type * as timeline from "./timeline";
+import type * as logLine from "./logLine";
 
 /** Returns the reason for which the run ended early, as one word; `undefined` for other lines. */
-export function getEndReason({ event, fields }: timeline.LogLine): string | undefined {
+export function getEndReason({ event, fields }: logLine.LogLine): string | undefined {
     switch (event) {
         case "runFailed":
             return "failed";
--- a/src/explain/timeline.ts
+++ b/src/explain/timeline.ts
@@ -1,20 +1,13 @@
 /** Timeline and outcome of one request, from the log lines of any number of instances. */
+import type * as logLine from "./logLine";
 import * as runEnds from "./runEnds";
 
-/** A parsed log line; `time` is an ISO timestamp. */
-export interface LogLine {
-    readonly time: string;
-    readonly instance: string;
-    readonly event: string;
-    readonly fields: Readonly<Record<string, unknown>>;
-}
-
 /** Result of `explain` for one request. Its keys are output by `--json`. */
 export interface Timeline {
     /** Id of the request's job, if a line has it. */
     readonly jobId: string | undefined;
     /** Lines that refer to the request or its job, and state changes of the instances that logged them; oldest first. */
-    readonly lines: readonly LogLine[];
+    readonly lines: readonly logLine.LogLine[];
     readonly verdict: Verdict;
 }
 
@@ -50,7 +43,7 @@
 ]);
 
 /** Parses one log line: a JSON object after an optional prefix. Returns `undefined` for any other text. */
-export function parseLogLine(text: string): LogLine | undefined {
+export function parseLogLine(text: string): logLine.LogLine | undefined {
     const start = text.indexOf("{");
     if (start < 0) {
         return undefined;
@@ -68,7 +61,7 @@
 }
 
 /** Creates the timeline of a request; `id` is that of the request or of its job. */
-export function createTimeline(allLines: readonly LogLine[], id: string): Timeline {
+export function createTimeline(allLines: readonly logLine.LogLine[], id: string): Timeline {
     const jobId = findJobId(allLines, id);
     const requestLines = allLines.filter(line => refersTo(line, id) || (jobId !== undefined && refersTo(line, jobId)));
     requestLines.sort(compareTimes);
@@ -89,24 +82,24 @@
     return { jobId, lines: [...requestLines, ...instanceLines].sort(compareTimes), verdict: getVerdict(requestLines) };
 }
 
-function findJobId(allLines: readonly LogLine[], id: string): string | undefined {
+function findJobId(allLines: readonly logLine.LogLine[], id: string): string | undefined {
     const line = allLines.find(candidate => candidate.fields["request"] === id || candidate.fields["job"] === id);
     const job = line?.fields["job"];
     return typeof job === "string" && job !== "" ? job : undefined;
 }
 
 /** Returns whether a field holds the id, or ends with it, or holds the name of one of the job's tasks. */
-function refersTo(line: LogLine, id: string): boolean {
+function refersTo(line: logLine.LogLine, id: string): boolean {
     return Object.values(line.fields).some(value =>
         typeof value === "string" && (value === id || value.startsWith(`${id}.`) || value.endsWith(` ${id}`))
     );
 }
 
-function compareTimes(a: LogLine, b: LogLine): number {
+function compareTimes(a: logLine.LogLine, b: logLine.LogLine): number {
     return a.time === b.time ? 0 : a.time < b.time ? -1 : 1;
 }
 
-function getVerdict(requestLines: readonly LogLine[]): Verdict {
+function getVerdict(requestLines: readonly logLine.LogLine[]): Verdict {
     const ended = requestLines.findLast(line => line.event === "jobEnded");
     switch (ended?.fields["state"]) {
         case "completed":
@@ -145,17 +138,17 @@
     return { kind: "open", last: requestLines.at(-1)!.event };
 }
 
-function listWorkers(lines: readonly LogLine[]): string[] {
+function listWorkers(lines: readonly logLine.LogLine[]): string[] {
     return [...new Set(lines.map(line => String(line.fields["worker"])))];
 }
 
-function getWait(requestLines: readonly LogLine[]): number | undefined {
+function getWait(requestLines: readonly logLine.LogLine[]): number | undefined {
     const accepted = requestLines.find(line => line.event === "request" && line.fields["outcome"] === "accepted");
     const placed = requestLines.find(line => line.event === "placed");
     return accepted && placed ? Math.max(0, Date.parse(placed.time) - Date.parse(accepted.time)) : undefined;
 }
 
-function countSetbacks(requestLines: readonly LogLine[]): Record<string, number> {
+function countSetbacks(requestLines: readonly logLine.LogLine[]): Record<string, number> {
     const setbacks: Record<string, number> = {};
     for (const line of requestLines) {
         const reason = runEnds.getEndReason(line);
--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -4,8 +4,8 @@
 import * as telemetry from "../../telemetry/index";
 import * as work from "../../work/index";
 import * as entries from "../entries";
-import type * as heldLease from "../heldLease";
 import * as jobRegistries from "../jobRegistry";
+import type * as leases from "../lease/index";
 import type * as lostRuns from "../lostRuns";
 import * as thrownAway from "../thrownAway";
 
@@ -44,7 +44,7 @@
 export const LIST_OPTIONS: lostRuns.ListLostRunsOptions = { estimateRunMs: ({ spec }) => spec.estimateMs };
 
 /** A lease that never expires. */
-export const LEADERSHIP: heldLease.Leadership = {
+export const LEADERSHIP: leases.Leadership = {
     token: 1,
     guard: { table: "t", part: "", key: "k", version: 1 },
     signal: new AbortController().signal,
--- a/src/leader/__tests__/handoverCalls.test.ts
+++ b/src/leader/lease/__tests__/handoverCalls.test.ts
@@ -1,5 +1,5 @@
-import * as calls from "../../calls/index";
-import * as leader from "../index";
+import * as calls from "../../../calls/index";
+import * as leader from "../../index";
 
 const OFFER: leader.HandoverOffer = { holder: "a-1", token: 7 };
 const TIMEOUT_MS = 5_000;
--- a/src/leader/__tests__/lease.test.ts
+++ b/src/leader/lease/__tests__/lease.test.ts
@@ -1,7 +1,7 @@
 import * as events from "node:events";
-import * as clocks from "../../clock/index";
-import * as emulator from "../../emulator/index";
-import * as telemetry from "../../telemetry/index";
+import * as clocks from "../../../clock/index";
+import * as emulator from "../../../emulator/index";
+import * as telemetry from "../../../telemetry/index";
 import * as leases from "../lease";
 
 const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
--- a/src/leader/__tests__/renewals.test.ts
+++ b/src/leader/lease/__tests__/renewals.test.ts
@@ -1,5 +1,5 @@
-import * as clocks from "../../clock/index";
-import type * as rows from "../../rows/index";
+import * as clocks from "../../../clock/index";
+import type * as rows from "../../../rows/index";
 import * as renewalsOfTerm from "../renewals";
 
 const TOKEN: rows.RowKey = { table: "lead", part: "leader", key: "token" };
--- a/src/leader/__tests__/waitingCounts.test.ts
+++ b/src/leader/lease/__tests__/waitingCounts.test.ts
@@ -1,6 +1,6 @@
-import * as clocks from "../../clock/index";
-import * as emulator from "../../emulator/index";
-import * as telemetry from "../../telemetry/index";
+import * as clocks from "../../../clock/index";
+import * as emulator from "../../../emulator/index";
+import * as telemetry from "../../../telemetry/index";
 import * as lease from "../lease";
 import type * as leaseRecord from "../leaseRecord";
 import * as renewals from "../renewals";
--- a/src/leader/handover.ts
+++ b/src/leader/lease/handover.ts
@@ -11,10 +11,10 @@
  * A leader ends its term only for an instance that has just reached the store: while no instance reaches it, the leader
  * is the one that extends the leases of running tasks.
  */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import type * as rows from "../rows/index";
-import * as work from "../work/index";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import type * as rows from "../../rows/index";
+import * as work from "../../work/index";
 import type * as lease from "./lease";
 
 /** The term that is handed over. */
--- a/src/leader/handoverCalls.ts
+++ b/src/leader/lease/handoverCalls.ts
@@ -1,5 +1,5 @@
 /** HTTP client and routes for the handover of leadership between instances. */
-import type * as calls from "../calls/index";
+import type * as calls from "../../calls/index";
 import type * as handover from "./handover";
 
 const ASK_PATH = "/lead/ask";
--- a/src/leader/heldLease.ts
+++ b/src/leader/lease/heldLease.ts
@@ -1,7 +1,7 @@
 /** The lease from the view of its holder: how long it may issue orders and extend the leases of running tasks. */
 import * as events from "node:events";
-import type * as clock from "../clock/index";
-import type * as rows from "../rows/index";
+import type * as clock from "../../clock/index";
+import type * as rows from "../../rows/index";
 import * as leaseRenewals from "./renewals";
 
 /** The rights of a term's leader. */
--- a/src/leader/holderMonitor.ts
+++ b/src/leader/lease/holderMonitor.ts
@@ -1,6 +1,6 @@
 /** Detects without the store that the lease holder's process has exited or sends no heartbeats. */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
 import type * as leaseRecord from "./leaseRecord";
 
 /** Watches one process. */
--- a/src/leader/lease.ts
+++ b/src/leader/lease/lease.ts
@@ -5,10 +5,10 @@
  * its lease from the moment when it *sent* the renewal, by whichever clock has advanced most: the monotonic clock of a
  * suspended machine does not count the pause, and the holder would repeat orders that its successor has already issued.
  */
-import * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import * as rows from "../rows/index";
-import * as work from "../work/index";
+import * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import * as rows from "../../rows/index";
+import * as work from "../../work/index";
 import * as heldLease from "./heldLease";
 import * as holderMonitor from "./holderMonitor";
 import * as leaseRecord from "./leaseRecord";
--- a/src/leader/leaseRecord.ts
+++ b/src/leader/lease/leaseRecord.ts
@@ -1,6 +1,6 @@
 /** The row of the lease: its holder, its duration, and other facts that all instances read from it. */
-import type * as rows from "../rows/index";
-import * as work from "../work/index";
+import type * as rows from "../../rows/index";
+import * as work from "../../work/index";
 import * as renewals from "./renewals";
 
 /** The stored value of the lease, as JSON. */
--- a/src/leader/renewals.ts
+++ b/src/leader/lease/renewals.ts
@@ -8,9 +8,9 @@
  * a renewal is conditional only on the row of the token, which allows several in flight; it is combined with other
  * writes, which saves transactions; and it requests a longer lease when the store is slow.
  */
-import * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import type * as rows from "../rows/index";
+import * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import type * as rows from "../../rows/index";
 
 /** Duration of the lease at a store that answers in normal time: unchanged for this long, it may be taken over. */
 export const LEASE_MS = 1_600;
--- a/src/leader/progressWriter.ts
+++ b/src/leader/progressWriter.ts
@@ -10,7 +10,7 @@
 import type * as rows from "../rows/index";
 import * as work from "../work/index";
 import type * as entries from "./entries";
-import type * as heldLease from "./heldLease";
+import type * as leases from "./lease/index";
 import * as progressRows from "./progressRows";
 
 export interface ProgressWriterOptions {
@@ -18,7 +18,7 @@
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly meter: observe.Meter;
-    readonly leadership: Pick<heldLease.Leadership, "guard" | "transact" | "signal">;
+    readonly leadership: Pick<leases.Leadership, "guard" | "transact" | "signal">;
     /** Another leader has taken over. */
     onSuperseded(): void;
 }
--- a/src/leader/retention.ts
+++ b/src/leader/retention.ts
@@ -9,14 +9,14 @@
 import type * as rows from "../rows/index";
 import * as work from "../work/index";
 import type * as entries from "./entries";
-import type * as heldLease from "./heldLease";
 import type * as jobRegistries from "./jobRegistry";
+import type * as leases from "./lease/index";
 
 export interface RetentionOptions {
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: heldLease.Leadership;
+    readonly leadership: leases.Leadership;
     readonly jobRegistry: jobRegistries.JobRegistry;
     /** How long the state of an ended job stays available, in milliseconds. */
     readonly retentionMs: number;
--- a/src/leader/taskWatchdog.ts
+++ b/src/leader/taskWatchdog.ts
@@ -4,8 +4,8 @@
 import type * as observe from "../observe/index";
 import type * as entries from "./entries";
 import * as failingWorkers from "./failingWorkers";
-import type * as heldLease from "./heldLease";
 import type * as jobRegistry from "./jobRegistry";
+import type * as leases from "./lease/index";
 import * as leaseExpiry from "./leaseExpiry";
 import * as suspects from "./suspects";
 import type * as units from "./units";
@@ -57,7 +57,7 @@
     worker: entries.WorkerEntry,
     options: {
         readonly clock: clock.Clock;
-        readonly leadership: heldLease.Leadership;
+        readonly leadership: leases.Leadership;
         readonly maxLeaseMs: number;
         readonly jobRegistry: Pick<jobRegistry.JobRegistry, "handleWorkerLoss">;
     },
--- a/src/leader/__tests__/upkeepRows.test.ts
+++ b/src/leader/upkeep/__tests__/upkeepRows.test.ts
@@ -1,6 +1,6 @@
-import * as clocks from "../../clock/index";
-import * as emulator from "../../emulator/index";
-import * as heldLease from "../heldLease";
+import * as clocks from "../../../clock/index";
+import * as emulator from "../../../emulator/index";
+import * as leases from "../../lease/index";
 import * as upkeepRows from "../upkeepRows";
 import type * as stagesOfWave from "../upkeepStages";
 
@@ -32,7 +32,7 @@
             const store = emulator.createEmulatedStore({ clock: time, latencyMs: 5 });
             const tokenKey = { table: "lead", part: "leader", key: "token" };
             store.put({ ...tokenKey, value: "1" });
-            const { leadership } = heldLease.createHeldLease(time, {
+            const { leadership } = leases.createHeldLease(time, {
                 log: { info: () => {}, warn: () => {}, error: () => {} },
                 token: 1,
                 guard: { ...tokenKey, version: 1 },
--- a/src/leader/upkeep.ts
+++ b/src/leader/upkeep/upkeep.ts
@@ -4,13 +4,13 @@
  * Taking a machine down kills all tasks on it, so it is drained first: nothing new is placed, tasks that end soon may
  * end, and the others are stopped with their work saved.
  */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import type * as rows from "../rows/index";
-import * as entries from "./entries";
-import type * as heldLease from "./heldLease";
-import type * as jobRegistries from "./jobRegistry";
-import type * as machines from "./machines";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import type * as rows from "../../rows/index";
+import * as entries from "../entries";
+import type * as jobRegistries from "../jobRegistry";
+import type * as leases from "../lease/index";
+import type * as machines from "../machines";
 import * as upkeepRows from "./upkeepRows";
 import * as upkeepStages from "./upkeepStages";
 
@@ -20,7 +20,7 @@
     readonly store: rows.RowStore;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: heldLease.Leadership;
+    readonly leadership: leases.Leadership;
     /** Unique to the instance that holds this term. */
     readonly holder: string;
     /** How long a machine is down for its upkeep, in milliseconds. */
--- a/src/leader/upkeepRows.ts
+++ b/src/leader/upkeep/upkeepRows.ts
@@ -4,14 +4,14 @@
  * If it were stored after the order, the leader could fail in between, or an unanswered order could be executed seconds
  * later. The successor would not know of that machine, and more machines than allowed would be down.
  */
-import * as rows from "../rows/index";
-import * as work from "../work/index";
-import type * as heldLease from "./heldLease";
+import * as rows from "../../rows/index";
+import * as work from "../../work/index";
+import type * as leases from "../lease/index";
 import type * as upkeepStages from "./upkeepStages";
 
 export interface UpkeepRowsOptions {
     readonly store: rows.RowStore;
-    readonly leadership: heldLease.Leadership;
+    readonly leadership: leases.Leadership;
     readonly timeoutMs: number;
 }
 
--- a/src/leader/upkeepStages.ts
+++ b/src/leader/upkeep/upkeepStages.ts
@@ -1,5 +1,5 @@
 /** The stage of each machine of a wave, updated from the platform's list of machines. */
-import type * as machines from "./machines";
+import type * as machines from "../machines";
 
 /** Stage of one machine. */
 export type MachineStage =
--- a/src/leader/workerRegistry.ts
+++ b/src/leader/workerRegistry.ts
@@ -7,9 +7,9 @@
 import type * as observe from "../observe/index";
 import type * as directory from "./directory";
 import * as entries from "./entries";
-import type * as heldLease from "./heldLease";
 import * as incarnations from "./incarnation";
 import type * as jobRegistry from "./jobRegistry";
+import type * as leases from "./lease/index";
 import * as taskWatchdog from "./taskWatchdog";
 import type * as workerSession from "./workerSession";
 
@@ -17,7 +17,7 @@
 export interface WorkerRegistryOptions {
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: heldLease.Leadership;
+    readonly leadership: leases.Leadership;
     readonly maxLeaseMs: number;
     readonly jobRegistry: Pick<jobRegistry.JobRegistry, "handleWorkerLoss" | "crashAttribution">;
     /** Removes workers that no queue can use. */
--- a/src/leader/workerSession.ts
+++ b/src/leader/workerSession.ts
@@ -6,9 +6,9 @@
  */
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
-import type * as heldLease from "./heldLease";
 import * as incarnations from "./incarnation";
 import * as initialPollLimiter from "./initialPollLimiter";
+import type * as leases from "./lease/index";
 import * as leaseExpiry from "./leaseExpiry";
 import * as port from "./workerPort";
 
@@ -31,7 +31,7 @@
     readonly port: port.WorkerPort;
     readonly clock: clock.Clock;
     readonly log: observe.Log;
-    readonly leadership: heldLease.Leadership;
+    readonly leadership: leases.Leadership;
     readonly pollLimiter: initialPollLimiter.InitialPollLimiter;
     /** Maximum duration of the worker's leases, in milliseconds. */
     readonly maxLeaseMs: number;
--- a/src/rows/followTable.ts
+++ b/src/rows/followTable.ts
@@ -11,8 +11,8 @@
  */
 import * as clock from "../clock/index";
 import type * as observe from "../observe/index";
-import * as rows from "./index";
 import * as readAll from "./readAll";
+import * as rows from "./rowStore";
 import * as tableFreshness from "./tableFreshness";
 
 /** Which table to follow, and the callbacks that receive its rows. */
--- a/src/rows/instrumentedStore.ts
+++ b/src/rows/instrumentedStore.ts
@@ -1,6 +1,6 @@
 /** Wraps a store and counts its calls by outcome. */
 import type * as observe from "../observe/index";
-import type * as rows from "./index";
+import type * as rows from "./rowStore";
 
 /** Returns a store that counts each call in `store_calls_total`. */
 export function createInstrumentedStore(store: rows.RowStore, meter: observe.Meter): rows.RowStore {
--- a/src/rows/readAll.ts
+++ b/src/rows/readAll.ts
@@ -1,5 +1,5 @@
 /** Reads of ranges and tables that span several pages. */
-import type * as rows from "./index";
+import type * as rows from "./rowStore";
 
 /**
  * Reads a whole range page by page. The returned version is that of the first page: following the changes from it
--- a/src/rows/storeHealth.ts
+++ b/src/rows/storeHealth.ts
@@ -6,7 +6,7 @@
  * sent: the refusal is certain and immediate. Probes detect when the store is reachable again.
  */
 import type * as clock from "../clock/index";
-import type * as rows from "./index";
+import type * as rows from "./rowStore";
 
 /** Reachability and latency of the store. */
 export interface StoreHealth {
