--- a/soak/main.ts
+++ b/soak/main.ts
@@ -82,4 +82,15 @@
     process.stdout.write(`${line}\n`);
 }
 
-void main();
+/** Names the option that avoids an address in use, which would otherwise show as a failed `listen`. */
+function describeError(err: unknown): string {
+    const isInUse = err instanceof Error && "code" in err && err.code === "EADDRINUSE";
+    return isInUse
+        ? `${err.message}: another soak may run with the same --block, choose another one`
+        : err instanceof Error ? err.stack ?? err.message : String(err);
+}
+
+main().catch((err: unknown) => {
+    print(describeError(err));
+    process.exit(1);
+});
