--- a/soak/main.ts
+++ b/soak/main.ts
@@ -84,10 +84,12 @@
 
 /** Names the option that avoids an address in use, which would otherwise show as a failed `listen`. */
 function describeError(err: unknown): string {
-    const isInUse = err instanceof Error && "code" in err && err.code === "EADDRINUSE";
-    return isInUse
+    if (!(err instanceof Error)) {
+        return String(err);
+    }
+    return "code" in err && err.code === "EADDRINUSE"
         ? `${err.message}: another soak may run with the same --block, choose another one`
-        : err instanceof Error ? err.stack ?? err.message : String(err);
+        : err.stack ?? err.message;
 }
 
 main().catch((err: unknown) => {
