--- a/soak/__tests__/violations.test.ts
+++ b/soak/__tests__/violations.test.ts
@@ -47,7 +47,8 @@
         completionCounts: new Map(),
         ...fields,
     };
-    return observed as emulator.EmulatedWorkers;
+    const getInfo = () => ({ zone: "a" }) as ReturnType<emulator.EmulatedWorkers["getInfo"]>;
+    return { ...observed, getInfo } as emulator.EmulatedWorkers;
 }
 
 function startAt(at: number, workerId = "w") {
@@ -59,12 +60,36 @@
     readonly record?: Partial<violationChecks.JobRecord>;
     readonly workers?: Partial<ObservedByWorkers>;
     readonly drainedAt?: number;
+    /** When the zone of all workers was evacuated and restored. */
+    readonly evacuated?: readonly [from: number, to: number];
     readonly faultFreeTimes?: violationChecks.FaultFreeTimes;
     /** Part of the only violation that is expected; absent: none is. */
     readonly violation?: string;
 }
 
 const cases: readonly Case[] = [
+    {
+        name: "a start in a zone that was evacuated long ago",
+        workers: { starts: [startAt(7_000)] },
+        evacuated: [1_000, Infinity],
+        violation: "started in zone a 6000 ms after its evacuation",
+    },
+    {
+        name: "a start in a zone that was evacuated long ago, beside faults",
+        workers: { starts: [startAt(7_000)] },
+        evacuated: [1_000, Infinity],
+        faultFreeTimes: NEVER_FAULT_FREE,
+    },
+    {
+        name: "a start in a zone that was evacuated just before",
+        workers: { starts: [startAt(6_000)] },
+        evacuated: [1_000, Infinity],
+    },
+    {
+        name: "a start in a zone that was restored",
+        workers: { starts: [startAt(9_000)] },
+        evacuated: [1_000, 8_000],
+    },
     { name: "a job that is completed" },
     {
         name: "a job whose state is never reported",
@@ -160,11 +185,12 @@
     },
 ];
 
-test.each(cases)("$name", ({ record = {}, workers = {}, drainedAt, faultFreeTimes = ALWAYS_FAULT_FREE, violation }) => {
+test.each(cases)("$name", ({ record = {}, workers = {}, drainedAt, evacuated, violation, ...testCase }) => {
+    const { faultFreeTimes = ALWAYS_FAULT_FREE } = testCase;
     const violations = violationChecks.findViolations({
         jobs: [createRecord(record)],
         workers: createWorkers(workers),
-        evacuations: [],
+        evacuations: evacuated ? [{ zone: "a", from: evacuated[0], to: evacuated[1] }] : [],
         drains: drainedAt === undefined ? [] : [{ incarnationId: "w", at: drainedAt }],
         faultFreeTimes,
     });
