--- a/soak/__tests__/violations.test.ts
+++ b/soak/__tests__/violations.test.ts
@@ -33,7 +33,14 @@
 
 type ObservedByWorkers = Pick<
     emulator.EmulatedWorkers,
-    "violations" | "starts" | "gangTimeouts" | "startsAfterShrink" | "lossTimes" | "lossCounts" | "completionCounts"
+    | "violations"
+    | "starts"
+    | "gangTimeouts"
+    | "startsAfterShrink"
+    | "lossTimes"
+    | "lossCounts"
+    | "completionCounts"
+    | "getInfo"
 >;
 
 function createWorkers(fields: Partial<ObservedByWorkers>): emulator.EmulatedWorkers {
@@ -45,10 +52,10 @@
         lossTimes: [],
         lossCounts: new Map(),
         completionCounts: new Map(),
+        getInfo: () => ({ zone: "a" }) as ReturnType<emulator.EmulatedWorkers["getInfo"]>,
         ...fields,
     };
-    const getInfo = () => ({ zone: "a" }) as ReturnType<emulator.EmulatedWorkers["getInfo"]>;
-    return { ...observed, getInfo } as emulator.EmulatedWorkers;
+    return observed as emulator.EmulatedWorkers;
 }
 
 function startAt(at: number, workerId = "w") {
