--- a/src/scheduler/__tests__/evacuation.test.ts
+++ b/src/scheduler/__tests__/evacuation.test.ts
@@ -44,6 +44,14 @@
     expect(reply).toMatchObject({ state });
 };
 
+/** Submits a job that cannot start, long enough before its state is read that it would have ended elsewhere. */
+async function submitAndExpectQueued(script: Script): Promise<string> {
+    const jobId = await submitWhole(script, 1);
+    await script.site.clock.advance(8_000);
+    await expectState(script, jobId, "queued");
+    return jobId;
+}
+
 const cases: readonly Case[] = [
     {
         name: "that stays evacuated, and its runs end as usual",
@@ -66,9 +74,7 @@
         act: async script => {
             script.site.operators!.evacuate(ZONE);
             await script.site.clock.advance(1_000);
-            const jobId = await submitWhole(script, 1);
-            await script.site.clock.advance(8_000);
-            await expectState(script, jobId, "queued");
+            const jobId = await submitAndExpectQueued(script);
             script.site.operators!.restore(ZONE);
             await script.site.clock.advance(3_000);
             await expectState(script, jobId, "completed");
@@ -84,9 +90,7 @@
             script.site.operators!.restore(ZONE);
             script.site.operators!.evacuate(ZONE);
             await script.site.clock.advance(1_000);
-            const jobId = await submitWhole(script, 1);
-            await script.site.clock.advance(8_000);
-            await expectState(script, jobId, "queued");
+            await submitAndExpectQueued(script);
         },
     },
     {
@@ -95,9 +99,7 @@
             script.site.operators!.evacuate(ZONE);
             script.site.operators!.evacuate(OTHER_ZONE);
             await script.site.clock.advance(1_000);
-            const jobId = await submitWhole(script, 1);
-            await script.site.clock.advance(8_000);
-            await expectState(script, jobId, "queued");
+            const jobId = await submitAndExpectQueued(script);
             script.site.operators!.restore(OTHER_ZONE);
             await script.site.clock.advance(3_000);
             await expectState(script, jobId, "completed");
@@ -109,9 +111,7 @@
         act: async script => {
             script.site.operators!.evacuate(ZONE, "[");
             await script.site.clock.advance(1_000);
-            const jobId = await submitWhole(script, 1);
-            await script.site.clock.advance(8_000);
-            await expectState(script, jobId, "queued");
+            await submitAndExpectQueued(script);
         },
         lines: ["evacuationUnreadable"],
     },
@@ -208,9 +208,7 @@
             await script.site.clock.advance(1_000);
             script.site.operators!.evacuate(ZONE);
             await script.site.clock.advance(EVACUATION_MS);
-            const jobId = await submitWhole(script, 1);
-            await script.site.clock.advance(8_000);
-            await expectState(script, jobId, "queued");
+            const jobId = await submitAndExpectQueued(script);
             script.unreadable.clear();
             script.site.operators!.restore(ZONE);
             await script.site.clock.advance(4_000);
