A unit that preempts counts towards `maxPerWorker` in its pass

Cause: of the three branches of a pass, starts and reservations of resources that are being released were added to the count of a step's tasks on a worker; the branch that preempts did not add its hosts. Two tasks of a step with `maxPerWorker` 1 then stopped work on the same worker, which may run only one of them, and the second stop was in vain.

Change: the hosts of a preemption are counted like the others, also in the reference implementation, which had the same fault, so that indexedPlan.test.ts could not show it.

--- a/src/decisions/__tests__/plan.test.ts
+++ b/src/decisions/__tests__/plan.test.ts
@@ -171,6 +171,26 @@
         units: [fixtures.createUnit("a", { maxPerWorker: 1, stepTasksByWorker: new Map([["w1", 1]]) })],
         starts: { a: ["w2"] },
     },
+    {
+        // Guards against stopping work in vain: two tasks of a step preempt on one worker that may run one of them.
+        name: "`maxPerWorker` includes tasks that preempt in the same pass",
+        workers: [fixtures.createWorker("w1", { used: FULL }), fixtures.createWorker("w2", { used: FULL })],
+        units: ["a", "b"].map(key =>
+            fixtures.createUnit(key, {
+                step: "s",
+                equivalenceClass: "s",
+                maxPerWorker: 1,
+                tier: types.PreemptionTier.Urgent,
+            })
+        ),
+        groups: [
+            fixtures.createGroup("cheap1", "w1", { lossCoreSeconds: 1 }),
+            fixtures.createGroup("cheap2", "w1", { lossCoreSeconds: 2 }),
+            fixtures.createGroup("costly", "w2", { lossCoreSeconds: 90 }),
+        ],
+        starts: {},
+        stops: ["cheap1", "costly"],
+    },
     {
         name: "a gang starts only as a whole",
         workers: [fixtures.createWorker("w1"), fixtures.createWorker("w2")],
--- a/src/decisions/__tests__/referencePlan.ts
+++ b/src/decisions/__tests__/referencePlan.ts
@@ -23,6 +23,7 @@
     const starts: types.PlannedStart[] = [];
     const stops: types.PlannedStop[] = [];
     const stopped = new Set<types.RunningGroup>();
+    const stepTasks = createStepTasks();
     const getFree: referencePlace.GetResources = worker => free.get(worker.id)!;
     const getFutureFree: referencePlace.GetResources = worker => futureFree.get(worker.id)!;
 
@@ -63,6 +64,7 @@
             }
         }
         reserve(unit, choice.workerIds);
+        stepTasks.add(unit, choice.workerIds);
         return true;
     };
 
@@ -76,7 +78,6 @@
             : unit;
     };
     const unplaceableClasses = new Set<string>();
-    const stepTasks = createStepTasks();
     for (const waiting of input.units) {
         if (unplaceableClasses.has(waiting.equivalenceClass)) {
             continue;
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -57,6 +57,7 @@
         passResources.getPreemptor().recordStops(choice.victims);
         stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
         passResources.reserve(unit, choice.hosts);
+        stepTasks.add(unit, choice.hosts);
     }
     return { starts, stops };
 }
