Losses of workers and sessions with workers have folders of their own

Cause: src/leader held forty files side by side, so a newcomer could not see which of them belong together.

Change: src/leader/losses (crash attribution, lost runs, suspects, failing workers) and src/leader/sessions (port, sessions, registry, orders, reconciliation) with a face each; others import only that. markLostAfterExpiry moves from the task watchdog to its only caller, the worker registry, which removes the import of the watchdog there.

--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -6,7 +6,7 @@
 import * as entries from "../entries";
 import * as jobRegistries from "../jobRegistry";
 import type * as leases from "../lease/index";
-import type * as lostRuns from "../lostRuns";
+import type * as workerLosses from "../losses/index";
 import * as thrownAway from "../thrownAway";
 
 export const QUEUE: catalogs.Queue = {
@@ -41,7 +41,7 @@
     return entries.createOccurrenceEntry(job, 0, 0).steps[0]!.tasks[0]!;
 }
 
-export const LIST_OPTIONS: lostRuns.ListLostRunsOptions = { estimateRunMs: ({ spec }) => spec.estimateMs };
+export const LIST_OPTIONS: workerLosses.ListLostRunsOptions = { estimateRunMs: ({ spec }) => spec.estimateMs };
 
 /** A lease that never expires. */
 export const LEADERSHIP: leases.Leadership = {
--- a/src/leader/__tests__/jobRegistry.test.ts
+++ b/src/leader/__tests__/jobRegistry.test.ts
@@ -1,5 +1,5 @@
 import * as entries from "../entries";
-import * as lostRuns from "../lostRuns";
+import * as workerLosses from "../losses/index";
 import * as fixtures from "./fixtures";
 
 /** A registry with a gang of two, each on its own worker. */
@@ -21,5 +21,5 @@
     const { registry, members, workers } = openRegistryWithGang();
     registry.requestStop(members[0]!, entries.MISSING_RUN_REASON);
     expect(members.map(member => member.phase)).toEqual(["stopping", "stopping"]);
-    expect(workers.map(worker => lostRuns.listLostRuns(worker, fixtures.LIST_OPTIONS).length)).toEqual([0, 1]);
+    expect(workers.map(worker => workerLosses.listLostRuns(worker, fixtures.LIST_OPTIONS).length)).toEqual([0, 1]);
 });
--- a/src/leader/__tests__/restore.test.ts
+++ b/src/leader/__tests__/restore.test.ts
@@ -1,6 +1,6 @@
 import type * as work from "../../work/index";
 import * as entries from "../entries";
-import * as lostRuns from "../lostRuns";
+import * as workerLosses from "../losses/index";
 import * as fixtures from "./fixtures";
 
 const WAITING = { kind: "waiting", run: 4, failures: 0, crashBudgetUsed: 0, knownCrashes: 0, saved: "" } as const;
@@ -40,7 +40,9 @@
     test("with a run that its worker's next incarnation must refuse", () => {
         const task = restore({ ...WAITING, kind: "closing", workerId: "w" }).occurrences.get(0)!.steps[0]!.tasks[0]!;
         expect(task.phase).toBe("stopping");
-        expect(lostRuns.listLostRuns(task.worker!, { ...fixtures.LIST_OPTIONS, hasNextIncarnation: true })).toEqual([]);
+        expect(workerLosses.listLostRuns(task.worker!, { ...fixtures.LIST_OPTIONS, hasNextIncarnation: true })).toEqual(
+            [],
+        );
     });
 
     test("with many failures of a lasting task", () => {
--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -4,14 +4,13 @@
 import type * as observe from "../observe/index";
 import type * as entries from "./entries";
 import type * as jobRegistries from "./jobRegistry";
-import type * as ordersOfTerm from "./orders";
-import type * as reachabilityCheck from "./reachabilityCheck";
+import type * as sessions from "./sessions/index";
 import type * as units from "./units";
 
 export interface ExecutionOptions {
     readonly jobRegistry: jobRegistries.JobRegistry;
-    readonly orders: ordersOfTerm.Orders;
-    readonly reachability: reachabilityCheck.ReachabilityCheck;
+    readonly orders: sessions.Orders;
+    readonly reachability: sessions.ReachabilityCheck;
     readonly log: observe.Log;
     readonly meter: observe.Meter;
     getWorker(id: string): entries.WorkerEntry;
@@ -61,7 +60,7 @@
     { jobRegistry: registry, log, meter, getWorker, evacuations }: ExecutionOptions,
     { unit, workerIds }: decisions.PlannedStart,
     tasks: readonly entries.TaskEntry[],
-): ordersOfTerm.PlacedTask[] {
+): sessions.PlacedTask[] {
     registry.place(tasks, workerIds.map(getWorker));
     log.info("placed", {
         unit: unit.key,
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -18,7 +18,6 @@
     type ProcessWatch,
 } from "./lease/index";
 export type { Machine, MachineService, MachinesResult, UpkeepAnswer, UpkeepOrder, Wave, WavePort } from "./machines";
-export { createTerm, type Term, type TermOptions } from "./term";
 export type {
     EndKind,
     OrderAnswer,
@@ -32,4 +31,5 @@
     TaskEnd,
     WorkerAddress,
     WorkerPort,
-} from "./workerPort";
+} from "./sessions/index";
+export { createTerm, type Term, type TermOptions } from "./term";
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -7,14 +7,13 @@
 import * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
-import type * as crashes from "./crashAttribution";
 import * as crashHistory from "./crashHistory";
 import * as entries from "./entries";
+import * as workerLosses from "./losses/index";
 import * as outcomes from "./outcomes";
 import * as restore from "./restore";
+import type * as sessions from "./sessions/index";
 import * as thrownAways from "./thrownAway";
-import * as workerLosses from "./workerLosses";
-import type * as port from "./workerPort";
 
 /** Callbacks for changes that need an order, a stored row or a pass. */
 export interface JobRegistryListener {
@@ -63,9 +62,9 @@
     /** Returns the task to waiting: its current run has not started and never will. */
     revertPlacement(task: entries.TaskEntry): void;
     requestStop(task: entries.TaskEntry, reason: string): void;
-    recordRunEnd(worker: entries.WorkerEntry, end: port.TaskEnd): void;
+    recordRunEnd(worker: entries.WorkerEntry, end: sessions.TaskEnd): void;
     /** Records the progress that the task's worker reported. */
-    recordProgress(task: entries.TaskEntry, progress: port.RunningTask): void;
+    recordProgress(task: entries.TaskEntry, progress: sessions.RunningTask): void;
     /** Handles the loss of a worker: its incarnation has ended, or the leases of all its tasks have expired. */
     handleWorkerLoss(
         worker: entries.WorkerEntry,
@@ -73,7 +72,7 @@
         next?: workerLosses.NextIncarnation,
     ): void;
     /** Determines whether lost workers have crashed. */
-    readonly crashAttribution: crashes.CrashAttribution;
+    readonly crashAttribution: workerLosses.CrashAttribution;
     /** Removes a job that has ended and of which no task is placed. */
     forgetJob(job: entries.JobEntry): void;
 }
@@ -161,7 +160,7 @@
      * Handles an earlier run that succeeded on an unreachable worker after the task was restarted because the run's
      * lease was considered expired. The work is done, so the next step need not wait for the later run.
      */
-    const handleEarlierRunEnd = (worker: entries.WorkerEntry, task: entries.TaskEntry, end: port.TaskEnd) => {
+    const handleEarlierRunEnd = (worker: entries.WorkerEntry, task: entries.TaskEntry, end: sessions.TaskEnd) => {
         if (end.how !== "done" || task.step.spec.lasting || task.phase === "done") {
             return;
         }
--- a/src/leader/__tests__/crashAttribution.test.ts
+++ b/src/leader/losses/__tests__/crashAttribution.test.ts
@@ -1,9 +1,9 @@
-import * as clocks from "../../clock/index";
-import type * as work from "../../work/index";
+import * as clocks from "../../../clock/index";
+import type * as work from "../../../work/index";
+import * as fixtures from "../../__tests__/fixtures";
+import * as crashHistory from "../../crashHistory";
+import * as entries from "../../entries";
 import * as crashAttribution from "../crashAttribution";
-import * as crashHistory from "../crashHistory";
-import * as entries from "../entries";
-import * as fixtures from "./fixtures";
 
 const STARTED_AT = 100_000;
 const CRASHED_AT = STARTED_AT + 20_000;
--- a/src/leader/crashAttribution.ts
+++ b/src/leader/losses/crashAttribution.ts
@@ -6,9 +6,9 @@
  * restarted, if no other cause is known. Every other run that may have crashed its worker counts as a possible crash:
  * otherwise a crashing task would never be given up where many workers crash.
  */
-import type * as clock from "../clock/index";
-import * as crashHistory from "./crashHistory";
-import type * as entries from "./entries";
+import type * as clock from "../../clock/index";
+import * as crashHistory from "../crashHistory";
+import type * as entries from "../entries";
 import * as lostRuns from "./lostRuns";
 
 /** Workers that become unreachable within this time may share a cause: a poll waits up to 2 s. */
--- a/src/leader/failingWorkers.ts
+++ b/src/leader/losses/failingWorkers.ts
@@ -5,9 +5,9 @@
  * on a full site it gets the next unit first, and urgent jobs use up their attempts within half a second. On a healthy
  * worker runs fail at any point of their duration, so few of them fail early.
  */
-import type * as decisions from "../decisions/index";
-import type * as observe from "../observe/index";
-import type * as entries from "./entries";
+import type * as decisions from "../../decisions/index";
+import type * as observe from "../../observe/index";
+import type * as entries from "../entries";
 
 /** A failure within this share of the expected duration counts as early. */
 const EARLY_FAILURE_SHARE = 0.05;
--- a/src/leader/lostRuns.ts
+++ b/src/leader/losses/lostRuns.ts
@@ -1,6 +1,6 @@
 /** Lists the runs that are lost with a worker, and decides how certainly each has crashed it. */
-import * as crashHistory from "./crashHistory";
-import * as entries from "./entries";
+import * as crashHistory from "../crashHistory";
+import * as entries from "../entries";
 import * as suspects from "./suspects";
 
 /** Estimates are rough: a run may have ended after this share of its expected duration. */
--- a/src/leader/suspects.ts
+++ b/src/leader/losses/suspects.ts
@@ -1,6 +1,6 @@
 /** Rules for starting tasks that may crash their worker. */
-import * as crashHistory from "./crashHistory";
-import * as entries from "./entries";
+import * as crashHistory from "../crashHistory";
+import * as entries from "../entries";
 
 /** Maximum age of a worker's last answer when a task that may have crashed earlier workers is started on it. */
 export const MAX_SUSPECT_START_SILENCE_MS = 100;
--- a/src/leader/workerLosses.ts
+++ b/src/leader/losses/workerLosses.ts
@@ -1,10 +1,10 @@
 /** Handles the loss of a worker: its tasks are requeued, moved to the next incarnation, or given up. */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import * as crashHistory from "../crashHistory";
+import * as entries from "../entries";
+import type * as sessions from "../sessions/index";
 import * as crashes from "./crashAttribution";
-import * as crashHistory from "./crashHistory";
-import * as entries from "./entries";
-import type * as workerSession from "./workerSession";
 
 /** What the handling of losses needs from the job registry. */
 export interface WorkerLossesOptions {
@@ -36,7 +36,7 @@
 export interface NextIncarnation {
     readonly worker: entries.WorkerEntry;
     /** Its first answer to a poll; `undefined` if it has not answered. */
-    readonly pollResult: workerSession.PollResult | undefined;
+    readonly pollResult: sessions.PollResult | undefined;
 }
 
 /** Handles lost workers and the crash limit of tasks. */
@@ -204,7 +204,7 @@
 /** Lists the worker's tasks whose current run the poll result contains as running or ended. */
 function listReportedTasks(
     worker: entries.WorkerEntry,
-    { running, ended }: workerSession.PollResult,
+    { running, ended }: sessions.PollResult,
 ): readonly entries.TaskEntry[] {
     const runs = new Map([...running, ...ended].map(({ task, run }) => [task, run]));
     return [...worker.tasks].filter(task => runs.get(task.name) === task.run);
@@ -214,7 +214,7 @@
  * Whether the next incarnation may still receive the start order of a run that it does not list: the previous
  * incarnation never reported the run, and the start order was not answered before the next incarnation was polled.
  */
-function mayReachNextIncarnation(task: entries.TaskEntry, pollResult: workerSession.PollResult | undefined): boolean {
+function mayReachNextIncarnation(task: entries.TaskEntry, pollResult: sessions.PollResult | undefined): boolean {
     switch (task.phase) {
         case "waiting":
         case "recording":
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -4,7 +4,7 @@
 import type * as observe from "../observe/index";
 import * as work from "../work/index";
 import * as entries from "./entries";
-import * as failingWorkers from "./failingWorkers";
+import * as workerLosses from "./losses/index";
 
 /** Expected times of one occurrence, in milliseconds. */
 export interface ExpectedTimes {
@@ -124,7 +124,7 @@
     const countFailure = (task: entries.TaskEntry, run: number, worker: entries.WorkerEntry) => {
         const { step } = task;
         if (!step.spec.lasting) {
-            failingWorkers.recordFailedRun(worker, task, options.estimateRunMs(step), {
+            workerLosses.recordFailedRun(worker, task, options.estimateRunMs(step), {
                 now: time.now(),
                 disabledMechanisms: options.disabledMechanisms,
             });
--- a/src/leader/placementFilter.ts
+++ b/src/leader/placementFilter.ts
@@ -3,7 +3,7 @@
 import * as decisions from "../decisions/index";
 import type * as evacuation from "../evacuation/index";
 import type * as entries from "./entries";
-import * as suspects from "./suspects";
+import * as workerLosses from "./losses/index";
 
 export interface PlacementFilterOptions {
     readonly catalog: Pick<catalogs.CurrentCatalog, "get">;
@@ -55,7 +55,7 @@
             && worker.unknownRunCount === 0
             && worker.quarantinedUntil <= now && options.hasSession(worker)
             && (isReportRecent(worker, now, options.capacityMs - ORDER_DELIVERY_MS) || refusesOverload(worker))
-            && (options.disabledMechanisms.has("isolation") || !suspects.hasUnsettledSuspect(worker)),
+            && (options.disabledMechanisms.has("isolation") || !workerLosses.hasUnsettledSuspect(worker)),
         findStartObstacle: (worker, now) => {
             const { zone, draining, capacity } = worker.info;
             if (draining) {
--- a/src/leader/__tests__/initialPollLimiter.test.ts
+++ b/src/leader/sessions/__tests__/initialPollLimiter.test.ts
@@ -1,7 +1,7 @@
 // Guards against a new leader that starts nothing for seconds and loses its lease: after a takeover on a site of 3,000
 // workers, sending all first polls at once blocks lease renewals and the reading of answers, and polls of idle workers
 // delay those of workers with tasks.
-import * as clocks from "../../clock/index";
+import * as clocks from "../../../clock/index";
 import * as initialPollLimiter from "../initialPollLimiter";
 
 const { PollPriority } = initialPollLimiter;
--- a/src/leader/__tests__/orders.test.ts
+++ b/src/leader/sessions/__tests__/orders.test.ts
@@ -1,11 +1,11 @@
-import * as clocks from "../../clock/index";
-import * as telemetry from "../../telemetry/index";
-import * as crashHistory from "../crashHistory";
-import * as entries from "../entries";
-import type * as jobRegistry from "../jobRegistry";
+import * as clocks from "../../../clock/index";
+import * as telemetry from "../../../telemetry/index";
+import * as fixtures from "../../__tests__/fixtures";
+import * as crashHistory from "../../crashHistory";
+import * as entries from "../../entries";
+import type * as jobRegistry from "../../jobRegistry";
 import * as orders from "../orders";
 import type * as workerSession from "../workerSession";
-import * as fixtures from "./fixtures";
 
 interface Case {
     readonly name: string;
--- a/src/leader/__tests__/reconcile.test.ts
+++ b/src/leader/sessions/__tests__/reconcile.test.ts
@@ -1,8 +1,8 @@
-import * as clocks from "../../clock/index";
-import * as entries from "../entries";
-import type * as jobRegistry from "../jobRegistry";
+import * as clocks from "../../../clock/index";
+import * as fixtures from "../../__tests__/fixtures";
+import * as entries from "../../entries";
+import type * as jobRegistry from "../../jobRegistry";
 import * as reconcile from "../reconcile";
-import * as fixtures from "./fixtures";
 
 const ORDERED_AT = 1_000;
 const EXPIRES_AT = 1_515;
--- a/src/leader/__tests__/workerRegistry.test.ts
+++ b/src/leader/sessions/__tests__/workerRegistry.test.ts
@@ -1,10 +1,10 @@
-import * as clocks from "../../clock/index";
-import * as crashHistory from "../crashHistory";
-import type * as directory from "../directory";
-import * as entries from "../entries";
+import * as clocks from "../../../clock/index";
+import * as fixtures from "../../__tests__/fixtures";
+import * as crashHistory from "../../crashHistory";
+import type * as directory from "../../directory";
+import * as entries from "../../entries";
 import * as workerRegistry from "../workerRegistry";
 import type * as workerSession from "../workerSession";
-import * as fixtures from "./fixtures";
 
 const NAME = "w";
 const FIRST = { name: NAME, startedAt: 1_000 };
--- a/src/leader/__tests__/workerSession.test.ts
+++ b/src/leader/sessions/__tests__/workerSession.test.ts
@@ -1,9 +1,9 @@
-import * as clocks from "../../clock/index";
+import * as clocks from "../../../clock/index";
+import * as fixtures from "../../__tests__/fixtures";
 import * as initialPollLimiter from "../initialPollLimiter";
 import * as leaseExpiry from "../leaseExpiry";
 import type * as port from "../workerPort";
 import * as workerSession from "../workerSession";
-import * as fixtures from "./fixtures";
 
 const MAX_LEASE_MS = 6_000;
 
--- a/src/leader/initialPollLimiter.ts
+++ b/src/leader/sessions/initialPollLimiter.ts
@@ -6,7 +6,7 @@
  * polls are in flight: first of workers that may have tasks, last of those that have not answered before. The lease is
  * renewed between them.
  */
-import type * as clock from "../clock/index";
+import type * as clock from "../../clock/index";
 
 /** Grants slots for first polls. */
 export interface InitialPollLimiter {
--- a/src/leader/orders.ts
+++ b/src/leader/sessions/orders.ts
@@ -1,14 +1,14 @@
 /** Sends the orders that the job registry requests, and follows each up until its outcome is certain. */
-import type * as clock from "../clock/index";
-import type * as decisions from "../decisions/index";
-import type * as observe from "../observe/index";
-import * as crashHistory from "./crashHistory";
-import type * as entries from "./entries";
-import type * as jobRegistry from "./jobRegistry";
+import type * as clock from "../../clock/index";
+import type * as decisions from "../../decisions/index";
+import type * as observe from "../../observe/index";
+import * as crashHistory from "../crashHistory";
+import type * as entries from "../entries";
+import type * as jobRegistry from "../jobRegistry";
+import * as workerLosses from "../losses/index";
+import type * as placementFilter from "../placementFilter";
 import * as leaseExpiry from "./leaseExpiry";
-import type * as placementFilter from "./placementFilter";
 import * as reachabilityCheck from "./reachabilityCheck";
-import * as suspects from "./suspects";
 import type * as port from "./workerPort";
 import type * as workerSession from "./workerSession";
 
@@ -78,7 +78,7 @@
     session: workerSession.WorkerSession,
 ): Promise<boolean> {
     return !crashHistory.mayHaveCrashedWorker(task.crashes)
-        || session.ensureReachable(suspects.MAX_SUSPECT_START_SILENCE_MS);
+        || session.ensureReachable(workerLosses.MAX_SUSPECT_START_SILENCE_MS);
 }
 
 /**
--- a/src/leader/reachabilityCheck.ts
+++ b/src/leader/sessions/reachabilityCheck.ts
@@ -4,10 +4,10 @@
  * The row that names the worker is stored before the start order is sent. If the worker is down and the leader fails
  * before it has stored that no order was sent, the next leader counts one more run as lost with its worker.
  */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import * as crashHistory from "./crashHistory";
-import type * as entries from "./entries";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import * as crashHistory from "../crashHistory";
+import type * as entries from "../entries";
 import type * as workerSession from "./workerSession";
 
 /** Maximum age of the last answer. Storing the row takes a few milliseconds; members of a gang are polled together. */
--- a/src/leader/reconcile.ts
+++ b/src/leader/sessions/reconcile.ts
@@ -1,8 +1,8 @@
 /** Reconciles the runs and ends that a worker lists with the job registry. */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import * as entries from "./entries";
-import type * as jobRegistry from "./jobRegistry";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import * as entries from "../entries";
+import type * as jobRegistry from "../jobRegistry";
 import type * as port from "./workerPort";
 import type * as workerSession from "./workerSession";
 
--- a/src/leader/workerRegistry.ts
+++ b/src/leader/sessions/workerRegistry.ts
@@ -3,14 +3,14 @@
  * which incarnation of a worker is the current one, and passes on to it the orders that may have reached it instead of
  * its predecessor.
  */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import type * as directory from "./directory";
-import * as entries from "./entries";
-import * as incarnations from "./incarnation";
-import type * as jobRegistry from "./jobRegistry";
-import type * as leases from "./lease/index";
-import * as taskWatchdog from "./taskWatchdog";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import type * as directory from "../directory";
+import * as entries from "../entries";
+import * as incarnations from "../incarnation";
+import type * as jobRegistry from "../jobRegistry";
+import type * as leases from "../lease/index";
+import * as leaseExpiry from "./leaseExpiry";
 import type * as workerSession from "./workerSession";
 
 /** What the registry needs from the term. */
@@ -147,7 +147,7 @@
         else if (!sessions.has(worker.id)) {
             // It has not been listed since the takeover, so its address is unknown and only its leases can expire.
             const { leadership, maxLeaseMs } = options;
-            taskWatchdog.markLostAfterExpiry(worker, { clock: time, leadership, maxLeaseMs, jobRegistry: jobs });
+            markLostAfterExpiry(worker, { clock: time, leadership, maxLeaseMs, jobRegistry: jobs });
         }
     };
 
@@ -191,3 +191,18 @@
         closeSessions: () => sessions.forEach(session => session.close()),
     };
 }
+
+/** Reports the tasks of an unreachable worker as lost once the last lease that any leader granted it has expired. */
+function markLostAfterExpiry(
+    worker: entries.WorkerEntry,
+    options: {
+        readonly clock: clock.Clock;
+        readonly leadership: leases.Leadership;
+        readonly maxLeaseMs: number;
+        readonly jobRegistry: Pick<jobRegistry.JobRegistry, "handleWorkerLoss">;
+    },
+): void {
+    if (options.clock.now() > leaseExpiry.getExpiresAt(options.leadership.predecessorsInactiveAt, options.maxLeaseMs)) {
+        options.jobRegistry.handleWorkerLoss(worker, "lapsed");
+    }
+}
--- a/src/leader/workerSession.ts
+++ b/src/leader/sessions/workerSession.ts
@@ -4,11 +4,11 @@
  * A loop polls as long as the worker has tasks or unacknowledged ends. A poll waits at the worker for the next end, so
  * an end is known at once, and an idle worker is not polled.
  */
-import type * as clock from "../clock/index";
-import type * as observe from "../observe/index";
-import * as incarnations from "./incarnation";
+import type * as clock from "../../clock/index";
+import type * as observe from "../../observe/index";
+import * as incarnations from "../incarnation";
+import type * as leases from "../lease/index";
 import * as initialPollLimiter from "./initialPollLimiter";
-import type * as leases from "./lease/index";
 import * as leaseExpiry from "./leaseExpiry";
 import * as port from "./workerPort";
 
--- a/src/leader/taskWatchdog.ts
+++ b/src/leader/taskWatchdog.ts
@@ -1,13 +1,9 @@
 /** Stops tasks that cannot complete where they are: on workers that leave or are lost, or without progress. */
-import type * as clock from "../clock/index";
 import type * as decisions from "../decisions/index";
 import type * as observe from "../observe/index";
 import type * as entries from "./entries";
-import * as failingWorkers from "./failingWorkers";
 import type * as jobRegistry from "./jobRegistry";
-import type * as leases from "./lease/index";
-import * as leaseExpiry from "./leaseExpiry";
-import * as suspects from "./suspects";
+import * as workerLosses from "./losses/index";
 import type * as units from "./units";
 
 /** Upper bound of the time that a stop and the recording of its end take, before the worker leaves. */
@@ -46,27 +42,12 @@
         hasLatencySensitive ||= task.step.spec.targetMs > 0;
         hasBestEffort ||= task.step.spec.fills;
     }
-    if (suspects.hasUnsettledSuspect(worker)) {
+    if (workerLosses.hasUnsettledSuspect(worker)) {
         return SETTLING_POLL_WAIT_MS;
     }
     return hasLatencySensitive && hasBestEffort ? SHARING_POLL_WAIT_MS : maxMs;
 }
 
-/** Reports the tasks of an unreachable worker as lost once the last lease that any leader granted it has expired. */
-export function markLostAfterExpiry(
-    worker: entries.WorkerEntry,
-    options: {
-        readonly clock: clock.Clock;
-        readonly leadership: leases.Leadership;
-        readonly maxLeaseMs: number;
-        readonly jobRegistry: Pick<jobRegistry.JobRegistry, "handleWorkerLoss">;
-    },
-): void {
-    if (options.clock.now() > leaseExpiry.getExpiresAt(options.leadership.predecessorsInactiveAt, options.maxLeaseMs)) {
-        options.jobRegistry.handleWorkerLoss(worker, "lapsed");
-    }
-}
-
 /** Requests stops of tasks that hang or that would outlive their worker, and quarantines failing workers. */
 export function stopUnviableTasks(
     workers: readonly entries.WorkerEntry[],
@@ -80,7 +61,7 @@
 ): void {
     const { disabledMechanisms } = options;
     for (const worker of workers) {
-        failingWorkers.quarantineIfFailing(worker, options);
+        workerLosses.quarantineIfFailing(worker, options);
         for (const task of worker.tasks) {
             if (task.phase !== "running" || !worker.reachable) {
                 continue;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -13,18 +13,15 @@
 import * as followIntake from "./followIntake";
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
-import * as initialPollLimiter from "./initialPollLimiter";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
 import type * as leases from "./lease/index";
 import type * as machines from "./machines";
-import * as workerOrders from "./orders";
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
-import * as reachabilityCheck from "./reachabilityCheck";
-import * as reconcile from "./reconcile";
 import * as retention from "./retention";
+import * as sessions from "./sessions/index";
 import * as slowWorkers from "./slowWorkers";
 import * as stalledSteps from "./stalledSteps";
 import * as takeover from "./takeover";
@@ -32,9 +29,6 @@
 import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep/index";
-import type * as port from "./workerPort";
-import * as workerRegistry from "./workerRegistry";
-import * as workerSession from "./workerSession";
 
 export interface TermOptions {
     readonly store: rows.RowStore;
@@ -44,7 +38,7 @@
     readonly catalog: catalog.CurrentCatalog;
     readonly directory: directory.WorkerDirectory;
     readonly adviser: directory.Adviser;
-    readonly workers: port.WorkerPort;
+    readonly workers: sessions.WorkerPort;
     readonly leadership: leases.Leadership;
     readonly machines: machines.MachineService;
     readonly waves: machines.WavePort;
@@ -92,7 +86,7 @@
     const { disabledMechanisms } = options.policy;
     const pollWaitMs = Math.round(Math.min(MAX_POLL_WAIT_MS, POLL_SHARE * options.maxLeaseMs));
     const predictor = decisions.createPredictor();
-    const pollLimiter = initialPollLimiter.createInitialPollLimiter(
+    const pollLimiter = sessions.createInitialPollLimiter(
         time,
         options.policy.disabledMechanisms.has("firstLooks") ? Infinity : undefined,
     );
@@ -127,7 +121,7 @@
             onChanged: () => planPass(PASS_DELAY_MS),
         },
     });
-    const orders = workerOrders.createOrders({
+    const orders = sessions.createOrders({
         jobRegistry,
         clock: time,
         log,
@@ -138,7 +132,7 @@
         findStartObstacle: worker => findStartObstacle(worker, time.now()),
         disabledMechanisms,
     });
-    const reachability = reachabilityCheck.createReachabilityCheck({
+    const reachability = sessions.createReachabilityCheck({
         clock: time,
         log,
         signal,
@@ -154,7 +148,7 @@
     });
 
     const openSession = (worker: entries.WorkerEntry) =>
-        workerSession.createWorkerSession({
+        sessions.createWorkerSession({
             worker: { name: worker.incarnation.name, address: worker.info.address },
             incarnation: worker.incarnation,
             port: options.workers,
@@ -169,7 +163,7 @@
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
                 }
-                reconcile.reconcile(
+                sessions.reconcile(
                     { jobRegistry, clock: time, log, stopUnknownRun: orders.stopUnknownRun },
                     worker,
                     pollResult,
@@ -198,7 +192,7 @@
             onDisconnected: () => worker.disconnectedAt ??= time.now(),
             onFenced: () => options.onSuperseded(`worker ${worker.id} has seen a higher fencing token`),
         });
-    const recordRunTime = (end: port.TaskEnd) => {
+    const recordRunTime = (end: sessions.TaskEnd) => {
         const task = jobRegistry.getTask(end.task);
         if (end.how === "done" && task && task.run === end.run && task.saved === "" && task.runningSince > 0) {
             predictor.learn(
@@ -215,7 +209,7 @@
         meter,
         isInUse: id => (registry.workers.get(id)?.tasks.size ?? 0) > 0,
     });
-    const registry = workerRegistry.createWorkerRegistry({
+    const registry = sessions.createWorkerRegistry({
         clock: time,
         log,
         leadership,
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -3,8 +3,8 @@
 import * as work from "../work/index";
 import * as crashHistory from "./crashHistory";
 import * as entries from "./entries";
+import * as workerLosses from "./losses/index";
 import type * as outcomes from "./outcomes";
-import * as suspects from "./suspects";
 
 /** A waiting unit, its urgency, and its tasks. */
 export interface UnitOfTasks {
@@ -306,7 +306,7 @@
 
 function getOccupancy(worker: entries.WorkerEntry): decisions.Occupancy {
     for (const task of worker.tasks) {
-        if (suspects.isUnsettled(task)) {
+        if (workerLosses.isUnsettled(task)) {
             return decisions.Occupancy.RecentStart;
         }
     }
