A successor continues with the measured durations; optional mechanisms

Cause: what a leader measures ends with its term.

The first section holds the corrections of callers' estimates.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -1,5 +1,13 @@
 /** Order, placement and preemption of tasks: pure decisions that use no network and read no clock. */
-export { isMechanism, type Mechanism, MECHANISMS, NO_MECHANISMS } from "./mechanism";
+export {
+    isMechanism,
+    isOptionalMechanism,
+    type Mechanism,
+    MECHANISMS,
+    NO_MECHANISMS,
+    OPTIONAL_MECHANISMS,
+    type OptionalMechanism,
+} from "./mechanism";
 export { getLatenessClass, LatenessClass, type Urgency } from "./order";
 export { decidePace, type PaceInput } from "./pace";
 export { plan } from "./plan";
--- a/src/decisions/mechanism.ts
+++ b/src/decisions/mechanism.ts
@@ -28,6 +28,14 @@
     heartbeats: "a leader without heartbeats is replaced before its lease expires",
     prolonging: "a leader without the store renews the leases of running work",
     firstLooks: "a new leader polls its workers in batches",
+    learnedDurations: "the successor of a leader continues with its measured durations",
+    workerSpeeds: "work is placed by the measured speed of workers",
+    gangExposure: "a gang is placed on few workers while workers are being lost",
+    departures: "how long leaving workers stay is learned, and decides what happens to their tasks",
+    gangReservations: "a gang that cannot preempt gets workers reserved for it",
+    headroom: "work that would probably be stopped for urgent work waits",
+    fairShares: "among equals, work of the account that has used less of its share goes first",
+    admission: "a submission that cannot be served while it still helps its caller is refused",
 } as const;
 /** Name of a mechanism, as settings and command lines have it. */
 export type Mechanism = keyof typeof MECHANISMS;
@@ -35,6 +43,26 @@
 /** Disables no mechanism. */
 export const NO_MECHANISMS: ReadonlySet<Mechanism> = new Set();
 
+/** Mechanisms that an instance uses only if its settings enable them. */
+export const OPTIONAL_MECHANISMS = [
+    "learnedDurations",
+    "workerSpeeds",
+    "gangExposure",
+    "departures",
+    "gangReservations",
+    "headroom",
+    "fairShares",
+    "admission",
+] as const satisfies readonly Mechanism[];
+
+/** Name of an optional mechanism, as settings have it. */
+export type OptionalMechanism = typeof OPTIONAL_MECHANISMS[number];
+
+/** Whether an optional mechanism with that name exists. */
+export function isOptionalMechanism(name: string): name is OptionalMechanism {
+    return (OPTIONAL_MECHANISMS as readonly string[]).includes(name);
+}
+
 /** Whether a mechanism with that name exists. */
 export function isMechanism(name: string): name is Mechanism {
     return Object.hasOwn(MECHANISMS, name);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -15,6 +15,7 @@
 import * as guarantees from "./guarantees";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
+import * as learned from "./learned/index";
 import type * as leases from "./lease/index";
 import type * as machines from "./machines";
 import * as passTimer from "./passTimer";
@@ -54,6 +55,8 @@
     readonly upkeepMs: number;
     /** How long the state of an ended job stays available, in milliseconds. */
     readonly retentionMs: number;
+    /** Maximum size of a row's value in the store, in bytes. */
+    readonly rowBytes: number;
     onSuperseded(reason: string): void;
 }
 
@@ -334,7 +337,23 @@
         }
     };
 
+    const learnedSections: learned.LearnedSection[] = [
+        ...(disabledMechanisms.has("learnedDurations")
+            ? []
+            : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+    ];
+    const learnedState = learned.createLearnedState({
+        store: options.store,
+        clock: time,
+        log,
+        meter,
+        leadership,
+        rowBytes: options.rowBytes,
+        sections: learnedSections,
+    });
+
     const runTerm = async () => {
+        const loadingLearnedState = learnedState.load();
         const version = await takeover.loadStoredState({
             store: options.store,
             clock: time,
@@ -347,7 +366,9 @@
         if (version === undefined) {
             return;
         }
+        await loadingLearnedState;
         ready = true;
+        void learnedState.run();
         meter.record("takeover_duration_ms", {}, time.now() - openedAt);
         void followDirectory();
         void logSummaries();
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -59,6 +59,8 @@
     ),
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
+    learned_state_writes_total: counter("leader: transactions that store what was measured", "outcome"),
+    learned_state_bytes_total: counter("leader: bytes stored of what was measured"),
     progress_writes_total: counter("leader: transactions that store progress", "outcome"),
     entries_unusable_total: counter("what others wrote that could not be used, and was left out", "kind"),
     log_lines_total: counter("lines written to standard output", "level"),
--- a/src/work/tables.ts
+++ b/src/work/tables.ts
@@ -8,6 +8,8 @@
     Progress: "progress",
     /** The leader's lease and fencing token. */
     LeaderLease: "lead",
+    /** What the leader has measured, one row for each kind; written only by the leader. */
+    Learned: "learned",
 } as const;
 
 /** Submissions are spread over several parts, since the store serializes the transactions of a part. */
