Placement and preemption by the measured speeds of workers

Cause: a gang ends with its slowest member, and the scheduler knew no speeds.

Change: the leader feeds the model from its polls and stores it in the section `speeds`. A pass with speeds places by speed class: urgent and wide gangs on the fastest class with room, work with slack on the slowest class on which it is in time, and work that only fast workers finish in time on those, by a wait within its slack or by preemption that costs less than a late urgent job. Expected ends, the cost of stops and the corrections of the estimates take the speed into account. Log line speedChoice, metrics, explain cause placeForSpeed.

--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -42,10 +42,19 @@
     iterateFullestFirst(needs: work.Resources): Iterable<Host>;
 }
 
+/** The hosts of one service whose speeds are similar. */
+export interface SpeedClass {
+    readonly minSpeed: number;
+    readonly maxSpeed: number;
+    readonly pool: Pool;
+}
+
 /** All workers of a pass. */
 export interface Fleet {
     readonly hosts: readonly Host[];
     getPool(service: string): Pool;
+    /** The speed classes of a service, the fastest first; empty if all its workers are equally fast. */
+    getSpeedClasses(service: string): readonly SpeedClass[];
     getHost(workerId: string): Host | undefined;
     /** Modifies the free resources of a host by `apply` and updates the index. */
     updateFree(host: Host, apply: (free: resources.MutableResources) => void): void;
@@ -65,6 +74,7 @@
     return {
         hosts,
         getPool: service => getOrCreate(pools, service, createPool),
+        getSpeedClasses: service => getOrCreate(pools, service, createPool).getSpeedClasses(),
         getHost: workerId => {
             hostsById ??= new Map(hosts.map(host => [host.worker.id, host]));
             return hostsById.get(workerId);
@@ -81,9 +91,50 @@
 /** Exceeds the millicores of any worker, so that cores never outweigh an accelerator. */
 const CPU_TIE_SCALE = 1e6;
 
+/** The speed of a worker relative to the typical one. */
+export function getSpeed(worker: types.PlaceableWorker): number {
+    return worker.speed ?? 1;
+}
+
+/** Interference between tasks explains smaller differences, so they do not make another class. */
+const MAX_SPEED_RATIO = 1.15;
+
 interface MutablePool extends Pool {
     add(worker: types.PlaceableWorker, order: number, free: resources.MutableResources): Host;
+    /** Adds a host of another pool. */
+    include(host: Host): void;
+    /** Removes a host from the index until `insert`, since its free resources are about to change. */
+    remove(host: Host): void;
+    insert(host: Host): void;
     updateFree(host: Host, apply: (free: resources.MutableResources) => void): void;
+    getSpeedClasses(): readonly SpeedClass[];
+    getHosts(): readonly Host[];
+}
+
+interface MutableSpeedClass extends SpeedClass {
+    readonly pool: MutablePool;
+}
+
+function createSpeedClasses(hosts: readonly Host[]): readonly MutableSpeedClass[] {
+    if (hosts.every(({ worker }) => getSpeed(worker) === 1)) {
+        return [];
+    }
+    const fastestFirst = [...hosts].sort((a, b) => getSpeed(b.worker) - getSpeed(a.worker) || a.order - b.order);
+    const members: Host[][] = [];
+    for (const host of fastestFirst) {
+        const current = members.at(-1);
+        if (current && getSpeed(current[0]!.worker) <= MAX_SPEED_RATIO * getSpeed(host.worker)) {
+            current.push(host);
+        }
+        else {
+            members.push([host]);
+        }
+    }
+    return members.length < 2 ? [] : members.map(list => {
+        const pool = createPool();
+        list.forEach(pool.include);
+        return { minSpeed: getSpeed(list.at(-1)!.worker), maxSpeed: getSpeed(list[0]!.worker), pool };
+    });
 }
 
 function createPool(): MutablePool {
@@ -107,27 +158,54 @@
             levels = [...levels, accelerators].sort((a, b) => a - b);
             return [];
         });
+    const getRack = (name: string) => getOrCreate(racks, name, () => createRack(name));
+    let classes: readonly MutableSpeedClass[] | undefined;
+    let poolByHost: ReadonlyMap<Host, MutablePool> | undefined;
+    const include = (host: Host) => {
+        getRack(host.worker.rack).add(host);
+        hosts.push(host);
+        getList(host.free.accelerators).push(host);
+        sorted = false;
+    };
+    const remove = (host: Host) => {
+        sort();
+        const list = lists.get(host.free.accelerators)!;
+        list.splice(findPosition(list, host.free.cpuMillis, host.order), 1);
+    };
+    const insert = (host: Host) => {
+        const list = getList(host.free.accelerators);
+        list.splice(findPosition(list, host.free.cpuMillis, host.order), 0, host);
+        getRack(host.worker.rack).invalidate();
+    };
     return {
         racks,
         isMostlyFree: () => mostlyFree ??= isHalfFree(hosts),
         add: (worker, order, free) => {
-            const rack = getOrCreate(racks, worker.rack, () => createRack(worker.rack));
-            const host = { worker, order, free, rack };
-            rack.add(host);
-            hosts.push(host);
-            getList(free.accelerators).push(host);
-            sorted = false;
+            const host = { worker, order, free, rack: getRack(worker.rack) };
+            include(host);
             return host;
         },
+        include,
+        remove,
+        insert,
         updateFree: (host, apply) => {
-            sort();
-            const before = lists.get(host.free.accelerators)!;
-            before.splice(findPosition(before, host.free.cpuMillis, host.order), 1);
+            const ofClass = poolByHost?.get(host);
+            remove(host);
+            ofClass?.remove(host);
             apply(host.free);
-            const after = getList(host.free.accelerators);
-            after.splice(findPosition(after, host.free.cpuMillis, host.order), 0, host);
-            (host.rack as MutableRack).invalidate();
+            insert(host);
+            ofClass?.insert(host);
+        },
+        getSpeedClasses: () => {
+            if (!classes) {
+                classes = createSpeedClasses(hosts);
+                poolByHost = classes.length === 0
+                    ? undefined
+                    : new Map(classes.flatMap(({ pool }) => pool.getHosts().map(host => [host, pool] as const)));
+            }
+            return classes;
         },
+        getHosts: () => hosts,
         *iterateFullestFirst(needs) {
             sort();
             for (const level of levels) {
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -43,6 +43,7 @@
     type PlannedStop,
     PreemptionTier,
     type RunningGroup,
+    type SpeedChoice,
     TIER_NAMES,
     type WaitingUnit,
 } from "./types";
--- a/src/decisions/place.ts
+++ b/src/decisions/place.ts
@@ -49,6 +49,44 @@
         ?? (maySpread(unit, pool, disabledMechanisms) ? pack(unit, iterateCandidates(unit, fleet, pool)) : undefined);
 }
 
+/**
+ * One host for each member in the pool, in one rack if the unit asks for one, and in the rack of its data if that can
+ * hold it; `undefined` if there are none now.
+ */
+export function placeNear(
+    unit: types.WaitingUnit,
+    pool: fleets.Pool,
+    dataRack: string | undefined,
+): fleets.Host[] | undefined {
+    const hosts = dataRack === undefined ? undefined : pool.racks.get(dataRack)?.hosts ?? [];
+    if (unit.count === 1) {
+        const host = findFullest(unit, hosts ? sortFullestFirst([...hosts]) : pool.iterateFullestFirst(unit.needs));
+        return host && [host];
+    }
+    if (hosts) {
+        return pack(unit, sortFullestFirst([...hosts]));
+    }
+    return unit.sameRack ? placeInOneRack(unit, pool) : pack(unit, pool.iterateFullestFirst(unit.needs));
+}
+
+/** The rack that a unit must be placed in so as not to be several times slower; `undefined` if there is none. */
+export function findRequiredRack(
+    unit: types.WaitingUnit,
+    pool: fleets.Pool,
+    disabledMechanisms: ReadonlySet<mechanism.Mechanism>,
+): string | undefined {
+    if (unit.count > 1) {
+        return findDataRack(unit, pool, disabledMechanisms)?.name;
+    }
+    const rack = unit.dataRack === undefined ? undefined : pool.racks.get(unit.dataRack);
+    return rack?.hosts.some(host => isEligible(unit, host.worker)) ? rack.name : undefined;
+}
+
+/** Whether a unit may wait for faster workers: not beyond a guarantee, and briefly while workers are idle. */
+export function mayWaitForSpeed(unit: types.WaitingUnit, pool: fleets.Pool): boolean {
+    return unit.waitedMs < getMaxWaitMs(unit, Infinity, pool, mechanism.NO_MECHANISMS);
+}
+
 /**
  * The rack of a unit's data if the empty rack could hold the whole unit, else `undefined`. Members in another rack take
  * three times as long and a gang ends with its slowest member, so a gang that is placed wherever there are free
@@ -71,7 +109,8 @@
     return worker.service === unit.service
         && (unit.requiredLabel === undefined || worker.labels.includes(unit.requiredLabel))
         && !unit.excludedWorkerIds.has(worker.id)
-        && (unit.allowedWorkerIds === undefined || unit.allowedWorkerIds.has(worker.id));
+        && (unit.allowedWorkerIds === undefined || unit.allowedWorkerIds.has(worker.id))
+        && (unit.minSpeed === undefined || fleets.getSpeed(worker) >= unit.minSpeed);
 }
 
 /** Number of members of the unit that fit in `available` on the worker, within `maxPerWorker`. */
@@ -90,6 +129,11 @@
 
 /** Whether every worker of the service is eligible for the unit. */
 export function isUnrestricted(unit: types.WaitingUnit): boolean {
+    return unit.minSpeed === undefined && isUnrestrictedExceptSpeed(unit);
+}
+
+/** Whether every worker of the service that is fast enough is eligible for the unit. */
+export function isUnrestrictedExceptSpeed(unit: types.WaitingUnit): boolean {
     return unit.requiredLabel === undefined && unit.excludedWorkerIds.size === 0 && unit.allowedWorkerIds === undefined;
 }
 
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -9,9 +9,11 @@
 import * as fleets from "./fleet";
 import * as isolation from "./isolation";
 import * as mechanism from "./mechanism";
+import type * as victimSelection from "./minimizeVictims";
 import * as place from "./place";
-import * as preempt from "./preempt";
+import * as preemptors from "./preempt";
 import * as resources from "./resources";
+import * as speedClasses from "./speedClasses";
 import * as types from "./types";
 
 /** Decides starts and stops; nothing in `input` is modified. */
@@ -23,22 +25,85 @@
     const stepTasks = createStepTasks();
     const passIsolation = isolation.createIsolation(input.workers);
     const unplaceableClasses = new Set<string>();
+    const bySpeed = speedClasses.createSpeedPlacement(disabledMechanisms);
+    const speedChoices: types.SpeedChoice[] = [];
+    const recordChoice = (
+        unit: types.WaitingUnit,
+        kind: types.SpeedChoice["kind"],
+        minSpeed: number | undefined,
+        hosts: readonly fleets.Host[] = [],
+    ) => {
+        const speed = hosts.length === 0 ? undefined : Math.min(...hosts.map(host => fleets.getSpeed(host.worker)));
+        speedChoices.push({ unit, kind, minSpeed: minSpeed ?? 0, speed, workerIds: getWorkerIds(hosts) });
+    };
+    const start = (unit: types.WaitingUnit, hosts: readonly fleets.Host[]) => {
+        starts.push({ unit, workerIds: getWorkerIds(hosts) });
+        stepTasks.add(unit, hosts);
+        passIsolation.recordStart(getWorkerIds(hosts));
+        passResources.allocate(unit, hosts);
+        if (unit.mayCrashWorker) {
+            passResources.block(hosts);
+        }
+    };
+    const preempt = (unit: types.WaitingUnit, choice: victimSelection.PreemptionChoice) => {
+        passResources.getPreemptor().recordStops(choice.victims);
+        bySpeed.forgetFailures();
+        stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
+        passResources.reserve(unit, choice.hosts);
+        stepTasks.add(unit, choice.hosts);
+    };
+    const mayPreempt = (unit: types.WaitingUnit) =>
+        unit.tier !== types.PreemptionTier.None && !disabledMechanisms.has("preemption");
+    /** Tries the workers on which the unit is in time. Returns whether its outcome for this pass is decided. */
+    const decideBySpeed = (unit: types.WaitingUnit): boolean => {
+        const minSpeed = bySpeed.getMinSpeed(unit, passResources.free);
+        const hosts = bySpeed.placeBySpeed(unit, passResources.free, minSpeed);
+        if (hosts) {
+            if (minSpeed !== undefined) {
+                recordChoice(unit, "placed", minSpeed, hosts);
+            }
+            start(unit, hosts);
+            return true;
+        }
+        if (minSpeed === undefined) {
+            return false;
+        }
+        const futureHosts = bySpeed.placeBySpeed(unit, passResources.getFutureFree(), minSpeed);
+        if (futureHosts) {
+            recordChoice(unit, "waits", minSpeed, futureHosts);
+            stepTasks.add(unit, futureHosts);
+            passResources.reserve(unit, futureHosts);
+            return true;
+        }
+        const choice = mayPreempt(unit)
+            ? passResources.getPreemptor().chooseVictims({ ...unit, minSpeed })
+            : undefined;
+        if (choice && bySpeed.isWorthwhile(unit, passResources.getFutureFree(), choice)) {
+            recordChoice(unit, "preempts", minSpeed, choice.hosts);
+            preempt(unit, choice);
+            return true;
+        }
+        if (place.mayWaitForSpeed(unit, passResources.free.getPool(unit.service))) {
+            recordChoice(unit, "waits", minSpeed);
+            unplaceableClasses.add(unit.equivalenceClass);
+            return true;
+        }
+        return false;
+    };
+    const hasSpeeds = input.workers.some(({ speed }) => speed !== undefined);
     for (const waiting of input.units) {
         if (unplaceableClasses.has(waiting.equivalenceClass)) {
             continue;
         }
         const unit = passIsolation.avoidRecentStarts(stepTasks.withStepTasks(waiting));
+        if (hasSpeeds && decideBySpeed(unit)) {
+            continue;
+        }
         const idleOnly = passIsolation.requireIdleWorkers(unit);
         const hosts = (idleOnly && place.place(idleOnly, passResources.free, disabledMechanisms))
             ?? place.place(unit, passResources.free, disabledMechanisms);
         if (hosts) {
-            starts.push({ unit, workerIds: getWorkerIds(hosts) });
-            stepTasks.add(unit, hosts);
-            passIsolation.recordStart(getWorkerIds(hosts));
-            passResources.allocate(unit, hosts);
-            if (unit.mayCrashWorker) {
-                passResources.block(hosts);
-            }
+            start(unit, hosts);
             continue;
         }
         const futureHosts = place.place(unit, passResources.getFutureFree(), disabledMechanisms);
@@ -47,19 +112,14 @@
             passResources.reserve(unit, futureHosts);
             continue;
         }
-        const choice = unit.tier === types.PreemptionTier.None || disabledMechanisms.has("preemption")
-            ? undefined
-            : passResources.getPreemptor().chooseVictims(unit);
+        const choice = mayPreempt(unit) ? passResources.getPreemptor().chooseVictims(unit) : undefined;
         if (!choice) {
             unplaceableClasses.add(unit.equivalenceClass);
             continue;
         }
-        passResources.getPreemptor().recordStops(choice.victims);
-        stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
-        passResources.reserve(unit, choice.hosts);
-        stepTasks.add(unit, choice.hosts);
+        preempt(unit, choice);
     }
-    return { starts, stops };
+    return speedChoices.length === 0 ? { starts, stops } : { starts, stops, speedChoices };
 }
 
 /** The resources that remain within the pass. What only some passes need is created on demand. */
@@ -71,7 +131,7 @@
     });
     /** Free now or within the stop time, less what is reserved for earlier units. */
     let futureFree: fleets.Fleet | undefined;
-    let preemptor: preempt.Preemptor | undefined;
+    let preemptor: preemptors.Preemptor | undefined;
     const getFutureFree = () =>
         futureFree ??= fleets.createFleet(input.workers, (worker, order) => {
             const available = resources.copyResources(free.hosts[order]!.free);
@@ -82,7 +142,7 @@
         free,
         getFutureFree,
         getPreemptor: () =>
-            preemptor ??= preempt.createPreemptor({
+            preemptor ??= preemptors.createPreemptor({
                 fleet: getFutureFree(),
                 groups: input.getRunningGroups(),
                 budgets: disruptionBudgets.createDisruptionBudgets(),
--- a/src/decisions/preempt.ts
+++ b/src/decisions/preempt.ts
@@ -141,10 +141,11 @@
 
 /** Units with the same key have the same options; `undefined` for a unit with placement constraints. */
 function getCacheKey(unit: types.WaitingUnit): string | undefined {
-    if (!place.isUnrestricted(unit) || unit.maxPerWorker > 0) {
+    if (!place.isUnrestrictedExceptSpeed(unit) || unit.maxPerWorker > 0) {
         return undefined;
     }
-    return `${unit.service} ${resources.getResourcesKey(unit.needs)} ${unit.count} ${unit.tier}`;
+    const key = `${unit.service} ${resources.getResourcesKey(unit.needs)} ${unit.count} ${unit.tier}`;
+    return unit.minSpeed === undefined ? key : `${key} ${unit.minSpeed}`;
 }
 
 /** Groups by worker, the cheapest first. */
--- a/src/decisions/stopCost.ts
+++ b/src/decisions/stopCost.ts
@@ -58,6 +58,7 @@
     return moves < stays && lossCoreSeconds < getLatenessPenalty(urgency.priority);
 }
 
-function getLatenessPenalty(priority: number): number {
+/** Cost of making a job of this priority late, in core-seconds. */
+export function getLatenessPenalty(priority: number): number {
     return LATENESS_CORE_SECONDS[Math.min(priority, LATENESS_CORE_SECONDS.length - 1)]!;
 }
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -28,6 +28,8 @@
     /** Number of tasks on the worker that use only spare processor time. */
     readonly bestEffortTasks: number;
     readonly occupancy: Occupancy;
+    /** Natural speed relative to the typical worker of the service; `undefined` or 1 if unknown. */
+    readonly speed?: number;
 }
 
 /** Work of a higher tier may preempt work of a lower one. */
@@ -84,6 +86,10 @@
     readonly allowedWorkerIds?: ReadonlySet<string>;
     readonly waitedMs: number;
     readonly expectedDurationMs: number;
+    /** Longest duration with which the job is still in time if the unit starts now; negative if it is late anyway. */
+    readonly inTimeDurationMs?: number;
+    /** If set, only workers that are at least this fast may run the unit. */
+    readonly minSpeed?: number;
 }
 
 /** Tasks that are stopped together: a single task or a whole gang. */
@@ -136,4 +142,18 @@
 export interface Plan {
     readonly starts: readonly PlannedStart[];
     readonly stops: readonly PlannedStop[];
+    /** Units whose outcome depends on the speeds of the workers; absent if no speeds are known. */
+    readonly speedChoices?: readonly SpeedChoice[];
+}
+
+/** How the speeds of the workers changed the outcome of a unit. */
+export interface SpeedChoice {
+    readonly unit: WaitingUnit;
+    /** Whether it starts elsewhere, preempts work on faster workers, or waits for a faster worker. */
+    readonly kind: "placed" | "preempts" | "waits";
+    /** Speed below which it would be late; 0 if it would be in time on every worker. */
+    readonly minSpeed: number;
+    /** Speed of the slowest worker that is chosen; `undefined` if it waits. */
+    readonly speed?: number;
+    readonly workerIds: readonly string[];
 }
--- a/src/explain/jobReport.ts
+++ b/src/explain/jobReport.ts
@@ -13,7 +13,8 @@
 
 /**
  * Time beyond the expected duration of the work, in milliseconds by cause: `entry` until the job was accepted, `place`
- * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, the reason for which a run was lost, or `longRun` for the excess of the last runs over
+ * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, or `placeForSpeed` if it waited for
+ * workers that are fast enough, the reason for which a run was lost, or `longRun` for the excess of the last runs over
  * their expected duration, on slow workers, on another rack than their data or because of a wrong estimate.
  */
 export type Delays = Readonly<Record<string, number>>;
@@ -132,7 +133,7 @@
         case "placed": {
             const unit = findUnit(records, fields["unit"], true);
             if (unit) {
-                const reason = unit.lostReason ?? (fields["evacuatedZones"] ? "placeWithoutZone" : "place");
+                const reason = unit.lostReason ?? getPlacementReason(fields);
                 addDelay(unit, reason, Number(fields["waitedMs"]) + unit.lostMs);
                 unit.lostMs = 0;
                 unit.lostReason = undefined;
@@ -161,6 +162,13 @@
     }
 }
 
+function getPlacementReason(fields: logLine.LogLine["fields"]): string {
+    if (fields["evacuatedZones"]) {
+        return "placeWithoutZone";
+    }
+    return fields["waitedForSpeed"] ? "placeForSpeed" : "place";
+}
+
 function processSubmission(records: Map<string, JobRecord>, line: logLine.LogLine): void {
     const { fields } = line;
     const jobId = String(fields["job"]);
--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -15,6 +15,8 @@
     readonly meter: observe.Meter;
     getWorker(id: string): entries.WorkerEntry;
     readonly evacuations: Pick<evacuation.Evacuations, "list">;
+    /** Whether the unit has waited for a faster worker. */
+    hasWaitedForSpeed(unitKey: string): boolean;
     /** Resolves when all changes made so far are stored. */
     flush(): Promise<void>;
 }
@@ -57,7 +59,7 @@
 }
 
 function placeUnit(
-    { jobRegistry: registry, log, meter, getWorker, evacuations }: ExecutionOptions,
+    { jobRegistry: registry, log, meter, getWorker, evacuations, hasWaitedForSpeed }: ExecutionOptions,
     { unit, workerIds }: decisions.PlannedStart,
     tasks: readonly entries.TaskEntry[],
 ): sessions.PlacedTask[] {
@@ -68,6 +70,7 @@
         workers: [...new Set(workerIds)],
         waitedMs: Math.round(unit.waitedMs),
         claim: unit.tier,
+        waitedForSpeed: hasWaitedForSpeed(unit.key) || undefined,
         evacuatedZones: evacuations.list().length || undefined,
     });
     meter.record("placement_wait_ms", { queue: tasks[0]!.step.occurrence.job.queue.name }, unit.waitedMs);
--- a/src/leader/taskWatchdog.ts
+++ b/src/leader/taskWatchdog.ts
@@ -54,6 +54,8 @@
     options: {
         readonly now: number;
         readonly estimateRunMs: units.RunTimeEstimator;
+        /** Speed of the worker that a task runs on, relative to the typical one. */
+        getRunSpeed(task: entries.TaskEntry): number;
         readonly jobRegistry: jobRegistry.JobRegistry;
         readonly log: observe.Log;
         readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
@@ -112,10 +114,14 @@
 function endsInTime(
     task: entries.TaskEntry,
     worker: entries.WorkerEntry,
-    options: { readonly now: number; readonly estimateRunMs: units.RunTimeEstimator; },
+    options: {
+        readonly now: number;
+        readonly estimateRunMs: units.RunTimeEstimator;
+        getRunSpeed(task: entries.TaskEntry): number;
+    },
 ): boolean {
     const leavesAt = (worker.drainingSince ?? options.now) + worker.info.remainingMs;
-    const expectedEndAt = task.runningSince + options.estimateRunMs(task.step);
+    const expectedEndAt = task.runningSince + options.estimateRunMs(task.step) / options.getRunSpeed(task);
     const leftMs = leavesAt - options.now;
     if (expectedEndAt < leavesAt - LEAVE_MARGIN_MS) {
         return leftMs > LEAVE_MARGIN_MS;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -30,6 +30,7 @@
 import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep/index";
+import * as workerSpeeds from "./workerSpeeds";
 
 export interface TermOptions {
     readonly store: rows.RowStore;
@@ -89,6 +90,14 @@
     const { disabledMechanisms } = options.policy;
     const pollWaitMs = Math.round(Math.min(MAX_POLL_WAIT_MS, POLL_SHARE * options.maxLeaseMs));
     const predictor = decisions.createPredictor();
+    const naturalSpeeds = workerSpeeds.createWorkerSpeeds({
+        clock: time,
+        disabledMechanisms,
+        log,
+        meter,
+        getTask: name => jobRegistry.getTask(name),
+        getWorker: id => registry.getWorker(id),
+    });
     const pollLimiter = sessions.createInitialPollLimiter(
         time,
         options.policy.disabledMechanisms.has("firstLooks") ? Infinity : undefined,
@@ -165,6 +174,7 @@
             onPollResult: async pollResult => {
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
+                    naturalSpeeds.recordEnd(end);
                 }
                 sessions.reconcile(
                     { jobRegistry, clock: time, log, stopUnknownRun: orders.stopUnknownRun },
@@ -178,6 +188,7 @@
                     disabledMechanisms,
                     getUrgency: step => units.getUrgency(step, createView(new Set())),
                 });
+                naturalSpeeds.recordPoll(worker);
                 bestEffortPacing.paceBestEffortTasks(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
@@ -201,7 +212,7 @@
             predictor.learn(
                 task.step.occurrence.job.queue.name,
                 task.step.spec.estimateMs,
-                time.now() - task.runningSince,
+                (time.now() - task.runningSince) * naturalSpeeds.getRunSpeed(task),
             );
         }
     };
@@ -247,6 +258,7 @@
         estimateRunMs,
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
+        getRunSpeed: naturalSpeeds.getRunSpeed,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -271,10 +283,12 @@
         taskWatchdog.stopUnviableTasks([...registry.workers.values()], {
             now,
             estimateRunMs,
+            getRunSpeed: naturalSpeeds.getRunSpeed,
             jobRegistry,
             log,
             disabledMechanisms,
         });
+        naturalSpeeds.update();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -285,13 +299,14 @@
         const plan = decisions.plan({
             now,
             disabledMechanisms,
-            workers: usable.map(units.toPlaceableWorker),
+            workers: usable.map(worker => units.toPlaceableWorker(worker, naturalSpeeds.getSpeed(worker))),
             units: waiting.map(item => item.unit),
             getRunningGroups: () => {
                 groups = units.collectRunningGroups(jobRegistry.active, view);
                 return [...groups.values()].map(item => item.group);
             },
         });
+        naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
         execution.executePlan({
             jobRegistry,
             orders,
@@ -300,6 +315,7 @@
             meter,
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
+            hasWaitedForSpeed: naturalSpeeds.hasWaited,
             flush: writer.flush,
         }, {
             plan,
@@ -341,6 +357,7 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+        ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -407,14 +424,15 @@
         });
     };
     meter.increment("terms_total");
-    const endGauges = meter.registerGauges(() =>
-        gauges.readGauges({
+    const endGauges = meter.registerGauges(() => [
+        ...naturalSpeeds.readGauges(),
+        ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
-        })
-    );
+        }),
+    ]);
     signal.addEventListener("abort", () => {
         endGauges();
         registry.closeSessions();
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -29,6 +29,8 @@
     readonly policy: decisions.Policy;
     /** Whether the job is covered by its account's guarantee. */
     isGuaranteed(job: entries.JobEntry): boolean;
+    /** Speed of the worker that a task runs on, relative to the typical one; by default 1. */
+    getRunSpeed?(task: entries.TaskEntry): number;
 }
 
 /** Collects the units that can be placed now, in the order of the policy. */
@@ -99,6 +101,8 @@
         allowedWorkerIds: job.queue.advice ? getTicketedWorkerIds(step, options.now) : undefined,
         waitedMs,
         expectedDurationMs: options.estimateRunMs(step),
+        inTimeDurationMs: urgency.objectiveMs - urgency.ageMs
+            - (urgency.remainingMs - options.estimateRunMs(step)),
     };
 }
 
@@ -156,6 +160,14 @@
     };
 }
 
+/** The urgency of a placed task, whose remaining time depends on the speed of its worker. */
+function getRunUrgency(task: entries.TaskEntry, options: UnitsOptions): decisions.Urgency {
+    const urgency = getUrgency(task.step, options);
+    const runMs = options.estimateRunMs(task.step);
+    const speed = options.getRunSpeed?.(task) ?? 1;
+    return { ...urgency, remainingMs: urgency.remainingMs - runMs + runMs / speed };
+}
+
 function getPreemptionTier(step: entries.StepEntry, options: UnitsOptions): decisions.PreemptionTier {
     const { job } = step.occurrence;
     if (options.isGuaranteed(job)) {
@@ -236,7 +248,7 @@
         lossCoreSeconds,
         costCoreSeconds: options.policy.getStopCost({
             lossCoreSeconds,
-            urgency: getUrgency(step, options),
+            urgency: getRunUrgency(tasks[0]!, options),
             elapsedMs,
             unsavedMs,
             preemptions: tasks[0]!.preemptions + getBudgetAtStake(tasks),
@@ -279,7 +291,7 @@
 const RESUME_LOSS_MS = 100;
 
 /** Converts a worker to the input of the placement decisions. */
-export function toPlaceableWorker(worker: entries.WorkerEntry): decisions.PlaceableWorker {
+export function toPlaceableWorker(worker: entries.WorkerEntry, speed?: number): decisions.PlaceableWorker {
     const releasing = decisions.copyResources(work.NO_RESOURCES);
     let latencySensitiveTasks = 0;
     let bestEffortTasks = 0;
@@ -301,6 +313,7 @@
         latencySensitiveTasks,
         bestEffortTasks,
         occupancy: getOccupancy(worker),
+        speed,
     };
 }
 
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -59,6 +59,12 @@
     ),
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
+    worker_speeds: gauge(
+        "leader: workers with measured rates, and those whose speed is known to differ",
+        "service",
+        "state",
+    ),
+    speed_choices_total: counter("leader: units whose outcome the speed of workers changed", "queue", "outcome"),
     learned_state_writes_total: counter("leader: transactions that store what was measured", "outcome"),
     learned_state_bytes_total: counter("leader: bytes stored of what was measured"),
     progress_writes_total: counter("leader: transactions that store progress", "outcome"),
