Fuzz and experiment play contention

Cause: the random sites had one account that mattered, even workers in most cases, and no groups of workers that leave at short notice and come back, so that parts which answer such load could not be shown to keep the promises.

Each has a random source of its own, so that other seeds stay as they are.

--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -13,6 +13,10 @@
         )
         .option("--no-restarts", "leave out workers that restart under the same id")
         .option("--no-evacuations", "leave out zones that are evacuated")
+        .option(
+            "--no-contention",
+            "leave out competing accounts, uneven workers, and groups of workers that leave at short notice",
+        )
         .option("--shift <ms>", "delay faults and events by this much relative to the leader's timers", "0")
         .option("--log", "print the log lines of sites with a violation")
         .parse();
@@ -26,6 +30,7 @@
             hazards: boolean;
             restarts: boolean;
             evacuations: boolean;
+            contention: boolean;
         }
     >();
     const firstSeed = Number(options.seed);
@@ -37,6 +42,7 @@
             hazards: options.hazards,
             restarts: options.restarts,
             evacuations: options.evacuations,
+            contention: options.contention,
             shiftMs: Number(options.shift),
         });
         wronglyFailedJobs += report.wronglyFailedJobs;
--- a/src/cli/experimentCommand.ts
+++ b/src/cli/experimentCommand.ts
@@ -15,6 +15,7 @@
     readonly report?: string;
     readonly drawn?: number;
     readonly hazards?: boolean;
+    readonly contention?: boolean;
     readonly size: experiment.Size;
     readonly without: Array<decisions.Mechanism | typeof ALL>;
     readonly holdout?: boolean;
@@ -56,6 +57,10 @@
             "--hazards",
             "random deployments with workers that crash and restart or shrink, and jobs that crash workers",
         )
+        .option(
+            "--contention",
+            "random deployments with more work, uneven accounts and workers, departures at short notice, and bursts",
+        )
         .option("--threads <n>", "threads that simulate random deployments", Number, DEFAULT_THREADS)
         .action(async (names: string[], options: ExperimentOptions) => {
             if (options.drawn === undefined) {
--- a/src/cli/randomExperiment.ts
+++ b/src/cli/randomExperiment.ts
@@ -17,6 +17,8 @@
     readonly holdout?: boolean;
     /** Adds workers that crash and restart, capacities that shrink, and jobs that crash their workers. */
     readonly hazards?: boolean;
+    /** Adds work, uneven accounts and workers, departures at short notice, and bursts. */
+    readonly contention?: boolean;
     /** Number of worker threads; 0 runs in the calling thread. */
     readonly threads: number;
     readonly json?: boolean;
@@ -36,7 +38,13 @@
     const firstSeed = options.holdout ? HOLDOUT_SEED : options.seed;
     const seeds = Array.from({ length: options.drawn }, (_, number) => firstSeed + number);
     const tasks = variants.flatMap(variant =>
-        seeds.map(seed => ({ seed, size: options.size, variant, hazards: options.hazards }))
+        seeds.map(seed => ({
+            seed,
+            size: options.size,
+            variant,
+            hazards: options.hazards,
+            contention: options.contention,
+        }))
     );
     const results = await experiment.simulateBatch(tasks, options.threads);
     const byVariant = variants.map((_, number) => results.slice(number * seeds.length, (number + 1) * seeds.length));
--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -74,6 +74,12 @@
         expect(report.violations).toEqual([]);
     });
 
+    test.each([...seeds, 31_000_112])("seed %i violates no invariant under contention", async seed => {
+        const options = { slowStore: true, hazards: true, restarts: true, contention: true };
+        const { violations } = await emulator.runChaos(seed, options);
+        expect(violations).toEqual([]);
+    });
+
     const hazardSeeds = [...HAZARD_SEEDS.map(([seed]) => seed), ...seeds];
     test.each(hazardSeeds)("seed %i violates no invariant with tasks that crash their workers", async seed => {
         const report = await emulator.runChaos(seed, { slowStore: true, hazards: true });
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -8,6 +8,7 @@
 import type * as observe from "../observe/index";
 import * as random from "../random/index";
 import * as telemetry from "../telemetry/index";
+import * as contentions from "./contention";
 import * as workerHazards from "./hazards";
 import type * as jobModel from "./jobModel";
 import * as randomJob from "./randomJob";
@@ -60,7 +61,8 @@
  *
  * With `slowStore` the store is also slow for a while, and carries out the transactions of a part one at a time. With
  * `hazards` tasks crash their workers, workers crash and come back, and capacities change. With `restarts` workers
- * restart under the same ids. With `evacuations` zones are evacuated and restored. `shiftMs` delays faults and events, so that they coincide with other timers of the leader.
+ * restart under the same ids. With `evacuations` zones are evacuated and restored. With `contention` accounts compete,
+ * workers are uneven, and groups of them leave at short notice. `shiftMs` delays faults and events, so that they coincide with other timers of the leader.
  */
 export async function runChaos(
     seed: number,
@@ -69,6 +71,7 @@
         hazards: withHazards = false,
         restarts: withRestarts = false,
         evacuations: withEvacuations = false,
+        contention: withContention = false,
         shiftMs = 0,
     } = {},
 ): Promise<ChaosReport> {
@@ -104,6 +107,14 @@
             instances: range(INSTANCES).map(sites.getInstanceName),
         })
         : undefined;
+    const contention = withContention
+        ? contentions.createContention({
+            seed,
+            durationMs: FAULTS_MS,
+            workerIds: range(WORKERS).map(getWorkerId),
+            accounts: ACCOUNTS.map(account => account.name),
+        })
+        : undefined;
     const site = sites.createSite({
         clock: time,
         restartsUnderSameId: restarts?.restartsUnderSameId,
@@ -134,21 +145,26 @@
         workerFaults: {
             decide: worker => pickFault(source, workerWindows, time.now(), worker) ?? "none",
             lateMs: 300 + source.nextInt(6_000),
-            getSlowdown: worker => worker === getWorkerId(0) && time.now() < slowWorkerUntil ? 20 : 1,
+            getSlowdown: worker =>
+                (worker === getWorkerId(0) && time.now() < slowWorkerUntil ? 20 : 1)
+                * (contention?.getSlowdown(sites.getFirstWorkerId(worker)) ?? 1),
         },
     });
     const randomJobs = range(JOBS).map(number => randomJob.createRandomJob(source, number));
-    const jobs = hazards ? randomJobs.map(hazards.withRandomCrashes) : randomJobs;
+    const accountJobs = contention ? randomJobs.map(contention.withRandomAccount) : randomJobs;
+    const jobs = hazards ? accountJobs.map(hazards.withRandomCrashes) : accountJobs;
     const cancelled = new Set<string>();
     const accepted = new Set<string>();
     const acknowledged = new Set<string>();
     const runningAfterCancel = new Set<string>();
     const events = createEvents(source, site, jobs, { accepted, cancelled, acknowledged });
-    for (const { at, act } of [...hazards?.events ?? [], ...restarts?.events ?? [], ...evacuations?.events ?? []]) {
+    const parts = [hazards, restarts, evacuations, contention];
+    for (const { at, act } of parts.flatMap(part => part?.events ?? [])) {
         events.push({ at, act: () => act(site), done: false });
     }
     events.forEach(event => event.at += shiftMs);
-    while (time.now() < FAULTS_MS + RECOVERY_MS) {
+    const recoveryMs = RECOVERY_MS * (contention ? contentions.MAX_SLOWDOWN : 1);
+    while (time.now() < FAULTS_MS + recoveryMs) {
         for (const event of events.filter(candidate => candidate.at <= time.now() && !candidate.done)) {
             event.done = true;
             event.act();
@@ -343,11 +359,18 @@
         version: 1,
         queues: [queue("urgent", 0), queue("plan", 1), queue("batch", 2)],
         services: [{ name: "service", refusesOverload: false, spare: false }],
-        accounts: [{ name: "office", keys: [], guaranteedAccelerators: 16 }],
+        accounts: ACCOUNTS,
         limits: { headerBytes: 16_384, bodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     };
 }
 
+/** Jobs belong to the first account, unless accounts compete. */
+const ACCOUNTS: readonly catalogs.Account[] = [
+    { name: "office", keys: [], guaranteedAccelerators: 16 },
+    { name: "branch", keys: [], guaranteedAccelerators: 4 },
+    { name: "guest", keys: [], guaranteedAccelerators: 0 },
+];
+
 const RACKS = range(WORKERS / WORKERS_PER_RACK).map(rack =>
     range(WORKERS_PER_RACK).map(number => getWorkerId(rack * WORKERS_PER_RACK + number))
 );
--- a/src/emulator/site.ts
+++ b/src/emulator/site.ts
@@ -74,6 +74,8 @@
     kill(instance: number): void;
     /** Crashes a worker; a successor starts at its address some seconds later, under a new id unless configured otherwise. */
     crashWorker(id: string): void;
+    /** Ends a worker as after its notice; a successor starts at its address, under a new id, `afterMs` later. */
+    leaveWorker(id: string, afterMs: number): void;
     /** Ends a worker's incarnation; the next one starts under the same id `afterMs` later. */
     restartWorker(id: string, afterMs: number): void;
     /** Ends an instance as a power failure does: no connection is closed, so its peers are not notified. */
@@ -157,9 +159,12 @@
             restartWorker(id, options.workerRestartMs ?? WORKER_RESTART_MS);
             return;
         }
-        const info = { ...workers.getInfo(id), id: `${id}${NEXT_ID_SUFFIX}`, draining: false, remainingMs: 0 };
         workers.kill(id, true);
-        time.setTimer(options.workerRestartMs ?? WORKER_RESTART_MS, () => {
+        startSuccessor(id, options.workerRestartMs ?? WORKER_RESTART_MS);
+    };
+    const startSuccessor = (id: string, afterMs: number) => {
+        const info = { ...workers.getInfo(id), id: `${id}${NEXT_ID_SUFFIX}`, draining: false, remainingMs: 0 };
+        time.setTimer(afterMs, () => {
             workers.kill(id, false);
             workers.addSuccessor(id, info);
         });
@@ -313,6 +318,14 @@
         isAlive: number => !instances[number]!.controller.signal.aborted,
         kill: number => instances[number]!.controller.abort(),
         crashWorker,
+        leaveWorker: (id, afterMs) => {
+            if (workers.getUsedResources(id) === undefined) {
+                // It has crashed since its notice, and has a successor already.
+                return;
+            }
+            workers.kill(id, false);
+            startSuccessor(id, afterMs);
+        },
         restartWorker,
         freeze: (number, ms, suspended) => instances[number]!.freezer.freeze(ms, suspended),
         powerOff: number => {
--- a/src/experiment/batch.ts
+++ b/src/experiment/batch.ts
@@ -18,6 +18,8 @@
     readonly variant: Variant;
     /** Adds workers that crash and restart, capacities that shrink, and jobs that crash their workers. */
     readonly hazards?: boolean;
+    /** Adds work, uneven accounts and workers, departures at short notice, and bursts. */
+    readonly contention?: boolean;
 }
 
 /** What one simulation of a batch returns. */
@@ -28,9 +30,10 @@
 }
 
 /** Simulates one deployment in the calling thread. */
-export async function simulateTask({ seed, size, variant, hazards }: BatchTask): Promise<BatchResult> {
+export async function simulateTask({ seed, size, variant, hazards, contention }: BatchTask): Promise<BatchResult> {
     const policy = decisions.disableMechanisms(decisions.POLICIES[variant.policy], variant.leftOut);
-    const base = randomLoad.createRandomLoad(seed, size);
+    const drawn = randomLoad.createRandomLoad(seed, size);
+    const base = contention ? randomLoad.addContention(drawn, seed) : drawn;
     const load = hazards ? randomLoad.addHazards(base, seed) : base;
     const simulated = await simulation.simulate({ load, seed, policy });
     return { measures: measures.measure(simulated), violations: simulated.violations };
--- a/src/experiment/faultInjector.ts
+++ b/src/experiment/faultInjector.ts
@@ -48,6 +48,8 @@
     const poweredOff = new Map<number, number>();
     /** Workers with reduced capacity, and until when. */
     const shrunk: Array<{ readonly addresses: readonly string[]; readonly untilMs: number; }> = [];
+    /** Workers that leave, when each is gone, and when its successor starts. */
+    const leaving: Array<{ readonly id: string; readonly goneAt: number; readonly replacedAfterMs: number; }> = [];
     const getAddresses = (ids: ReadonlySet<string>) =>
         workers.filter(worker => ids.has(worker.id)).map(worker => worker.address);
     const findActive = (kind: loads.Fault["kind"], workerId: string, at: number) =>
@@ -96,6 +98,13 @@
                     withWorkerAt(emulatedWorkers, address, id => emulatedWorkers.resize(id, load.capacity))
                 );
             }
+            for (const item of leaving.splice(0)) {
+                if (item.goneAt > atMs) {
+                    leaving.push(item);
+                    continue;
+                }
+                site.leaveWorker(item.id, item.replacedAfterMs);
+            }
             for (const item of scheduled) {
                 const { fault, workerIds } = item;
                 if (item.applied || fault.atMs > atMs) {
@@ -127,7 +136,14 @@
                     site.powerOff(instance);
                 }
                 if (fault.kind === "leave") {
-                    workerIds.forEach(id => emulatedWorkers.drain(id, fault.remainingMs));
+                    const { remainingMs, replacedAfterMs } = fault;
+                    const drain = (id: string) => {
+                        emulatedWorkers.drain(id, remainingMs);
+                        if (replacedAfterMs !== undefined) {
+                            leaving.push({ id, goneAt: atMs + remainingMs, replacedAfterMs });
+                        }
+                    };
+                    getAddresses(workerIds).forEach(address => withWorkerAt(emulatedWorkers, address, drain));
                 }
             }
         },
--- a/src/experiment/index.ts
+++ b/src/experiment/index.ts
@@ -4,7 +4,7 @@
 export { type Load } from "./load";
 export { type Measure, MEASURES, type Measures } from "./measures";
 export { LOADS } from "./namedLoads";
-export { addHazards, createRandomLoad, Size } from "./randomLoad";
+export { addContention, addHazards, createRandomLoad, Size } from "./randomLoad";
 export { renderReport } from "./report";
 export { simulate, type SimulationOptions } from "./simulation";
 export { type SimulationResult } from "./simulationResult";
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -76,8 +76,14 @@
     | { readonly kind: "fail"; readonly atMs: number; readonly durationMs: number; readonly share: number; }
     /** A share of the workers is lost permanently. */
     | { readonly kind: "crash"; readonly atMs: number; readonly share: number; }
-    /** A share of the workers drains, and stops after `remainingMs`. */
-    | { readonly kind: "leave"; readonly atMs: number; readonly share: number; readonly remainingMs: number; }
+    /** A share of the workers drains, and stops after `remainingMs`; each is replaced `replacedAfterMs` later, if set. */
+    | {
+        readonly kind: "leave";
+        readonly atMs: number;
+        readonly share: number;
+        readonly remainingMs: number;
+        readonly replacedAfterMs?: number;
+    }
     /** A share of the workers crashes and restarts seconds later: that share of the racks if `wholeRacks`. */
     | {
         readonly kind: "restart";
--- a/src/experiment/randomLoad.ts
+++ b/src/experiment/randomLoad.ts
@@ -99,6 +99,46 @@
 const RESTART_ID_SEED_OFFSET = 19_000_000;
 const MAX_HAZARDS = 4;
 
+/**
+ * Adds contention: more work than before, accounts of very different size, workers that differ by up to 2.2 times, groups
+ * of workers that leave at short notice and are replaced, and bursts of several classes at once.
+ */
+export function addContention(load: loads.Load, seed: number): loads.Load {
+    const source = generate.createSeededRandom(seed + CONTENTION_SEED_OFFSET);
+    const demand = 1 + 0.5 * source.nextFloat();
+    const createDeparture = (): loads.Fault => ({
+        kind: "leave",
+        atMs: 4_000 + source.nextInt(DURATION_MS - 12_000),
+        share: 0.12 + 0.05 * source.nextFloat(),
+        remainingMs: 1_800 + source.nextInt(400),
+        replacedAfterMs: 4_000,
+    });
+    const burstAtMs = 4_000 + source.nextInt(DURATION_MS - 14_000);
+    const createBurst = (jobClass: loads.JobClass): loads.Fault => ({
+        kind: "burst",
+        atMs: burstAtMs,
+        durationMs: 4_000 + source.nextInt(2_000),
+        class: jobClass.name,
+        factor: 2 + source.nextFloat(),
+    });
+    return {
+        ...load,
+        classes: load.classes.map(jobClass => ({ ...jobClass, perSecond: demand * jobClass.perSecond })),
+        skew: 0.3 + 0.3 * source.nextFloat(),
+        speeds: source.pick(CONTENTION_SPEED_SETS),
+        faults: [
+            ...load.faults,
+            ...Array.from({ length: source.nextInt(MAX_DEPARTURES + 1) }, createDeparture),
+            ...load.classes.filter(() => source.nextInt(2) === 0).map(createBurst),
+        ],
+    };
+}
+
+/** Far from the seeds of loads and from the other offsets. */
+const CONTENTION_SEED_OFFSET = 29_000_000;
+const MAX_DEPARTURES = 3;
+const CONTENTION_SPEED_SETS: ReadonlyArray<readonly number[]> = [[1], [0.8, 1, 1.25], [0.55, 1.2, 1.2, 1.2]];
+
 /** Relative speeds of a site's workers: all the same, or several kinds. */
 const SPEED_SETS: ReadonlyArray<readonly number[]> = [[1], [0.8, 1, 1.25], [0.8, 1, 1.25], [0.6, 1, 1.4]];
 /** Share of the loads in which a zone becomes unreachable. */
