--- a/soak/faultInjection.ts
+++ b/soak/faultInjection.ts
@@ -4,6 +4,7 @@
  */
 import type * as emulator from "../src/emulator/index";
 import type * as random from "../src/random/index";
+import * as work from "../src/work/index";
 import * as links from "./link";
 import type * as sites from "./site";
 
@@ -30,6 +31,8 @@
         readonly fault: emulator.OrderFault;
     }
     | { readonly kind: "forgetHistory"; }
+    /** Overwrites what a leader has stored of its measurements. */
+    | { readonly kind: "damageLearnedState"; readonly value: string; }
     /** The worker's tasks take `factor` times as long. */
     | { readonly kind: "slowTasks"; readonly target: Target; readonly factor: number; }
     /**
@@ -231,6 +234,11 @@
         case "forgetHistory":
             site.store.discardHistory();
             return () => undefined;
+        case "damageLearnedState":
+            for (const row of site.store.getRows(work.Table.Learned)) {
+                site.store.put({ ...row, value: fault.value });
+            }
+            return () => undefined;
         case "slowTasks":
             return applyToAll(pickWorkerIds(site, fault.target), id => injector.addSlowdown(id, fault.factor));
         case "loseWorker":
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -6,6 +6,7 @@
 import type * as emulator from "../src/emulator/index";
 import * as random from "../src/random/index";
 import * as simulatedCallers from "./callers";
+import * as contention from "./contention";
 import * as evacuations from "./evacuations";
 import * as faultInjection from "./faultInjection";
 import * as loadBalancers from "./loadBalancer";
@@ -92,15 +93,18 @@
         windowMs: options.faultPhaseMs,
         count: options.faultCount,
     };
+    const contentionSource = random.createRandom(options.seed + CONTENTION_SEED_OFFSET);
     const schedule = [
         ...faultInjection.createFaultSchedule(random.createRandom(options.seed), scheduleOptions),
         ...faultInjection.createCapacityReductions(createSource(6), scheduleOptions),
+        ...contention.createContention(contentionSource, scheduleOptions),
     ];
     const injector = faultInjection.createFaultInjector(createSource(1));
     const jobs = new Map<string, emulator.EmulatedJob>();
     const restartSource = createSource(0);
     const restartsUnderSameId = () => restartSource.nextInt(2) === 0;
-    const site = await sites.createSite({ ...options, ...injector, jobs, restartsUnderSameId });
+    const slowdowns = contention.drawSlowdowns(contentionSource, options.workers);
+    const site = await sites.createSite({ ...options, ...injector, slowdowns, jobs, restartsUnderSameId });
     const operator = operators.createOperator(site, time, createSource(2), options.otherQueues);
     const balancer = loadBalancers.createLoadBalancer(site, time, createSource(3));
     const callers = simulatedCallers.createCallers({
@@ -121,6 +125,8 @@
 
 /** Keeps the source of evacuations apart from the others, so that they don't change a seed's faults. */
 const EVACUATION_SEED_OFFSET = 29_000_000;
+/** Keeps the source of contention apart from the others. */
+const CONTENTION_SEED_OFFSET = 37_000_000;
 /** Number of random sources of a run. */
 const SOURCE_COUNT = 8;
 
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -23,6 +23,8 @@
     readonly storeBytesPerSecond?: number;
     readonly storeFaults: emulator.StoreFaults;
     readonly workerFaults: emulator.WorkerFaults;
+    /** How many times as long tasks take on each host's workers, besides faults. */
+    readonly slowdowns: readonly number[];
     readonly jobs: ReadonlyMap<string, emulator.EmulatedJob>;
     /** Decides whether the worker that replaces a lost one has the same id. */
     restartsUnderSameId(): boolean;
@@ -101,10 +103,15 @@
         maxLeaseMs: MAX_LEASE_MS,
         stopMs: TASK_STOP_MS,
         gangTimeoutMs: GANG_TIMEOUT_MS,
-        faults: options.workerFaults,
+        faults: {
+            ...options.workerFaults,
+            getSlowdown: id => (options.workerFaults.getSlowdown?.(id) ?? 1) * getNaturalSlowdown(id),
+        },
         getModel: task => emulator.createTaskModel(options.jobs, task),
         onCrash: id => handleCrash(id),
     });
+    const getNaturalSlowdown = (id: string) =>
+        options.slowdowns[workerHosts.findIndex(host => host.getWorkerId() === id)] ?? 1;
     const cleanups: Array<() => void> = [];
     const openLink = async (listen: string, target: string) => {
         const link = await links.createLink({ listen, target });
