--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -6,10 +6,20 @@
 import * as relay from "../../relay/index";
 import * as telemetry from "../../telemetry/index";
 import * as fixtures from "./fixtures";
+import * as unevenSite from "./unevenSite";
 
 const WHOLE_MEMORY = { cpuMillis: 1_000, memoryMb: 65_536, accelerators: 1 };
 const NAMES = Object.keys(observe.METRICS) as observe.MetricName[];
 
+/** The metrics of a site whose workers are not equally fast, and on which an urgent gang has been placed by that. */
+async function runUnevenSite(): Promise<string> {
+    const site = await unevenSite.openUnevenSite();
+    await unevenSite.startUrgentGang(site, 20, 3);
+    const text = site.metrics.render();
+    site.close();
+    return text;
+}
+
 /** Runs a site through everything that is counted, and returns its metrics as text. */
 async function runSiteWithFailures(): Promise<string> {
     const long = { estimateMs: 20_000, needs: WHOLE_MEMORY };
@@ -77,7 +87,7 @@
     let served: string;
 
     beforeAll(async () => {
-        served = await runSiteWithFailures();
+        served = await runSiteWithFailures() + await runUnevenSite();
     });
 
     test.each(NAMES)("%s has a value under its labels after failures of all kinds", name => {
