Decisions on leaving workers by measured progress and learned stays

Cause: a task on a leaving worker was judged by the caller's estimate alone, gangs member by member, and the announced minimum counted as the time of leaving. A later report that counts the announcement down was counted twice.

Change: src/leader/leavingWorkers.ts follows notices, observes up to 40 leaving workers until they are gone, and decides for each task or whole gang on them (mechanism `departures`; the rule by estimates in taskWatchdog.ts stays for when it is off). Simultaneous losses set `fewWorkers` of gangs (mechanism `gangExposure`). The section `departures` stores both. Lines: departureDecision (at most 50 a second), simultaneousLosses.

--- a/src/departures/stays.ts
+++ b/src/departures/stays.ts
@@ -14,8 +14,6 @@
     getBeyondMs(service: string): number | undefined;
     /** Number of observations that the estimate rests on. */
     countObservations(service: string): number;
-    /** Services with observations. */
-    listServices(): readonly string[];
     /** The latest observations by service, in hundredths of a second. */
     encode(): Readonly<Record<string, readonly number[]>>;
     /** Takes over observations of services of which none is known yet. Throws if the value is of another format. */
@@ -48,7 +46,6 @@
             return sorted.length < MIN_OBSERVATIONS ? undefined : sorted[Math.floor(QUANTILE * sorted.length)];
         },
         countObservations: service => getObservations(service).length,
-        listServices: () => [...observations.keys()],
         encode: () =>
             Object.fromEntries(
                 [...observations].map(([service, times]) => [
--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -15,6 +15,8 @@
     readonly meter: observe.Meter;
     getWorker(id: string): entries.WorkerEntry;
     readonly evacuations: Pick<evacuation.Evacuations, "list">;
+    /** Time since several workers of the service were lost at once, if gangs are placed on few workers for that reason. */
+    getLossAgeMs(service: string): number | undefined;
     /** Resolves when all changes made so far are stored. */
     flush(): Promise<void>;
 }
@@ -57,7 +59,7 @@
 }
 
 function placeUnit(
-    { jobRegistry: registry, log, meter, getWorker, evacuations }: ExecutionOptions,
+    { jobRegistry: registry, log, meter, getWorker, evacuations, getLossAgeMs }: ExecutionOptions,
     { unit, workerIds }: decisions.PlannedStart,
     tasks: readonly entries.TaskEntry[],
 ): sessions.PlacedTask[] {
@@ -69,6 +71,7 @@
         waitedMs: Math.round(unit.waitedMs),
         claim: unit.tier,
         evacuatedZones: evacuations.list().length || undefined,
+        lossAgeMs: unit.fewWorkers ? getLossAgeMs(unit.service) : undefined,
     });
     meter.record("placement_wait_ms", { queue: tasks[0]!.step.occurrence.job.queue.name }, unit.waitedMs);
     return tasks.map(task => ({ task, run: task.run }));
--- a/src/leader/taskWatchdog.ts
+++ b/src/leader/taskWatchdog.ts
@@ -67,7 +67,8 @@
                 continue;
             }
             if (
-                worker.info.draining && !disabledMechanisms.has("leavingWorkers") && !endsInTime(task, worker, options)
+                worker.info.draining && disabledMechanisms.has("departures")
+                && !disabledMechanisms.has("leavingWorkers") && !endsInTime(task, worker, options)
             ) {
                 options.jobRegistry.requestStop(task, "workerLeaves");
             }
@@ -108,7 +109,7 @@
 
 const DONE_PERCENT = 100;
 
-/** Whether the task ends before its worker leaves; one that takes checkpoints may stay until shortly before that. */
+/** The rule without the mechanism `departures`: whether the task ends before its worker leaves, by estimates; one that takes checkpoints may stay until shortly before that. */
 function endsInTime(
     task: entries.TaskEntry,
     worker: entries.WorkerEntry,
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -17,6 +17,7 @@
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
 import type * as leases from "./lease/index";
+import * as leavingWorkers from "./leavingWorkers";
 import type * as machines from "./machines";
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
@@ -160,8 +161,8 @@
             leadership,
             pollLimiter,
             maxLeaseMs: options.maxLeaseMs,
-            isBusy: () => worker.tasks.size > 0 || worker.unknownRunCount > 0,
-            getPollWaitMs: () => taskWatchdog.getPollWaitMs(worker, pollWaitMs),
+            isBusy: () => worker.tasks.size > 0 || worker.unknownRunCount > 0 || leaving.isObserved(worker),
+            getPollWaitMs: () => leaving.getPollWaitMs(worker, taskWatchdog.getPollWaitMs(worker, pollWaitMs)),
             onPollResult: async pollResult => {
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
@@ -228,12 +229,14 @@
         options.directory.follow(signal, workersListed => {
             listed = workersListed;
             registry.applyDirectory(listed);
+            leaving.follow(registry.workers);
         });
         while (!signal.aborted) {
             await time.sleep(DIRECTORY_CHECK_MS, signal);
             // Workers that are no longer listed expire without a change of the directory.
             if (listed && !signal.aborted) {
                 registry.applyDirectory(listed);
+                leaving.follow(registry.workers);
             }
         }
     };
@@ -241,12 +244,23 @@
     const activePredictor = disabledMechanisms.has("prediction") ? decisions.createPredictor() : predictor;
     const estimateRunMs: units.RunTimeEstimator = step =>
         activePredictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
+    const leaving = leavingWorkers.createLeavingWorkers({
+        clock: time,
+        log,
+        meter,
+        jobRegistry,
+        estimateRunMs,
+        maxLeaseMs: options.maxLeaseMs,
+        disabledMechanisms,
+    });
+    const getLossAgeMs = disabledMechanisms.has("gangExposure") ? () => undefined : leaving.getLossAgeMs;
     const createView = (guaranteed: ReadonlySet<entries.JobEntry>): units.UnitsOptions => ({
         now: time.now(),
         wallNow: time.wallTime(),
         estimateRunMs,
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
+        getLossAgeMs,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -275,6 +289,10 @@
             log,
             disabledMechanisms,
         });
+        const nextStopAt = leaving.decide();
+        if (nextStopAt !== undefined) {
+            planPass(Math.max(0, nextStopAt - now));
+        }
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -300,6 +318,7 @@
             meter,
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
+            getLossAgeMs,
             flush: writer.flush,
         }, {
             plan,
@@ -341,6 +360,7 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+        ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -415,8 +435,10 @@
             isEvacuated: options.evacuations.isEvacuated,
         })
     );
+    const endDepartureGauges = meter.registerGauges(leaving.readGauges);
     signal.addEventListener("abort", () => {
         endGauges();
+        endDepartureGauges();
         registry.closeSessions();
     });
     void runTerm();
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -29,6 +29,8 @@
     readonly policy: decisions.Policy;
     /** Whether the job is covered by its account's guarantee. */
     isGuaranteed(job: entries.JobEntry): boolean;
+    /** Time since several workers of the service were lost at once; `undefined` if it is long ago, or gangs ignore it. */
+    getLossAgeMs?(service: string): number | undefined;
 }
 
 /** Collects the units that can be placed now, in the order of the policy. */
@@ -87,6 +89,7 @@
         count: tasks.length,
         gang: spec.gang,
         sameRack: spec.gang && spec.sameRack,
+        fewWorkers: isExposed(step, options) || undefined,
         requiredLabel: spec.requiredLabel,
         dataRack: spec.dataRack,
         maxPerWorker: spec.maxPerWorker,
@@ -102,6 +105,14 @@
     };
 }
 
+/** Whether the loss of one worker would cost much: the whole gang without checkpoints, or the wait of a wide one. */
+function isExposed({ spec, tasks, occurrence }: entries.StepEntry, options: UnitsOptions): boolean {
+    return spec.gang && tasks.length > 1 && (!spec.checkpoints || tasks.length >= WIDE_GANG_MEMBERS)
+        && options.getLossAgeMs?.(occurrence.job.queue.service) !== undefined;
+}
+
+const WIDE_GANG_MEMBERS = 8;
+
 /** Wait after which a task that may crash its worker is placed on any worker where it fits. */
 const ISOLATION_MAX_WAIT_MS = 2_000;
 
