--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -17,6 +17,7 @@
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
 import type * as leases from "./lease/index";
+import * as leavingWorkers from "./leavingWorkers";
 import type * as machines from "./machines";
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
@@ -169,8 +170,8 @@
             leadership,
             pollLimiter,
             maxLeaseMs: options.maxLeaseMs,
-            isBusy: () => worker.tasks.size > 0 || worker.unknownRunCount > 0,
-            getPollWaitMs: () => taskWatchdog.getPollWaitMs(worker, pollWaitMs),
+            isBusy: () => worker.tasks.size > 0 || worker.unknownRunCount > 0 || leaving.isObserved(worker),
+            getPollWaitMs: () => leaving.getPollWaitMs(worker, taskWatchdog.getPollWaitMs(worker, pollWaitMs)),
             onPollResult: async pollResult => {
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
@@ -239,12 +240,14 @@
         options.directory.follow(signal, workersListed => {
             listed = workersListed;
             registry.applyDirectory(listed);
+            leaving.follow(registry.workers);
         });
         while (!signal.aborted) {
             await time.sleep(DIRECTORY_CHECK_MS, signal);
             // Workers that are no longer listed expire without a change of the directory.
             if (listed && !signal.aborted) {
                 registry.applyDirectory(listed);
+                leaving.follow(registry.workers);
             }
         }
     };
@@ -252,6 +255,16 @@
     const activePredictor = disabledMechanisms.has("prediction") ? decisions.createPredictor() : predictor;
     const estimateRunMs: units.RunTimeEstimator = step =>
         activePredictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
+    const leaving = leavingWorkers.createLeavingWorkers({
+        clock: time,
+        log,
+        meter,
+        jobRegistry,
+        estimateRunMs,
+        maxLeaseMs: options.maxLeaseMs,
+        disabledMechanisms,
+    });
+    const getLossAgeMs = disabledMechanisms.has("gangExposure") ? () => undefined : leaving.getLossAgeMs;
     const createView = (guaranteed: ReadonlySet<entries.JobEntry>): units.UnitsOptions => ({
         now: time.now(),
         wallNow: time.wallTime(),
@@ -259,6 +272,7 @@
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
         getRunSpeed: naturalSpeeds.getRunSpeed,
+        getLossAgeMs,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -289,6 +303,10 @@
             disabledMechanisms,
         });
         naturalSpeeds.update();
+        const nextStopAt = leaving.decide();
+        if (nextStopAt !== undefined) {
+            planPass(Math.max(0, nextStopAt - now));
+        }
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -316,6 +334,7 @@
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
             hasWaitedForSpeed: naturalSpeeds.hasWaited,
+            getLossAgeMs,
             flush: writer.flush,
         }, {
             plan,
@@ -358,6 +377,7 @@
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
         ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
+        ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -426,6 +446,7 @@
     meter.increment("terms_total");
     const endGauges = meter.registerGauges(() => [
         ...naturalSpeeds.readGauges(),
+        ...leaving.readGauges(),
         ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -31,6 +31,8 @@
     isGuaranteed(job: entries.JobEntry): boolean;
     /** Speed of the worker that a task runs on, relative to the typical one; by default 1. */
     getRunSpeed?(task: entries.TaskEntry): number;
+    /** Time since several workers of the service were lost at once; `undefined` if it is long ago, or gangs ignore it. */
+    getLossAgeMs?(service: string): number | undefined;
 }
 
 /** Collects the units that can be placed now, in the order of the policy. */
@@ -89,6 +91,7 @@
         count: tasks.length,
         gang: spec.gang,
         sameRack: spec.gang && spec.sameRack,
+        fewWorkers: isExposed(step, options) || undefined,
         requiredLabel: spec.requiredLabel,
         dataRack: spec.dataRack,
         maxPerWorker: spec.maxPerWorker,
@@ -106,6 +109,14 @@
     };
 }
 
+/** Whether the loss of one worker would cost much: the whole gang without checkpoints, or the wait of a wide one. */
+function isExposed({ spec, tasks, occurrence }: entries.StepEntry, options: UnitsOptions): boolean {
+    return spec.gang && tasks.length > 1 && (!spec.checkpoints || tasks.length >= WIDE_GANG_MEMBERS)
+        && options.getLossAgeMs?.(occurrence.job.queue.service) !== undefined;
+}
+
+const WIDE_GANG_MEMBERS = 8;
+
 /** Wait after which a task that may crash its worker is placed on any worker where it fits. */
 const ISOLATION_MAX_WAIT_MS = 2_000;
 
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -57,6 +57,10 @@
         "queue",
         "cause",
     ),
+    workers_departed_total: counter("leader: workers that announced to leave, or were lost without", "service", "how"),
+    departure_decisions_total: counter("leader: decisions on units on leaving workers", "queue", "decision"),
+    worker_stay_ms: gauge("leader: how long workers stay beyond the announced time, at least", "service"),
+    simultaneous_loss_age_ms: gauge("leader: time since several workers were lost at once", "service"),
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
     worker_speeds: gauge(
