One index of the workers by speed class

Cause: with speeds, a pass kept a second index of all workers; at 4,800 workers and 1,000 waiting units it took 3.3 times as long (16.2 to 53.5 ms, bench:decisions).

Change: a pool has one index for each speed class and merges them where the whole service is meant. bench:decisions measures the pass with a quarter of slow workers, too. indexedPlan.test.ts passes unchanged.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -1,6 +1,6 @@
 /**
  * Measures the time of one scheduling pass by numbers of workers and waiting units, with 75% of the accelerators in
- * use.
+ * use. The last two columns are the time with a quarter of slow workers, and its ratio to the time without speeds.
  */
 import * as perfHooks from "node:perf_hooks";
 import * as decisions from "../src/decisions/index";
@@ -20,6 +20,12 @@
 /** One in this many waiting units is a gang. */
 const GANG_ONE_IN = 10;
 const GANG_MEMBERS = 8;
+/** One in this many workers is slow if the speeds are known. */
+const SLOW_ONE_IN = 4;
+const SLOW_SPEED = 0.46;
+/** Longest durations with which urgent and other units are in time: the first are so on fast workers only. */
+const URGENT_IN_TIME_MS = 7_500;
+const OTHER_IN_TIME_MS = 18_000;
 
 function createInput(workerCount: number, unitCount: number, source: random.Random): decisions.PlanInput {
     const workers = Array.from({ length: workerCount }, (_, number): decisions.PlaceableWorker => ({
@@ -71,6 +77,32 @@
     return { now: 0, workers, units, getRunningGroups: () => groups };
 }
 
+/** The same input with the speeds of the workers, of which a few percent of measurement errors remain. */
+function addSpeeds(input: decisions.PlanInput, source: random.Random): decisions.PlanInput {
+    return {
+        ...input,
+        workers: input.workers.map((worker, number) => ({
+            ...worker,
+            speed: number % SLOW_ONE_IN === 0 ? SLOW_SPEED * (1 + 0.05 * source.nextNormal()) : undefined,
+        })),
+        units: input.units.map(unit => ({
+            ...unit,
+            inTimeDurationMs: unit.tier === decisions.PreemptionTier.Urgent ? URGENT_IN_TIME_MS : OTHER_IN_TIME_MS,
+        })),
+    };
+}
+
+function measurePass(input: decisions.PlanInput): { readonly passMs: number; readonly plan: decisions.Plan; } {
+    const times: number[] = [];
+    let plan: decisions.Plan | undefined;
+    for (let round = 0; round < ROUNDS; round++) {
+        const startedAt = perfHooks.performance.now();
+        plan = decisions.plan(input);
+        times.push(perfHooks.performance.now() - startedAt);
+    }
+    return { passMs: getMedian(times), plan: plan! };
+}
+
 function getMedian(values: readonly number[]): number {
     return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
 }
@@ -80,27 +112,27 @@
     const input = createInput(WORKER_COUNTS[0]!, WAITING_UNIT_COUNTS[1]!, random.createRandom(0));
     for (let round = 0; round < WARM_UP_ROUNDS; round++) {
         decisions.plan(input);
+        decisions.plan(addSpeeds(input, random.createRandom(0)));
     }
 }
 
 warmUp();
-process.stdout.write("workers  waiting  pass ms  us a unit  starts  stops  us a start or stop\n");
+process.stdout.write(
+    "workers  waiting  pass ms  us a unit  starts  stops  us a start or stop  with speeds ms  ratio\n",
+);
 for (const workerCount of WORKER_COUNTS) {
     for (const unitCount of WAITING_UNIT_COUNTS) {
         const input = createInput(workerCount, unitCount, random.createRandom(unitCount + workerCount));
-        const times: number[] = [];
-        let plan: decisions.Plan | undefined;
-        for (let round = 0; round < ROUNDS; round++) {
-            const startedAt = perfHooks.performance.now();
-            plan = decisions.plan(input);
-            times.push(perfHooks.performance.now() - startedAt);
-        }
-        const passMs = getMedian(times);
+        const { passMs, plan } = measurePass(input);
+        const withSpeeds = measurePass(addSpeeds(input, random.createRandom(unitCount)));
         process.stdout.write(
             `${String(workerCount).padStart(7)}${String(unitCount).padStart(9)}${passMs.toFixed(1).padStart(9)}`
-                + `${(1_000 * passMs / unitCount).toFixed(0).padStart(11)}${String(plan!.starts.length).padStart(8)}`
-                + `${String(plan!.stops.length).padStart(7)}`
-                + `${(1_000 * passMs / (plan!.starts.length + plan!.stops.length)).toFixed(0).padStart(20)}\n`,
+                + `${(1_000 * passMs / unitCount).toFixed(0).padStart(11)}${String(plan.starts.length).padStart(8)}`
+                + `${String(plan.stops.length).padStart(7)}`
+                + `${(1_000 * passMs / (plan.starts.length + plan.stops.length)).toFixed(0).padStart(20)}`
+                + `${withSpeeds.passMs.toFixed(1).padStart(16)}${
+                    (withSpeeds.passMs / passMs).toFixed(2).padStart(7)
+                }\n`,
         );
     }
 }
--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -16,6 +16,8 @@
     /** Modified only by `Fleet.updateFree`, which keeps the index consistent. */
     readonly free: resources.MutableResources;
     readonly rack: Rack;
+    /** Index of its speed class; set when the classes are first needed. */
+    speedClass: number;
 }
 
 /** The hosts of one service in one rack. */
@@ -101,113 +103,161 @@
 
 interface MutablePool extends Pool {
     add(worker: types.PlaceableWorker, order: number, free: resources.MutableResources): Host;
-    /** Adds a host of another pool. */
-    include(host: Host): void;
-    /** Removes a host from the index until `insert`, since its free resources are about to change. */
-    remove(host: Host): void;
-    insert(host: Host): void;
     updateFree(host: Host, apply: (free: resources.MutableResources) => void): void;
     getSpeedClasses(): readonly SpeedClass[];
-    getHosts(): readonly Host[];
 }
 
-interface MutableSpeedClass extends SpeedClass {
-    readonly pool: MutablePool;
+/** The hosts of a speed class, sorted by their free resources. */
+interface Part extends SpeedClass {
+    readonly index: HostIndex;
+    /** Must be called when the free resources of a host in that rack have changed. */
+    invalidateRack(name: string): void;
+}
+
+function createPool(): MutablePool {
+    const racks = new Map<string, MutableRack>();
+    const hosts: Host[] = [];
+    let mostlyFree: boolean | undefined;
+    const isMostlyFree = () => mostlyFree ??= isHalfFree(hosts);
+    let parts: readonly Part[] | undefined;
+    const getParts = () => parts ??= createParts(hosts, isMostlyFree);
+    return {
+        racks,
+        isMostlyFree,
+        add: (worker, order, free) => {
+            const rack = getOrCreate(racks, worker.rack, () => createRack(worker.rack));
+            const host = { worker, order, free, rack, speedClass: 0 };
+            rack.add(host);
+            hosts.push(host);
+            return host;
+        },
+        updateFree: (host, apply) => {
+            const { index, invalidateRack } = getParts()[host.speedClass]!;
+            index.remove(host);
+            apply(host.free);
+            index.insert(host);
+            (host.rack as MutableRack).invalidate();
+            invalidateRack(host.worker.rack);
+        },
+        iterateFullestFirst: needs => {
+            const all = getParts();
+            return all.length === 1 ? all[0]!.index.iterate(needs) : mergeFullestFirst(all, needs);
+        },
+        getSpeedClasses: () => getParts().length > 1 ? getParts() : [],
+    };
 }
 
-function createSpeedClasses(hosts: readonly Host[]): readonly MutableSpeedClass[] {
-    if (hosts.every(({ worker }) => getSpeed(worker) === 1)) {
-        return [];
+/** Splits hosts by speed class, the fastest first; one part if all are similar. */
+function createParts(hosts: readonly Host[], isMostlyFree: () => boolean): readonly Part[] {
+    const speeds = new Set<number>();
+    for (const { worker } of hosts) {
+        speeds.add(getSpeed(worker));
     }
-    const fastestFirst = [...hosts].sort((a, b) => getSpeed(b.worker) - getSpeed(a.worker) || a.order - b.order);
-    const members: Host[][] = [];
-    for (const host of fastestFirst) {
-        const current = members.at(-1);
-        if (current && getSpeed(current[0]!.worker) <= MAX_SPEED_RATIO * getSpeed(host.worker)) {
-            current.push(host);
+    /** Highest speed of each class. */
+    const tops: number[] = [];
+    for (const speed of [...speeds].sort((a, b) => b - a)) {
+        if (tops.length === 0 || tops.at(-1)! > MAX_SPEED_RATIO * speed) {
+            tops.push(speed);
         }
-        else {
-            members.push([host]);
+    }
+    if (tops.length <= 1) {
+        return [createPart(hosts, isMostlyFree)];
+    }
+    const members = tops.map((): Host[] => []);
+    for (const host of hosts) {
+        const speed = getSpeed(host.worker);
+        while (speed <= (tops[host.speedClass + 1] ?? -Infinity)) {
+            host.speedClass++;
         }
+        members[host.speedClass]!.push(host);
     }
-    return members.length < 2 ? [] : members.map(list => {
-        const pool = createPool();
-        list.forEach(pool.include);
-        return { minSpeed: getSpeed(list.at(-1)!.worker), maxSpeed: getSpeed(list[0]!.worker), pool };
-    });
+    return members.map(list => createPart(list, isMostlyFree));
 }
 
-function createPool(): MutablePool {
-    const racks = new Map<string, MutableRack>();
-    const hosts: Host[] = [];
-    let mostlyFree: boolean | undefined;
+function createPart(hosts: readonly Host[], isMostlyFree: () => boolean): Part {
+    const index = createHostIndex(hosts);
+    let racks: ReadonlyMap<string, MutableRack> | undefined;
+    const createRacks = () => {
+        const created = new Map<string, MutableRack>();
+        for (const host of hosts) {
+            getOrCreate(created, host.worker.rack, () => createRack(host.worker.rack)).add(host);
+        }
+        return created;
+    };
+    let minSpeed = Infinity;
+    let maxSpeed = 0;
+    for (const { worker } of hosts) {
+        minSpeed = Math.min(minSpeed, getSpeed(worker));
+        maxSpeed = Math.max(maxSpeed, getSpeed(worker));
+    }
+    return {
+        index,
+        minSpeed,
+        maxSpeed,
+        pool: {
+            isMostlyFree,
+            get racks() {
+                return racks ??= createRacks();
+            },
+            iterateFullestFirst: index.iterate,
+        },
+        invalidateRack: name => racks?.get(name)?.invalidate(),
+    };
+}
+
+function* mergeFullestFirst(parts: readonly Part[], needs: work.Resources): Iterable<Host> {
+    const iterators = parts.map(({ index }) => index.iterate(needs)[Symbol.iterator]());
+    const heads = iterators.map(iterator => iterator.next());
+    for (;;) {
+        let first = -1;
+        heads.forEach((head, number) => {
+            if (!head.done && (first < 0 || compareFullestFirst(head.value, heads[first]!.value as Host) < 0)) {
+                first = number;
+            }
+        });
+        if (first < 0) {
+            return;
+        }
+        yield heads[first]!.value as Host;
+        heads[first] = iterators[first]!.next();
+    }
+}
+
+function compareFullestFirst(a: Host, b: Host): number {
+    return a.free.accelerators - b.free.accelerators || compareHosts(a, b);
+}
+
+/** Hosts sorted by their free resources. */
+interface HostIndex {
+    /** Removes a host until `insert`, since its free resources are about to change. */
+    remove(host: Host): void;
+    insert(host: Host): void;
+    /** Hosts that may fit such a member, the fullest first. */
+    iterate(needs: work.Resources): Iterable<Host>;
+}
+
+function createHostIndex(hosts: readonly Host[]): HostIndex {
     /** Hosts by number of free accelerators; each list is sorted by free cores, then by order. */
     const lists = new Map<number, Host[]>();
-    let sorted = true;
     /** Keys of `lists`, ascending. */
     let levels: number[] = [];
-
-    const sort = () => {
-        if (!sorted) {
-            lists.forEach(list => list.sort(compareHosts));
-            sorted = true;
-        }
-    };
     const getList = (accelerators: number) =>
         getOrCreate(lists, accelerators, () => {
             levels = [...levels, accelerators].sort((a, b) => a - b);
             return [];
         });
-    const getRack = (name: string) => getOrCreate(racks, name, () => createRack(name));
-    let classes: readonly MutableSpeedClass[] | undefined;
-    let poolByHost: ReadonlyMap<Host, MutablePool> | undefined;
-    const include = (host: Host) => {
-        getRack(host.worker.rack).add(host);
-        hosts.push(host);
-        getList(host.free.accelerators).push(host);
-        sorted = false;
-    };
-    const remove = (host: Host) => {
-        sort();
-        const list = lists.get(host.free.accelerators)!;
-        list.splice(findPosition(list, host.free.cpuMillis, host.order), 1);
-    };
-    const insert = (host: Host) => {
-        const list = getList(host.free.accelerators);
-        list.splice(findPosition(list, host.free.cpuMillis, host.order), 0, host);
-        getRack(host.worker.rack).invalidate();
-    };
+    hosts.forEach(host => getList(host.free.accelerators).push(host));
+    lists.forEach(list => list.sort(compareHosts));
     return {
-        racks,
-        isMostlyFree: () => mostlyFree ??= isHalfFree(hosts),
-        add: (worker, order, free) => {
-            const host = { worker, order, free, rack: getRack(worker.rack) };
-            include(host);
-            return host;
+        remove: host => {
+            const list = lists.get(host.free.accelerators)!;
+            list.splice(findPosition(list, host.free.cpuMillis, host.order), 1);
         },
-        include,
-        remove,
-        insert,
-        updateFree: (host, apply) => {
-            const ofClass = poolByHost?.get(host);
-            remove(host);
-            ofClass?.remove(host);
-            apply(host.free);
-            insert(host);
-            ofClass?.insert(host);
-        },
-        getSpeedClasses: () => {
-            if (!classes) {
-                classes = createSpeedClasses(hosts);
-                poolByHost = classes.length === 0
-                    ? undefined
-                    : new Map(classes.flatMap(({ pool }) => pool.getHosts().map(host => [host, pool] as const)));
-            }
-            return classes;
+        insert: host => {
+            const list = getList(host.free.accelerators);
+            list.splice(findPosition(list, host.free.cpuMillis, host.order), 0, host);
         },
-        getHosts: () => hosts,
-        *iterateFullestFirst(needs) {
-            sort();
+        *iterate(needs) {
             for (const level of levels) {
                 if (needs.accelerators > 0 && level < needs.accelerators) {
                     continue;
--- a/src/decisions/speedClasses.ts
+++ b/src/decisions/speedClasses.ts
@@ -53,15 +53,22 @@
     ): boolean => {
         const requiredRack = findRack(unit, fleet);
         const countByRack = new Map<string, number>();
-        for (const rack of classes.flatMap(({ pool }) => [...pool.racks.values()])) {
-            if (requiredRack === undefined || rack.name === requiredRack) {
-                countByRack.set(rack.name, (countByRack.get(rack.name) ?? 0) + countWhenEmpty(unit, rack));
+        let total = 0;
+        for (const { pool } of classes) {
+            for (const rack of pool.racks.values()) {
+                if (requiredRack !== undefined && rack.name !== requiredRack) {
+                    continue;
+                }
+                const count = countWhenEmpty(unit, rack);
+                const ofRack = (countByRack.get(rack.name) ?? 0) + count;
+                countByRack.set(rack.name, ofRack);
+                total += count;
+                if ((unit.sameRack ? ofRack : total) >= unit.count) {
+                    return true;
+                }
             }
         }
-        const counts = [...countByRack.values()];
-        return unit.sameRack
-            ? counts.some(count => count >= unit.count)
-            : counts.reduce((sum, count) => sum + count, 0) >= unit.count;
+        return false;
     };
     const couldHoldCached = (
         unit: types.WaitingUnit,
@@ -104,10 +111,11 @@
             }
             const classes = fleet.getSpeedClasses(unit.service);
             const minSpeed = expectedDurationMs / inTimeDurationMs;
+            if (classes.length === 0 || classes[0]!.minSpeed < minSpeed || classes.at(-1)!.minSpeed >= minSpeed) {
+                return undefined;
+            }
             const inTime = classes.filter(item => item.minSpeed >= minSpeed);
-            return inTime.length === 0 || inTime.length === classes.length || !couldHoldCached(unit, fleet, inTime)
-                ? undefined
-                : inTime.at(-1)!.minSpeed;
+            return couldHoldCached(unit, fleet, inTime) ? inTime.at(-1)!.minSpeed : undefined;
         },
         placeBySpeed: (unit, fleet, minSpeed) => {
             const classes = fleet.getSpeedClasses(unit.service);
@@ -115,7 +123,7 @@
                 return undefined;
             }
             const requiredRack = findRack(unit, fleet);
-            const usable = classes.filter(item => minSpeed === undefined || item.minSpeed >= minSpeed);
+            const usable = minSpeed === undefined ? classes : classes.filter(item => item.minSpeed >= minSpeed);
             for (const { pool } of sortForUnit(unit, usable)) {
                 const hosts = placeInPool(unit, pool, requiredRack);
                 if (hosts) {
