Measured speeds in steps of 15%

Cause: each speed that was measured made a value of its own, and a pass split the workers by a thousand values, into five classes.

Change: the model rounds to steps of 15%, the width of a class.

--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -98,8 +98,8 @@
     return worker.speed ?? 1;
 }
 
-/** Interference between tasks explains smaller differences, so they do not make another class. */
-const MAX_SPEED_RATIO = 1.15;
+/** Just below the step of 15% to which measured speeds are rounded; smaller differences make no class. */
+const MAX_SPEED_RATIO = 1.14;
 
 interface MutablePool extends Pool {
     add(worker: types.PlaceableWorker, order: number, free: resources.MutableResources): Host;
--- a/src/workerSpeeds/speedModel.ts
+++ b/src/workerSpeeds/speedModel.ts
@@ -530,7 +530,12 @@
     if (Math.max(...logSpeeds) - Math.min(...logSpeeds) <= EVEN_DEVIATION) {
         return none;
     }
-    return { known: new Map(known.map(({ name, logSpeed }) => [name, Math.exp(logSpeed)])), observed };
+    return { known: new Map(known.map(({ name, logSpeed }) => [name, roundSpeed(logSpeed)])), observed };
+}
+
+/** Rounded to steps of 15%, so that a pass has few distinct speeds and a worker's class is stable. */
+function roundSpeed(logSpeed: number): number {
+    return Math.exp(EVEN_DEVIATION * Math.round(logSpeed / EVEN_DEVIATION));
 }
 
 function clamp(value: number, [min, max]: readonly [number, number]): number {
