Thrown-away work counts until a run can have ended, not until that is read

Two excesses were found by reading the code and shown by tests. A run that is lost with its worker was counted until the worker's lease had expired, seconds after the worker had left. A stopped run was counted until the leader had read its end, which a leader that stops hundreds of runs at once does late.

Change: a lost run on a worker that leaves or has restarted counts until the worker left or its connection broke; a stopped run counts until at most 0.4 s after its stop order was sent. What is read as before: ends that were not ordered, and runs on workers that are silent without a notice, which may run on until their lease expires.

Whether the two corrections explain the whole third on the platform was not measured.

--- a/src/leader/__tests__/thrownAway.test.ts
+++ b/src/leader/__tests__/thrownAway.test.ts
@@ -65,6 +65,32 @@
         expect(thrownAway.getTotals()).toEqual({ gangWait: 3.5 * CORES });
     });
 
+    // Guards against time that is counted as thrown away although nothing ran: until a loaded leader has read the end of a
+    // stopped run, or until the lease of a worker that has left has expired.
+    test.each([
+        ["was not stopped", undefined, 9_000],
+        ["was stopped just now", 8_900, 9_000],
+        ["was stopped long ago", 6_000, 6_400],
+    ])("of a run that %s counts until its end", (_, stopSentAt, endedAt) => {
+        const [task] = createTasks(1);
+        Object.assign(task!, { stopSentAt });
+        expect(thrownAways.getStoppedAt(task!, 9_000)).toBe(endedAt);
+    });
+
+    test.each<readonly [name: string, worker: Partial<entries.WorkerEntry>, hasRestarted: boolean, endedAt: number]>([
+        ["is only silent", { disconnectedAt: 2_000 }, false, 9_000],
+        ["has restarted", { disconnectedAt: 2_000 }, true, 2_000],
+        ["has restarted unseen", {}, true, 9_000],
+        ["has left as announced", { drainingSince: 1_000 }, false, 3_000],
+        ["has broken off when it left", { drainingSince: 1_000, disconnectedAt: 3_100 }, false, 3_100],
+        ["was still there after the announced time", { drainingSince: 1_000, lastAnswerAt: 4_000 }, false, 4_000],
+        ["leaves later", { drainingSince: 8_000 }, false, 9_000],
+    ])("of a run on a worker that %s counts until it can have ended there", (_, fields, hasRestarted, endedAt) => {
+        const info = { ...entries.createUnknownWorkerInfo("w"), draining: true, remainingMs: 2_000 };
+        const worker = { ...entries.createWorkerEntry(info), ...fields };
+        expect(thrownAways.getLostAt(worker, hasRestarted, 9_000)).toBe(endedAt);
+    });
+
     test.each([
         ["preempted (urgent) for 0123.0.0.0", "preempted (urgent)"],
         ["workerLeaves", "workerLeaves"],
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -41,6 +41,8 @@
     startTimedOutAt: number | undefined;
     /** When the worker accepted the stop order; `undefined` before that. */
     stopAcceptedAt: number | undefined;
+    /** When the stop order of the current run that the worker accepted, or the latest one, was sent. */
+    stopSentAt: number | undefined;
     stopReason: string;
     /** Latest progress in percent, and when it last increased. */
     percent: number;
@@ -236,6 +238,7 @@
         startExpiresAt: Infinity,
         startTimedOutAt: undefined,
         stopAcceptedAt: undefined,
+        stopSentAt: undefined,
         stopReason: "",
         percent: 0,
         lastProgressAt: 0,
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -145,9 +145,9 @@
         }
     };
 
-    const countThrownAway = (task: entries.TaskEntry, cause: string) => {
+    const countThrownAway = (task: entries.TaskEntry, cause: string, endedAt: number) => {
         const queue = task.step.occurrence.job.queue.name;
-        const coreSeconds = options.thrownAway.addRun(task, cause, time.now());
+        const coreSeconds = options.thrownAway.addRun(task, cause, endedAt);
         meter.increment("thrown_away_core_seconds_total", { queue, cause }, coreSeconds);
     };
     const countGangWait = (step: entries.StepEntry) => {
@@ -180,7 +180,7 @@
             case "ordered":
             case "running":
             case "stopping":
-                countThrownAway(task, "earlierRunDone");
+                countThrownAway(task, "earlierRunDone", time.now());
                 // Counts as missing only from a poll that was sent after the worker accepted the stop.
                 task.runningSince = Infinity;
                 break;
@@ -272,6 +272,7 @@
                 crashHistory.recordStart(task.crashes);
                 task.phase = "recording";
                 task.stopAcceptedAt = undefined;
+                task.stopSentAt = undefined;
                 task.percent = 0;
                 task.inherited = false;
                 task.speed = decisions.createSpeedHistory();
@@ -362,7 +363,11 @@
             }
             const wasStopping = task.phase === "stopping";
             if (isCurrent && end.how !== "failed") {
-                countThrownAway(task, wasStopping ? thrownAways.getCause(task.stopReason) : end.how);
+                countThrownAway(
+                    task,
+                    wasStopping ? thrownAways.getCause(task.stopReason) : end.how,
+                    wasStopping ? thrownAways.getStoppedAt(task, time.now()) : time.now(),
+                );
             }
             if (wasStopping && task.stopReason.startsWith("preempted")) {
                 task.backoffUntil = options.disabledMechanisms.has("rests")
--- a/src/leader/losses/workerLosses.ts
+++ b/src/leader/losses/workerLosses.ts
@@ -4,6 +4,7 @@
 import * as crashHistory from "../crashHistory";
 import * as entries from "../entries";
 import type * as sessions from "../sessions/index";
+import * as thrownAways from "../thrownAway";
 import * as crashes from "./crashAttribution";
 
 /** What the handling of losses needs from the job registry. */
@@ -16,8 +17,8 @@
     getWorkers(): Iterable<entries.WorkerEntry>;
     /** Expected duration of a run of the step's tasks, in milliseconds. */
     estimateRunMs(step: entries.StepEntry): number;
-    /** Adds the unsaved work of the run to the thrown-away work. */
-    countThrownAway(task: entries.TaskEntry, cause: string): void;
+    /** Adds the unsaved work of the run to the thrown-away work; it ended at `endedAt` at the latest. */
+    countThrownAway(task: entries.TaskEntry, cause: string, endedAt: number): void;
     /** Returns the task to the waiting ones. */
     requeue(task: entries.TaskEntry): void;
     /** Stops the other members of the task's gang, if it has one. */
@@ -166,7 +167,7 @@
             crashHistory.refundStart(task.crashes);
         }
         if (task.phase !== "recording" && !entries.isClosing(task)) {
-            options.countThrownAway(task, reason);
+            options.countThrownAway(task, reason, thrownAways.getLostAt(worker, reason === "otherLife", time.now()));
             logLostRun(task, worker, reason);
         }
         if (next) {
--- a/src/leader/sessions/orders.ts
+++ b/src/leader/sessions/orders.ts
@@ -234,6 +234,7 @@
         let timeoutMs = options.disabledMechanisms.has("repeatedOrders") ? undefined : FIRST_TIMEOUT_MS;
         while (worker && isOpen()) {
             const session = options.getSession(worker);
+            task.stopSentAt = time.now();
             const answer = session && options.mayIssueOrders()
                 ? await session.stop({ task: task.name, run }, timeoutMs)
                 : undefined;
--- a/src/scheduler/__tests__/departures.test.ts
+++ b/src/scheduler/__tests__/departures.test.ts
@@ -138,6 +138,24 @@
     });
 });
 
+// Guards against a count of thrown-away work that runs on after the worker has left, until its lease has expired.
+test("work that is lost with a leaving worker counts until the worker has left", async () => {
+    const job = fixtures.createJob(1, { estimateMs: 60_000, needs: WHOLE_WORKER });
+    const site = await fixtures.openSiteWithJobs({ workers: 1, policy: without("leavingWorkers") }, [job]);
+    await site.clock.advance(2_000);
+    leave(site, ["worker-0"], 2_000);
+    await site.clock.advance(2_000);
+    const startedAt = fixtures.getStarts(site, job)[0]!.at;
+    const ranMs = site.clock.now() - startedAt;
+    await site.clock.advance(10_000);
+    const cores = WHOLE_WORKER.cpuMillis / 1_000 + 8 * WHOLE_WORKER.accelerators;
+    const [line] = getLines(site, "workThrownAway");
+    const { lapsed } = line!["coreSeconds"] as Readonly<Record<string, number>>;
+    expect(lapsed! / cores).toBeGreaterThan(ranMs / 1_000 - 0.1);
+    expect(lapsed! / cores).toBeLessThan(ranMs / 1_000 + 0.7);
+    site.close();
+});
+
 describe("workers that stay longer than they announce", () => {
     const first = fixtures.createJob(1, { count: 4, estimateMs: 30_000, needs: WHOLE_WORKER });
     const second = fixtures.createJob(2, { estimateMs: 5_000, needs: WHOLE_WORKER });
