Seeds on which departures and gangExposure change the result

Cause: randomLoad.test.ts names a seed for each mechanism, but not for optional ones.

Change: both have seed 36; the type excludes the other optional mechanisms only.

--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -122,7 +122,12 @@
     Record<
         Exclude<
             decisions.Mechanism,
-            "unansweredLooks" | "repeatedOrders" | "relay" | "firstLooks" | "isolation" | decisions.OptionalMechanism
+            | "unansweredLooks"
+            | "repeatedOrders"
+            | "relay"
+            | "firstLooks"
+            | "isolation"
+            | Exclude<decisions.OptionalMechanism, "departures" | "gangExposure">
         >,
         number
     >
@@ -144,6 +149,8 @@
     slowWorkers: 36,
     slowMoves: 36,
     leavingWorkers: 36,
+    departures: 36,
+    gangExposure: 36,
     handover: 32,
     heartbeats: 21,
     prolonging: 27,
