--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -17,6 +17,8 @@
     readonly evacuations: Pick<evacuation.Evacuations, "list">;
     /** Time since several workers of the service were lost at once, if gangs are placed on few workers for that reason. */
     getLossAgeMs(service: string): number | undefined;
+    /** Whether the unit has waited for a faster worker. */
+    hasWaitedForSpeed(unitKey: string): boolean;
     /** Resolves when all changes made so far are stored. */
     flush(): Promise<void>;
 }
@@ -59,7 +61,7 @@
 }
 
 function placeUnit(
-    { jobRegistry: registry, log, meter, getWorker, evacuations, getLossAgeMs }: ExecutionOptions,
+    { jobRegistry: registry, log, meter, getWorker, evacuations, getLossAgeMs, hasWaitedForSpeed }: ExecutionOptions,
     { unit, workerIds }: decisions.PlannedStart,
     tasks: readonly entries.TaskEntry[],
 ): sessions.PlacedTask[] {
@@ -70,6 +72,7 @@
         workers: [...new Set(workerIds)],
         waitedMs: Math.round(unit.waitedMs),
         claim: unit.tier,
+        waitedForSpeed: hasWaitedForSpeed(unit.key) || undefined,
         evacuatedZones: evacuations.list().length || undefined,
         lossAgeMs: unit.fewWorkers ? getLossAgeMs(unit.service) : undefined,
     });
--- a/src/leader/leavingWorkers.ts
+++ b/src/leader/leavingWorkers.ts
@@ -9,14 +9,14 @@
 import * as entries from "./entries";
 import type * as jobRegistry from "./jobRegistry";
 import type * as learned from "./learned/index";
-import type * as units from "./units";
 
 export interface LeavingWorkersOptions {
     readonly clock: clock.Clock;
     readonly log: observe.Log;
     readonly meter: observe.Meter;
     readonly jobRegistry: Pick<jobRegistry.JobRegistry, "requestStop">;
-    readonly estimateRunMs: units.RunTimeEstimator;
+    /** Expected duration of a whole run of the task on its worker, in milliseconds. */
+    estimateTaskMs(task: entries.TaskEntry): number;
     readonly maxLeaseMs: number;
     readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
 }
@@ -155,7 +155,7 @@
         const { spec, occurrence } = first!.step;
         const { run } = unit.tasks[0]!;
         const previous = decided.get(first!);
-        const slowest = findSlowest(tasks, options.estimateRunMs, now);
+        const slowest = findSlowest(tasks, options.estimateTaskMs, now);
         const decision = departures.decide({
             now,
             leavesAt,
@@ -314,8 +314,12 @@
     return undefined;
 }
 
-function findSlowest(tasks: readonly entries.TaskEntry[], estimateRunMs: units.RunTimeEstimator, now: number) {
-    const ends = tasks.map(task => ({ task, end: getExpectedEnd(task, estimateRunMs(task.step), now) }));
+function findSlowest(
+    tasks: readonly entries.TaskEntry[],
+    estimateTaskMs: LeavingWorkersOptions["estimateTaskMs"],
+    now: number,
+) {
+    const ends = tasks.map(task => ({ task, end: getExpectedEnd(task, estimateTaskMs(task), now) }));
     return ends.reduce((slowest, item) => item.end.at > slowest.end.at ? item : slowest);
 }
 
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -31,6 +31,7 @@
 import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep/index";
+import * as workerSpeeds from "./workerSpeeds";
 
 export interface TermOptions {
     readonly store: rows.RowStore;
@@ -90,6 +91,14 @@
     const { disabledMechanisms } = options.policy;
     const pollWaitMs = Math.round(Math.min(MAX_POLL_WAIT_MS, POLL_SHARE * options.maxLeaseMs));
     const predictor = decisions.createPredictor();
+    const naturalSpeeds = workerSpeeds.createWorkerSpeeds({
+        clock: time,
+        disabledMechanisms,
+        log,
+        meter,
+        getTask: name => jobRegistry.getTask(name),
+        getWorker: id => registry.getWorker(id),
+    });
     const pollLimiter = sessions.createInitialPollLimiter(
         time,
         options.policy.disabledMechanisms.has("firstLooks") ? Infinity : undefined,
@@ -166,6 +175,7 @@
             onPollResult: async pollResult => {
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
+                    naturalSpeeds.recordEnd(end);
                 }
                 sessions.reconcile(
                     { jobRegistry, clock: time, log, stopUnknownRun: orders.stopUnknownRun },
@@ -179,6 +189,7 @@
                     disabledMechanisms,
                     getUrgency: step => units.getUrgency(step, createView(new Set())),
                 });
+                naturalSpeeds.recordPoll(worker);
                 bestEffortPacing.paceBestEffortTasks(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
@@ -202,7 +213,7 @@
             predictor.learn(
                 task.step.occurrence.job.queue.name,
                 task.step.spec.estimateMs,
-                time.now() - task.runningSince,
+                (time.now() - task.runningSince) * naturalSpeeds.getRunSpeed(task),
             );
         }
     };
@@ -249,7 +260,7 @@
         log,
         meter,
         jobRegistry,
-        estimateRunMs,
+        estimateTaskMs: task => estimateRunMs(task.step) / naturalSpeeds.getRunSpeed(task),
         maxLeaseMs: options.maxLeaseMs,
         disabledMechanisms,
     });
@@ -261,6 +272,7 @@
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
         getLossAgeMs,
+        getRunSpeed: naturalSpeeds.getRunSpeed,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -285,6 +297,7 @@
         taskWatchdog.stopUnviableTasks([...registry.workers.values()], {
             now,
             estimateRunMs,
+            getRunSpeed: naturalSpeeds.getRunSpeed,
             jobRegistry,
             log,
             disabledMechanisms,
@@ -293,6 +306,7 @@
         if (nextStopAt !== undefined) {
             planPass(Math.max(0, nextStopAt - now));
         }
+        naturalSpeeds.update();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -303,13 +317,14 @@
         const plan = decisions.plan({
             now,
             disabledMechanisms,
-            workers: usable.map(units.toPlaceableWorker),
+            workers: usable.map(worker => units.toPlaceableWorker(worker, naturalSpeeds.getSpeed(worker))),
             units: waiting.map(item => item.unit),
             getRunningGroups: () => {
                 groups = units.collectRunningGroups(jobRegistry.active, view);
                 return [...groups.values()].map(item => item.group);
             },
         });
+        naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
         execution.executePlan({
             jobRegistry,
             orders,
@@ -319,6 +334,7 @@
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
             getLossAgeMs,
+            hasWaitedForSpeed: naturalSpeeds.hasWaited,
             flush: writer.flush,
         }, {
             plan,
@@ -361,6 +377,7 @@
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
         ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
+        ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -427,18 +444,18 @@
         });
     };
     meter.increment("terms_total");
-    const endGauges = meter.registerGauges(() =>
-        gauges.readGauges({
+    const endGauges = meter.registerGauges(() => [
+        ...naturalSpeeds.readGauges(),
+        ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
-        })
-    );
-    const endDepartureGauges = meter.registerGauges(leaving.readGauges);
+        }),
+        ...leaving.readGauges(),
+    ]);
     signal.addEventListener("abort", () => {
         endGauges();
-        endDepartureGauges();
         registry.closeSessions();
     });
     void runTerm();
