--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -260,7 +260,7 @@
         log,
         meter,
         jobRegistry,
-        estimateRunMs,
+        estimateTaskMs: task => estimateRunMs(task.step) / naturalSpeeds.getRunSpeed(task),
         maxLeaseMs: options.maxLeaseMs,
         disabledMechanisms,
     });
