Workers are reserved for gangs that may not preempt

Cause: a wide gang of priority 1 among single tasks waits until enough workers are free at the same moment, while single tasks take each place that becomes free.

Change: src/decisions/reservation.ts keeps the workers on which such a gang can start earliest, from pass to pass, for the first waiting gang of a service and for the one that has waited longest. Later work of the tier None uses these workers only beside the gang or if it ends before the gang's start. Higher tiers are decided first and are not bound. Without PlanInput.reservations a pass decides as before.

The metrics test gets a gang that waits, so that the new counter has a value.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -35,6 +35,7 @@
 export { isMoveWorthwhile, PREEMPTION_BACKOFF_MS } from "./stopCost";
 export {
     type DisruptionBudget,
+    type ExpectedEnd,
     Occupancy,
     type PlaceableWorker,
     type Plan,
@@ -42,6 +43,8 @@
     type PlannedStart,
     type PlannedStop,
     PreemptionTier,
+    type Reservation,
+    type ReservationInput,
     type RunningGroup,
     TIER_NAMES,
     type WaitingUnit,
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -11,6 +11,7 @@
 import * as mechanism from "./mechanism";
 import * as place from "./place";
 import * as preempt from "./preempt";
+import * as reservation from "./reservation";
 import * as resources from "./resources";
 import * as types from "./types";
 
@@ -23,7 +24,9 @@
     const stepTasks = createStepTasks();
     const passIsolation = isolation.createIsolation(input.workers);
     const unplaceableClasses = new Set<string>();
-    for (const waiting of input.units) {
+    const reservations = input.reservations
+        && reservation.createPassReservations({ ...input, reservations: input.reservations }, passResources);
+    for (const waiting of reservations?.orderUnits() ?? input.units) {
         if (unplaceableClasses.has(waiting.equivalenceClass)) {
             continue;
         }
@@ -36,15 +39,27 @@
             stepTasks.add(unit, hosts);
             passIsolation.recordStart(getWorkerIds(hosts));
             passResources.allocate(unit, hosts);
+            reservations?.recordUse(unit, hosts);
             if (unit.mayCrashWorker) {
                 passResources.block(hosts);
             }
             continue;
         }
+        const backfillHosts = reservations?.backfill(unit);
+        if (reservations && backfillHosts) {
+            starts.push({ unit, workerIds: getWorkerIds(backfillHosts) });
+            stepTasks.add(unit, backfillHosts);
+            passIsolation.recordStart(getWorkerIds(backfillHosts));
+            reservations.recordUse(unit, backfillHosts);
+            reservations.allocateBackfill(unit, backfillHosts);
+            continue;
+        }
         const futureHosts = place.place(unit, passResources.getFutureFree(), disabledMechanisms);
         if (futureHosts) {
             stepTasks.add(unit, futureHosts);
             passResources.reserve(unit, futureHosts);
+            reservations?.recordUse(unit, futureHosts);
+            reservations?.keep(unit);
             continue;
         }
         const choice = unit.tier === types.PreemptionTier.None || disabledMechanisms.has("preemption")
@@ -52,14 +67,16 @@
             : passResources.getPreemptor().chooseVictims(unit);
         if (!choice) {
             unplaceableClasses.add(unit.equivalenceClass);
+            reservations?.reserve(unit);
             continue;
         }
         passResources.getPreemptor().recordStops(choice.victims);
         stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
         passResources.reserve(unit, choice.hosts);
         stepTasks.add(unit, choice.hosts);
+        reservations?.recordUse(unit, choice.hosts);
     }
-    return { starts, stops };
+    return reservations ? { starts, stops, reservations: reservations.list() } : { starts, stops };
 }
 
 /** The resources that remain within the pass. What only some passes need is created on demand. */
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -84,6 +84,8 @@
     readonly allowedWorkerIds?: ReadonlySet<string>;
     readonly waitedMs: number;
     readonly expectedDurationMs: number;
+    /** Age at which the unit's job should end; a reservation of a unit that has waited longer is binding for all. */
+    readonly objectiveMs?: number;
 }
 
 /** Tasks that are stopped together: a single task or a whole gang. */
@@ -106,6 +108,35 @@
     readonly allowedDisruptions: number;
 }
 
+/** Resources of a running task, and when they become free; `Infinity` if it ends only when it is cancelled. */
+export interface ExpectedEnd {
+    readonly needs: work.Resources;
+    readonly endsAt: number;
+}
+
+/** Workers that are kept for a waiting gang. */
+export interface Reservation {
+    /** Key of the unit. */
+    readonly unit: string;
+    readonly service: string;
+    /** One worker for each member. */
+    readonly workerIds: readonly string[];
+    /** When the gang can start on these workers, by the expected ends of what runs there. */
+    readonly startsAt: number;
+    /** When these workers were chosen. */
+    readonly madeAt: number;
+    /** When other workers were last considered. */
+    readonly searchedAt: number;
+}
+
+/** What reservations depend on. */
+export interface ReservationInput {
+    /** The reservations that the previous pass returned. */
+    readonly kept: readonly Reservation[];
+    /** Expected ends of the tasks on a worker, without those that are being stopped. Called only for reservations. */
+    getExpectedEnds(workerId: string): readonly ExpectedEnd[];
+}
+
 /** What a pass decides on. */
 export interface PlanInput {
     readonly now: number;
@@ -115,6 +146,8 @@
     readonly units: readonly WaitingUnit[];
     /** Called only if the pass needs preemption: on a large site the groups are most of the input. */
     getRunningGroups(): readonly RunningGroup[];
+    /** If absent, the pass reserves nothing for gangs that may not preempt. */
+    readonly reservations?: ReservationInput;
 }
 
 /** A unit that starts. */
@@ -136,4 +169,6 @@
 export interface Plan {
     readonly starts: readonly PlannedStart[];
     readonly stops: readonly PlannedStop[];
+    /** The reservations to pass to the next pass; absent if the pass had no `PlanInput.reservations`. */
+    readonly reservations?: readonly Reservation[];
 }
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -21,6 +21,7 @@
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
+import * as reservations from "./reservations";
 import * as retention from "./retention";
 import * as sessions from "./sessions/index";
 import * as slowWorkers from "./slowWorkers";
@@ -257,6 +258,9 @@
         hasSession: worker => registry.getSession(worker) !== undefined,
     });
 
+    const reservationKeeper = disabledMechanisms.has("gangReservations")
+        ? undefined
+        : reservations.createReservationKeeper({ log, meter, estimateRunMs, getWorker: registry.getWorker });
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -291,7 +295,9 @@
                 groups = units.collectRunningGroups(jobRegistry.active, view);
                 return [...groups.values()].map(item => item.group);
             },
+            reservations: reservationKeeper?.getInput(now),
         });
+        reservationKeeper?.record(plan, now, waiting);
         execution.executePlan({
             jobRegistry,
             orders,
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -99,6 +99,7 @@
         allowedWorkerIds: job.queue.advice ? getTicketedWorkerIds(step, options.now) : undefined,
         waitedMs,
         expectedDurationMs: options.estimateRunMs(step),
+        objectiveMs: spec.gang ? urgency.objectiveMs : undefined,
     };
 }
 
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -28,6 +28,7 @@
         }),
         fixtures.createJob(4, long, { queue: "batch" }),
         fixtures.createJob(5, long, { queue: "batch" }),
+        fixtures.createJob(7, { gang: true, count: 3, needs: { ...WHOLE_MEMORY, memoryMb: 30_000 } }),
     ]);
     site.workers.add({ ...fixtures.createWorkerInfo(9), service: "nobody's" });
     await site.clock.advance(4_000);
