--- a/src/explain/__tests__/jobReport.test.ts
+++ b/src/explain/__tests__/jobReport.test.ts
@@ -75,6 +75,19 @@
         served: "late",
         delays: { entry: 0, place: 0, preempted: 4_000, longRun: 0 },
     },
+    ...([["gangReserved", "placeReserved"], ["startDeferred", "placeDeferred"]] as const).map((
+        [event, cause],
+    ): Case => ({
+        name: `late because it waited after ${event}`,
+        lines: [
+            submitted(0, "accepted"),
+            line(1, event, { unit: `${JOB}.0.0.0` }),
+            placed(3, "0.0.0", 3_000),
+            ended(5),
+        ],
+        served: "late",
+        delays: { entry: 0, [cause]: 3_000, longRun: 0 },
+    })),
     {
         name: "late by the slowest task of each step",
         lines: [
