Headroom: starts that urgent work would probably stop wait

Cause: work of the tier None starts on room that urgent work has just given back, and is stopped when the next urgent work arrives.

PlanInput.mayStart applies it before starts of the tier None; a unit with a reservation is not asked about.

Effect on random loads not measured yet.

--- a/src/decisions/__tests__/reservation.test.ts
+++ b/src/decisions/__tests__/reservation.test.ts
@@ -162,3 +162,20 @@
         expect(result.starts).toHaveLength(8);
     });
 });
+
+describe("a pass with headroom", () => {
+    const decide = (units: readonly types.WaitingUnit[], mayStart: types.PlanInput["mayStart"]) =>
+        planner.plan({ now: NOW, workers: [fixtures.createWorker("w0")], units, getRunningGroups: () => [], mayStart })
+            .starts.map(start => start.unit.key);
+
+    test("starts work of the tier None only as long as it may, with what would remain free", () => {
+        const units = ["a", "b", "c"].map(key => fixtures.createUnit(key, { needs: ONE }));
+        expect(decide(units, (_unit, freeAfter) => freeAfter.accelerators >= 6)).toEqual(["a", "b"]);
+    });
+
+    test("starts work of higher tiers without asking", () => {
+        const tiers = [types.PreemptionTier.Guaranteed, types.PreemptionTier.Urgent, types.PreemptionTier.Lasting];
+        const units = tiers.map(tier => fixtures.createUnit(`tier-${tier}`, { tier }));
+        expect(decide(units, () => false)).toHaveLength(3);
+    });
+});
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -26,6 +26,7 @@
     const unplaceableClasses = new Set<string>();
     const reservations = input.reservations
         && reservation.createPassReservations({ ...input, reservations: input.reservations }, passResources);
+    const headroom = input.mayStart && createPassHeadroom(passResources.free, input.mayStart);
     for (const waiting of reservations?.orderUnits() ?? input.units) {
         if (unplaceableClasses.has(waiting.equivalenceClass)) {
             continue;
@@ -34,7 +35,12 @@
         const idleOnly = passIsolation.requireIdleWorkers(unit);
         const hosts = (idleOnly && place.place(idleOnly, passResources.free, disabledMechanisms))
             ?? place.place(unit, passResources.free, disabledMechanisms);
+        // Workers that were kept for a gang are not left idle further.
+        if (hosts && !reservations?.isReserved(unit) && headroom?.isDeferred(unit)) {
+            continue;
+        }
         if (hosts) {
+            headroom?.recordStart(unit);
             starts.push({ unit, workerIds: getWorkerIds(hosts) });
             stepTasks.add(unit, hosts);
             passIsolation.recordStart(getWorkerIds(hosts));
@@ -46,7 +52,11 @@
             continue;
         }
         const backfillHosts = reservations?.backfill(unit);
+        if (reservations && backfillHosts && headroom?.isDeferred(unit)) {
+            continue;
+        }
         if (reservations && backfillHosts) {
+            headroom?.recordStart(unit);
             starts.push({ unit, workerIds: getWorkerIds(backfillHosts) });
             stepTasks.add(unit, backfillHosts);
             passIsolation.recordStart(getWorkerIds(backfillHosts));
@@ -79,6 +89,44 @@
     return reservations ? { starts, stops, reservations: reservations.list() } : { starts, stops };
 }
 
+/** Applies `PlanInput.mayStart` to the free resources of each service, which are summed up once per pass. */
+function createPassHeadroom(free: fleets.Fleet, mayStart: NonNullable<types.PlanInput["mayStart"]>) {
+    const freeByService = new Map<string, resources.MutableResources>();
+    /** Classes of which a unit was deferred: what is free only shrinks within the pass. */
+    const deferredClasses = new Set<string>();
+    const sumFree = (service: string) => {
+        const total = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+        for (const rack of free.getPool(service).racks.values()) {
+            rack.hosts.forEach(host => resources.addResources(total, host.free));
+        }
+        freeByService.set(service, total);
+        return total;
+    };
+    return {
+        isDeferred: (unit: types.WaitingUnit): boolean => {
+            if (unit.tier !== types.PreemptionTier.None) {
+                return false;
+            }
+            if (deferredClasses.has(unit.equivalenceClass)) {
+                return true;
+            }
+            const freeAfter = resources.copyResources(freeByService.get(unit.service) ?? sumFree(unit.service));
+            resources.subtractResources(freeAfter, unit.needs, unit.count);
+            if (mayStart(unit, freeAfter)) {
+                return false;
+            }
+            deferredClasses.add(unit.equivalenceClass);
+            return true;
+        },
+        recordStart: (unit: types.WaitingUnit) => {
+            const total = freeByService.get(unit.service);
+            if (total) {
+                resources.subtractResources(total, unit.needs, unit.count);
+            }
+        },
+    };
+}
+
 /** The resources that remain within the pass. What only some passes need is created on demand. */
 function createPassResources(input: types.PlanInput) {
     const free = fleets.createFleet(input.workers, worker => {
--- a/src/decisions/reservation.ts
+++ b/src/decisions/reservation.ts
@@ -24,6 +24,8 @@
 export interface PassReservations {
     /** The units in the order in which the pass decides on them. */
     orderUnits(): readonly types.WaitingUnit[];
+    /** Whether the unit had a reservation in the previous pass. */
+    isReserved(unit: types.WaitingUnit): boolean;
     /** Hosts of `free` that are reserved, on which the unit ends before the reservation's time. */
     backfill(unit: types.WaitingUnit): readonly fleets.Host[] | undefined;
     /** Records the resources of a unit that starts, or that waits for resources that are being released. */
@@ -235,6 +237,7 @@
                 ...bound.filter(unit => !isOverdue(unit)),
             ];
         },
+        isReserved: unit => keptByUnit.has(unit.key),
         backfill: unit => {
             const reservedHosts = reservedByService.get(unit.service);
             if (!reservedHosts || !mayBackfill(unit)) {
--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -148,6 +148,11 @@
     getRunningGroups(): readonly RunningGroup[];
     /** If absent, the pass reserves nothing for gangs that may not preempt. */
     readonly reservations?: ReservationInput;
+    /**
+     * Whether a unit of the tier `None` that fits starts now, given the resources of its service that remain free after
+     * its start. If absent, each such unit starts.
+     */
+    mayStart?(unit: WaitingUnit, freeAfter: work.Resources): boolean;
 }
 
 /** A unit that starts. */
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -13,6 +13,7 @@
 import * as followIntake from "./followIntake";
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
+import * as headrooms from "./headroom";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
@@ -261,6 +262,9 @@
     const reservationKeeper = disabledMechanisms.has("gangReservations")
         ? undefined
         : reservations.createReservationKeeper({ log, meter, estimateRunMs, getWorker: registry.getWorker });
+    const headroom = disabledMechanisms.has("headroom")
+        ? undefined
+        : headrooms.createHeadroom({ log, meter, estimateRunMs, getNow: time.now });
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -296,6 +300,7 @@
                 return [...groups.values()].map(item => item.group);
             },
             reservations: reservationKeeper?.getInput(now),
+            mayStart: headroom?.observe(waiting, now),
         });
         reservationKeeper?.record(plan, now, waiting);
         execution.executePlan({
@@ -347,6 +352,7 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+        ...(headroom ? [headroom.section] : []),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -60,6 +60,7 @@
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
     gang_reservations_total: counter("leader: reservations of workers for gangs, by what became of them", "outcome"),
+    starts_deferred_total: counter("leader: steps whose start was deferred for urgent work", "queue"),
     learned_state_writes_total: counter("leader: transactions that store what was measured", "outcome"),
     learned_state_bytes_total: counter("leader: bytes stored of what was measured"),
     progress_writes_total: counter("leader: transactions that store progress", "outcome"),
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -164,3 +164,16 @@
     }
     return promise;
 }
+
+/** Opens a site of one worker, which an urgent job of 1 s has filled every 2 s for 20 s, and no longer does. */
+export async function openSiteWithUrgentWaves(options: Parameters<typeof openSite>[0] = {}): Promise<TestSite> {
+    const site = openSite({ workers: 1, ...options });
+    await site.clock.advance(1_000);
+    const needs = { cpuMillis: 8_000, memoryMb: 8_192, accelerators: 8 };
+    for (let number = 100; number < 110; number++) {
+        const job = createJob(number, { estimateMs: 1_000, needs }, { queue: "urgent" });
+        await advanceUntilSettled(site.clock, site.submit(job, 1));
+        await site.clock.advance(2_000);
+    }
+    return site;
+}
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -74,11 +74,20 @@
     return text;
 }
 
+/** Runs a site on which the start of a task is deferred for urgent work, and returns its metrics as text. */
+async function runSiteWithDeferral(): Promise<string> {
+    const site = await fixtures.openSiteWithUrgentWaves();
+    await fixtures.advanceUntilSettled(site.clock, site.submit(fixtures.createJob(1, { estimateMs: 4_000 }), 1));
+    await site.clock.advance(1_000);
+    site.close();
+    return site.metrics.render();
+}
+
 describe("metrics", () => {
     let served: string;
 
     beforeAll(async () => {
-        served = await runSiteWithFailures();
+        served = await runSiteWithFailures() + await runSiteWithDeferral();
     });
 
     test.each(NAMES)("%s has a value under its labels after failures of all kinds", name => {
