--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -71,6 +71,16 @@
     return { now: 0, workers, units, getRunningGroups: () => groups };
 }
 
+/** Adds what reservations and headroom need; the tasks on a worker end within the next 10 s. */
+function withCapacityAhead(input: decisions.PlanInput): decisions.PlanInput {
+    const getExpectedEnds = (workerId: string) =>
+        Array.from({ length: RUNNING_TASKS_PER_WORKER }, (_, number) => ({
+            needs: NEEDS,
+            endsAt: (1_700 * number + 37 * workerId.length) % 10_000,
+        }));
+    return { ...input, reservations: { kept: [], getExpectedEnds }, mayStart: () => true };
+}
+
 function getMedian(values: readonly number[]): number {
     return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
 }
@@ -84,23 +94,29 @@
 }
 
 warmUp();
-process.stdout.write("workers  waiting  pass ms  us a unit  starts  stops  us a start or stop\n");
+process.stdout.write("workers  waiting  pass ms  us a unit  starts  stops  us a start or stop  with reservations ms\n");
 for (const workerCount of WORKER_COUNTS) {
     for (const unitCount of WAITING_UNIT_COUNTS) {
         const input = createInput(workerCount, unitCount, random.createRandom(unitCount + workerCount));
         const times: number[] = [];
+        const reservingInput = withCapacityAhead(input);
+        const reservingTimes: number[] = [];
         let plan: decisions.Plan | undefined;
         for (let round = 0; round < ROUNDS; round++) {
             const startedAt = perfHooks.performance.now();
             plan = decisions.plan(input);
-            times.push(perfHooks.performance.now() - startedAt);
+            const endedAt = perfHooks.performance.now();
+            times.push(endedAt - startedAt);
+            decisions.plan(reservingInput);
+            reservingTimes.push(perfHooks.performance.now() - endedAt);
         }
         const passMs = getMedian(times);
         process.stdout.write(
             `${String(workerCount).padStart(7)}${String(unitCount).padStart(9)}${passMs.toFixed(1).padStart(9)}`
                 + `${(1_000 * passMs / unitCount).toFixed(0).padStart(11)}${String(plan!.starts.length).padStart(8)}`
                 + `${String(plan!.stops.length).padStart(7)}`
-                + `${(1_000 * passMs / (plan!.starts.length + plan!.stops.length)).toFixed(0).padStart(20)}\n`,
+                + `${(1_000 * passMs / (plan!.starts.length + plan!.stops.length)).toFixed(0).padStart(20)}`
+                + `${getMedian(reservingTimes).toFixed(1).padStart(22)}\n`,
         );
     }
 }
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -46,6 +46,7 @@
     type Reservation,
     type ReservationInput,
     type RunningGroup,
+    type SpeedChoice,
     TIER_NAMES,
     type WaitingUnit,
 } from "./types";
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -9,10 +9,12 @@
 import * as fleets from "./fleet";
 import * as isolation from "./isolation";
 import * as mechanism from "./mechanism";
+import type * as victimSelection from "./minimizeVictims";
 import * as place from "./place";
-import * as preempt from "./preempt";
+import * as preemptors from "./preempt";
 import * as reservation from "./reservation";
 import * as resources from "./resources";
+import * as speedClasses from "./speedClasses";
 import * as types from "./types";
 
 /** Decides starts and stops; nothing in `input` is modified. */
@@ -27,32 +29,104 @@
     const reservations = input.reservations
         && reservation.createPassReservations({ ...input, reservations: input.reservations }, passResources);
     const headroom = input.mayStart && createPassHeadroom(passResources.free, input.mayStart);
+    /** Workers that were kept for a gang are not left idle further. */
+    const isDeferred = (unit: types.WaitingUnit) =>
+        !reservations?.isReserved(unit) && (headroom?.isDeferred(unit) ?? false);
+    const bySpeed = speedClasses.createSpeedPlacement(disabledMechanisms);
+    const speedChoices: types.SpeedChoice[] = [];
+    const recordChoice = (
+        unit: types.WaitingUnit,
+        kind: types.SpeedChoice["kind"],
+        minSpeed: number | undefined,
+        hosts: readonly fleets.Host[] = [],
+    ) => {
+        const speed = hosts.length === 0 ? undefined : Math.min(...hosts.map(host => fleets.getSpeed(host.worker)));
+        speedChoices.push({ unit, kind, minSpeed: minSpeed ?? 0, speed, workerIds: getWorkerIds(hosts) });
+    };
+    const start = (unit: types.WaitingUnit, hosts: readonly fleets.Host[]) => {
+        starts.push({ unit, workerIds: getWorkerIds(hosts) });
+        stepTasks.add(unit, hosts);
+        passIsolation.recordStart(getWorkerIds(hosts));
+        passResources.allocate(unit, hosts);
+        headroom?.recordStart(unit);
+        reservations?.recordUse(unit, hosts);
+        if (unit.mayCrashWorker) {
+            passResources.block(hosts);
+        }
+    };
+    const preempt = (unit: types.WaitingUnit, choice: victimSelection.PreemptionChoice) => {
+        passResources.getPreemptor().recordStops(choice.victims);
+        bySpeed.forgetFailures();
+        stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
+        passResources.reserve(unit, choice.hosts);
+        stepTasks.add(unit, choice.hosts);
+        reservations?.recordUse(unit, choice.hosts);
+    };
+    const mayPreempt = (unit: types.WaitingUnit) =>
+        unit.tier !== types.PreemptionTier.None && !disabledMechanisms.has("preemption");
+    /** Tries the workers on which the unit is in time. Returns whether its outcome for this pass is decided. */
+    const decideBySpeed = (unit: types.WaitingUnit): boolean => {
+        const minSpeed = bySpeed.getMinSpeed(unit, passResources.free);
+        const hosts = bySpeed.placeBySpeed(unit, passResources.free, minSpeed);
+        if (hosts && isDeferred(unit)) {
+            return true;
+        }
+        if (hosts) {
+            if (minSpeed !== undefined) {
+                recordChoice(unit, "placed", minSpeed, hosts);
+            }
+            start(unit, hosts);
+            return true;
+        }
+        if (minSpeed === undefined) {
+            return false;
+        }
+        const futureHosts = bySpeed.placeBySpeed(unit, passResources.getFutureFree(), minSpeed);
+        if (futureHosts) {
+            recordChoice(unit, "waits", minSpeed, futureHosts);
+            stepTasks.add(unit, futureHosts);
+            passResources.reserve(unit, futureHosts);
+            reservations?.recordUse(unit, futureHosts);
+            reservations?.keep(unit);
+            return true;
+        }
+        const choice = mayPreempt(unit)
+            ? passResources.getPreemptor().chooseVictims({ ...unit, minSpeed })
+            : undefined;
+        if (choice && bySpeed.isWorthwhile(unit, passResources.getFutureFree(), choice)) {
+            recordChoice(unit, "preempts", minSpeed, choice.hosts);
+            preempt(unit, choice);
+            return true;
+        }
+        if (place.mayWaitForSpeed(unit, passResources.free.getPool(unit.service))) {
+            recordChoice(unit, "waits", minSpeed);
+            unplaceableClasses.add(unit.equivalenceClass);
+            reservations?.keep(unit);
+            return true;
+        }
+        return false;
+    };
+    const hasSpeeds = input.workers.some(({ speed }) => speed !== undefined);
     for (const waiting of reservations?.orderUnits() ?? input.units) {
         if (unplaceableClasses.has(waiting.equivalenceClass)) {
             continue;
         }
         const unit = passIsolation.avoidRecentStarts(stepTasks.withStepTasks(waiting));
+        if (hasSpeeds && decideBySpeed(unit)) {
+            continue;
+        }
         const idleOnly = passIsolation.requireIdleWorkers(unit);
         const hosts = (idleOnly && place.place(idleOnly, passResources.free, disabledMechanisms))
             ?? place.place(unit, passResources.free, disabledMechanisms);
-        // Workers that were kept for a gang are not left idle further.
-        if (hosts && !reservations?.isReserved(unit) && headroom?.isDeferred(unit)) {
+        if (hosts && isDeferred(unit)) {
             continue;
         }
         if (hosts) {
-            headroom?.recordStart(unit);
-            starts.push({ unit, workerIds: getWorkerIds(hosts) });
-            stepTasks.add(unit, hosts);
-            passIsolation.recordStart(getWorkerIds(hosts));
-            passResources.allocate(unit, hosts);
-            reservations?.recordUse(unit, hosts);
-            if (unit.mayCrashWorker) {
-                passResources.block(hosts);
-            }
+            start(unit, hosts);
             continue;
         }
         const backfillHosts = reservations?.backfill(unit);
-        if (reservations && backfillHosts && headroom?.isDeferred(unit)) {
+        if (backfillHosts && isDeferred(unit)) {
             continue;
         }
         if (reservations && backfillHosts) {
@@ -72,21 +146,20 @@
             reservations?.keep(unit);
             continue;
         }
-        const choice = unit.tier === types.PreemptionTier.None || disabledMechanisms.has("preemption")
-            ? undefined
-            : passResources.getPreemptor().chooseVictims(unit);
+        const choice = mayPreempt(unit) ? passResources.getPreemptor().chooseVictims(unit) : undefined;
         if (!choice) {
             unplaceableClasses.add(unit.equivalenceClass);
             reservations?.reserve(unit);
             continue;
         }
-        passResources.getPreemptor().recordStops(choice.victims);
-        stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
-        passResources.reserve(unit, choice.hosts);
-        stepTasks.add(unit, choice.hosts);
-        reservations?.recordUse(unit, choice.hosts);
+        preempt(unit, choice);
     }
-    return reservations ? { starts, stops, reservations: reservations.list() } : { starts, stops };
+    return {
+        starts,
+        stops,
+        ...(reservations ? { reservations: reservations.list() } : {}),
+        ...(speedChoices.length === 0 ? {} : { speedChoices }),
+    };
 }
 
 /** Applies `PlanInput.mayStart` to the free resources of each service, which are summed up once per pass. */
@@ -136,7 +209,7 @@
     });
     /** Free now or within the stop time, less what is reserved for earlier units. */
     let futureFree: fleets.Fleet | undefined;
-    let preemptor: preempt.Preemptor | undefined;
+    let preemptor: preemptors.Preemptor | undefined;
     const getFutureFree = () =>
         futureFree ??= fleets.createFleet(input.workers, (worker, order) => {
             const available = resources.copyResources(free.hosts[order]!.free);
@@ -147,7 +220,7 @@
         free,
         getFutureFree,
         getPreemptor: () =>
-            preemptor ??= preempt.createPreemptor({
+            preemptor ??= preemptors.createPreemptor({
                 fleet: getFutureFree(),
                 groups: input.getRunningGroups(),
                 budgets: disruptionBudgets.createDisruptionBudgets(),
--- a/src/explain/jobReport.ts
+++ b/src/explain/jobReport.ts
@@ -13,8 +13,9 @@
 
 /**
  * Time beyond the expected duration of the work, in milliseconds by cause: `entry` until the job was accepted, `place`
- * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, `placeReserved` if workers were
- * reserved for the unit, `placeDeferred` if its start was deferred for urgent work; the reason for which a run was lost, or `longRun` for the excess of the last runs over
+ * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, `placeForSpeed` if it waited for
+ * workers that are fast enough, `placeReserved` if workers were reserved for it, `placeDeferred` if its start was deferred
+ * for urgent work, the reason for which a run was lost, or `longRun` for the excess of the last runs over
  * their expected duration, on slow workers, on another rack than their data or because of a wrong estimate.
  */
 export type Delays = Readonly<Record<string, number>>;
@@ -135,8 +136,7 @@
         case "placed": {
             const unit = findUnit(records, fields["unit"], true);
             if (unit) {
-                const reason = unit.lostReason
-                    ?? (fields["evacuatedZones"] ? "placeWithoutZone" : unit.waitCause ?? "place");
+                const reason = unit.lostReason ?? getPlacementReason(fields, unit.waitCause);
                 addDelay(unit, reason, Number(fields["waitedMs"]) + unit.lostMs);
                 unit.lostMs = 0;
                 unit.lostReason = undefined;
@@ -174,6 +174,13 @@
     }
 }
 
+function getPlacementReason(fields: logLine.LogLine["fields"], waitCause: string | undefined): string {
+    if (fields["evacuatedZones"]) {
+        return "placeWithoutZone";
+    }
+    return fields["waitedForSpeed"] ? "placeForSpeed" : waitCause ?? "place";
+}
+
 function processSubmission(records: Map<string, JobRecord>, line: logLine.LogLine): void {
     const { fields } = line;
     const jobId = String(fields["job"]);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -32,6 +32,7 @@
 import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep/index";
+import * as workerSpeeds from "./workerSpeeds";
 
 export interface TermOptions {
     readonly store: rows.RowStore;
@@ -91,6 +92,14 @@
     const { disabledMechanisms } = options.policy;
     const pollWaitMs = Math.round(Math.min(MAX_POLL_WAIT_MS, POLL_SHARE * options.maxLeaseMs));
     const predictor = decisions.createPredictor();
+    const naturalSpeeds = workerSpeeds.createWorkerSpeeds({
+        clock: time,
+        disabledMechanisms,
+        log,
+        meter,
+        getTask: name => jobRegistry.getTask(name),
+        getWorker: id => registry.getWorker(id),
+    });
     const pollLimiter = sessions.createInitialPollLimiter(
         time,
         options.policy.disabledMechanisms.has("firstLooks") ? Infinity : undefined,
@@ -167,6 +176,7 @@
             onPollResult: async pollResult => {
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
+                    naturalSpeeds.recordEnd(end);
                 }
                 sessions.reconcile(
                     { jobRegistry, clock: time, log, stopUnknownRun: orders.stopUnknownRun },
@@ -180,6 +190,7 @@
                     disabledMechanisms,
                     getUrgency: step => units.getUrgency(step, createView(new Set())),
                 });
+                naturalSpeeds.recordPoll(worker);
                 bestEffortPacing.paceBestEffortTasks(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
@@ -203,7 +214,7 @@
             predictor.learn(
                 task.step.occurrence.job.queue.name,
                 task.step.spec.estimateMs,
-                time.now() - task.runningSince,
+                (time.now() - task.runningSince) * naturalSpeeds.getRunSpeed(task),
             );
         }
     };
@@ -249,6 +260,7 @@
         estimateRunMs,
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
+        getRunSpeed: naturalSpeeds.getRunSpeed,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -279,10 +291,12 @@
         taskWatchdog.stopUnviableTasks([...registry.workers.values()], {
             now,
             estimateRunMs,
+            getRunSpeed: naturalSpeeds.getRunSpeed,
             jobRegistry,
             log,
             disabledMechanisms,
         });
+        naturalSpeeds.update();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -293,7 +307,7 @@
         const plan = decisions.plan({
             now,
             disabledMechanisms,
-            workers: usable.map(units.toPlaceableWorker),
+            workers: usable.map(worker => units.toPlaceableWorker(worker, naturalSpeeds.getSpeed(worker))),
             units: waiting.map(item => item.unit),
             getRunningGroups: () => {
                 groups = units.collectRunningGroups(jobRegistry.active, view);
@@ -303,6 +317,7 @@
             mayStart: headroom?.observe(waiting, now),
         });
         reservationKeeper?.record(plan, now, waiting);
+        naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
         execution.executePlan({
             jobRegistry,
             orders,
@@ -311,6 +326,7 @@
             meter,
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
+            hasWaitedForSpeed: naturalSpeeds.hasWaited,
             flush: writer.flush,
         }, {
             plan,
@@ -353,6 +369,7 @@
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
         ...(headroom ? [headroom.section] : []),
+        ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -419,14 +436,15 @@
         });
     };
     meter.increment("terms_total");
-    const endGauges = meter.registerGauges(() =>
-        gauges.readGauges({
+    const endGauges = meter.registerGauges(() => [
+        ...naturalSpeeds.readGauges(),
+        ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
-        })
-    );
+        }),
+    ]);
     signal.addEventListener("abort", () => {
         endGauges();
         registry.closeSessions();
