--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -122,7 +122,12 @@
     Record<
         Exclude<
             decisions.Mechanism,
-            "unansweredLooks" | "repeatedOrders" | "relay" | "firstLooks" | "isolation" | decisions.OptionalMechanism
+            | "unansweredLooks"
+            | "repeatedOrders"
+            | "relay"
+            | "firstLooks"
+            | "isolation"
+            | Exclude<decisions.OptionalMechanism, "gangReservations" | "headroom">
         >,
         number
     >
@@ -147,6 +152,8 @@
     handover: 32,
     heartbeats: 21,
     prolonging: 27,
+    gangReservations: 21,
+    headroom: 21,
 };
 
 describe("a batch", () => {
