--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -107,6 +107,16 @@
     return { passMs: getMedian(times), plan: plan! };
 }
 
+/** Adds what reservations and headroom need; the tasks on a worker end within the next 10 s. */
+function withCapacityAhead(input: decisions.PlanInput): decisions.PlanInput {
+    const getExpectedEnds = (workerId: string) =>
+        Array.from({ length: RUNNING_TASKS_PER_WORKER }, (_, number) => ({
+            needs: NEEDS,
+            endsAt: (1_700 * number + 37 * workerId.length) % 10_000,
+        }));
+    return { ...input, reservations: { kept: [], getExpectedEnds }, mayStart: () => true };
+}
+
 function getMedian(values: readonly number[]): number {
     return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!;
 }
@@ -122,21 +132,22 @@
 
 warmUp();
 process.stdout.write(
-    "workers  waiting  pass ms  us a unit  starts  stops  us a start or stop  with speeds ms  ratio\n",
+    "workers  waiting  pass ms  us a unit  starts  stops  us a start or stop  ratio with speeds, capacity ahead, both\n",
 );
 for (const workerCount of WORKER_COUNTS) {
     for (const unitCount of WAITING_UNIT_COUNTS) {
         const input = createInput(workerCount, unitCount, random.createRandom(unitCount + workerCount));
         const { passMs, plan } = measurePass(input);
-        const withSpeeds = measurePass(addSpeeds(input, random.createRandom(unitCount)));
+        const uneven = addSpeeds(input, random.createRandom(unitCount));
+        const ratios = [uneven, withCapacityAhead(input), withCapacityAhead(uneven)].map(variant =>
+            (measurePass(variant).passMs / passMs).toFixed(2)
+        );
         process.stdout.write(
             `${String(workerCount).padStart(7)}${String(unitCount).padStart(9)}${passMs.toFixed(1).padStart(9)}`
                 + `${(1_000 * passMs / unitCount).toFixed(0).padStart(11)}${String(plan.starts.length).padStart(8)}`
                 + `${String(plan.stops.length).padStart(7)}`
                 + `${(1_000 * passMs / (plan.starts.length + plan.stops.length)).toFixed(0).padStart(20)}`
-                + `${withSpeeds.passMs.toFixed(1).padStart(16)}${
-                    (withSpeeds.passMs / passMs).toFixed(2).padStart(7)
-                }\n`,
+                + `  ${ratios.join("  ")}\n`,
         );
     }
 }
--- a/src/decisions/plan.ts
+++ b/src/decisions/plan.ts
@@ -12,6 +12,7 @@
 import type * as victimSelection from "./minimizeVictims";
 import * as place from "./place";
 import * as preemptors from "./preempt";
+import * as reservation from "./reservation";
 import * as resources from "./resources";
 import * as speedClasses from "./speedClasses";
 import * as types from "./types";
@@ -25,6 +26,12 @@
     const stepTasks = createStepTasks();
     const passIsolation = isolation.createIsolation(input.workers);
     const unplaceableClasses = new Set<string>();
+    const reservations = input.reservations
+        && reservation.createPassReservations({ ...input, reservations: input.reservations }, passResources);
+    const headroom = input.mayStart && createPassHeadroom(passResources.free, input.mayStart);
+    /** Workers that were kept for a gang are not left idle further. */
+    const isDeferred = (unit: types.WaitingUnit) =>
+        !reservations?.isReserved(unit) && (headroom?.isDeferred(unit) ?? false);
     const bySpeed = speedClasses.createSpeedPlacement(disabledMechanisms);
     const speedChoices: types.SpeedChoice[] = [];
     const recordChoice = (
@@ -41,6 +48,8 @@
         stepTasks.add(unit, hosts);
         passIsolation.recordStart(getWorkerIds(hosts));
         passResources.allocate(unit, hosts);
+        headroom?.recordStart(unit);
+        reservations?.recordUse(unit, hosts);
         if (unit.mayCrashWorker) {
             passResources.block(hosts);
         }
@@ -51,6 +60,7 @@
         stops.push(...choice.victims.map(group => ({ group, forUnit: unit.key, tier: unit.tier })));
         passResources.reserve(unit, choice.hosts);
         stepTasks.add(unit, choice.hosts);
+        reservations?.recordUse(unit, choice.hosts);
     };
     const mayPreempt = (unit: types.WaitingUnit) =>
         unit.tier !== types.PreemptionTier.None && !disabledMechanisms.has("preemption");
@@ -58,6 +68,9 @@
     const decideBySpeed = (unit: types.WaitingUnit): boolean => {
         const minSpeed = bySpeed.getMinSpeed(unit, passResources.free);
         const hosts = bySpeed.placeBySpeed(unit, passResources.free, minSpeed);
+        if (hosts && isDeferred(unit)) {
+            return true;
+        }
         if (hosts) {
             if (minSpeed !== undefined) {
                 recordChoice(unit, "placed", minSpeed, hosts);
@@ -73,6 +86,8 @@
             recordChoice(unit, "waits", minSpeed, futureHosts);
             stepTasks.add(unit, futureHosts);
             passResources.reserve(unit, futureHosts);
+            reservations?.recordUse(unit, futureHosts);
+            reservations?.keep(unit);
             return true;
         }
         const choice = mayPreempt(unit)
@@ -86,12 +101,13 @@
         if (place.mayWaitForSpeed(unit, passResources.free.getPool(unit.service))) {
             recordChoice(unit, "waits", minSpeed);
             unplaceableClasses.add(unit.equivalenceClass);
+            reservations?.keep(unit);
             return true;
         }
         return false;
     };
     const hasSpeeds = input.workers.some(({ speed }) => speed !== undefined);
-    for (const waiting of input.units) {
+    for (const waiting of reservations?.orderUnits() ?? input.units) {
         if (unplaceableClasses.has(waiting.equivalenceClass)) {
             continue;
         }
@@ -102,24 +118,86 @@
         const idleOnly = passIsolation.requireIdleWorkers(unit);
         const hosts = (idleOnly && place.place(idleOnly, passResources.free, disabledMechanisms))
             ?? place.place(unit, passResources.free, disabledMechanisms);
+        if (hosts && isDeferred(unit)) {
+            continue;
+        }
         if (hosts) {
             start(unit, hosts);
             continue;
         }
+        const backfillHosts = reservations?.backfill(unit);
+        if (backfillHosts && isDeferred(unit)) {
+            continue;
+        }
+        if (reservations && backfillHosts) {
+            headroom?.recordStart(unit);
+            starts.push({ unit, workerIds: getWorkerIds(backfillHosts) });
+            stepTasks.add(unit, backfillHosts);
+            passIsolation.recordStart(getWorkerIds(backfillHosts));
+            reservations.recordUse(unit, backfillHosts);
+            reservations.allocateBackfill(unit, backfillHosts);
+            continue;
+        }
         const futureHosts = place.place(unit, passResources.getFutureFree(), disabledMechanisms);
         if (futureHosts) {
             stepTasks.add(unit, futureHosts);
             passResources.reserve(unit, futureHosts);
+            reservations?.recordUse(unit, futureHosts);
+            reservations?.keep(unit);
             continue;
         }
         const choice = mayPreempt(unit) ? passResources.getPreemptor().chooseVictims(unit) : undefined;
         if (!choice) {
             unplaceableClasses.add(unit.equivalenceClass);
+            reservations?.reserve(unit);
             continue;
         }
         preempt(unit, choice);
     }
-    return speedChoices.length === 0 ? { starts, stops } : { starts, stops, speedChoices };
+    return {
+        starts,
+        stops,
+        ...(reservations ? { reservations: reservations.list() } : {}),
+        ...(speedChoices.length === 0 ? {} : { speedChoices }),
+    };
+}
+
+/** Applies `PlanInput.mayStart` to the free resources of each service, which are summed up once per pass. */
+function createPassHeadroom(free: fleets.Fleet, mayStart: NonNullable<types.PlanInput["mayStart"]>) {
+    const freeByService = new Map<string, resources.MutableResources>();
+    /** Classes of which a unit was deferred: what is free only shrinks within the pass. */
+    const deferredClasses = new Set<string>();
+    const sumFree = (service: string) => {
+        const total = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+        for (const rack of free.getPool(service).racks.values()) {
+            rack.hosts.forEach(host => resources.addResources(total, host.free));
+        }
+        freeByService.set(service, total);
+        return total;
+    };
+    return {
+        isDeferred: (unit: types.WaitingUnit): boolean => {
+            if (unit.tier !== types.PreemptionTier.None) {
+                return false;
+            }
+            if (deferredClasses.has(unit.equivalenceClass)) {
+                return true;
+            }
+            const freeAfter = resources.copyResources(freeByService.get(unit.service) ?? sumFree(unit.service));
+            resources.subtractResources(freeAfter, unit.needs, unit.count);
+            if (mayStart(unit, freeAfter)) {
+                return false;
+            }
+            deferredClasses.add(unit.equivalenceClass);
+            return true;
+        },
+        recordStart: (unit: types.WaitingUnit) => {
+            const total = freeByService.get(unit.service);
+            if (total) {
+                resources.subtractResources(total, unit.needs, unit.count);
+            }
+        },
+    };
 }
 
 /** The resources that remain within the pass. What only some passes need is created on demand. */
--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -127,7 +127,10 @@
             | "relay"
             | "firstLooks"
             | "isolation"
-            | Exclude<decisions.OptionalMechanism, "departures" | "gangExposure">
+            | Exclude<
+                decisions.OptionalMechanism,
+                "departures" | "gangExposure" | "gangReservations" | "headroom"
+            >
         >,
         number
     >
@@ -154,6 +157,8 @@
     handover: 32,
     heartbeats: 21,
     prolonging: 27,
+    gangReservations: 21,
+    headroom: 21,
 };
 
 describe("a batch", () => {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -13,6 +13,7 @@
 import * as followIntake from "./followIntake";
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
+import * as headrooms from "./headroom";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
@@ -22,6 +23,7 @@
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
+import * as reservations from "./reservations";
 import * as retention from "./retention";
 import * as sessions from "./sessions/index";
 import * as slowWorkers from "./slowWorkers";
@@ -283,6 +285,12 @@
         hasSession: worker => registry.getSession(worker) !== undefined,
     });
 
+    const reservationKeeper = disabledMechanisms.has("gangReservations")
+        ? undefined
+        : reservations.createReservationKeeper({ log, meter, estimateRunMs, getWorker: registry.getWorker });
+    const headroom = disabledMechanisms.has("headroom")
+        ? undefined
+        : headrooms.createHeadroom({ log, meter, estimateRunMs, getNow: time.now });
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -323,7 +331,10 @@
                 groups = units.collectRunningGroups(jobRegistry.active, view);
                 return [...groups.values()].map(item => item.group);
             },
+            reservations: reservationKeeper?.getInput(now),
+            mayStart: headroom?.observe(waiting, now),
         });
+        reservationKeeper?.record(plan, now, waiting);
         naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
         execution.executePlan({
             jobRegistry,
@@ -376,6 +387,7 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+        ...(headroom ? [headroom.section] : []),
         ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
         ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
     ];
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -63,6 +63,8 @@
     simultaneous_loss_age_ms: gauge("leader: time since several workers were lost at once", "service"),
     jobs_ended_total: counter("leader: jobs that came to their end", "account", "queue", "state"),
     job_duration_ms: histogram("leader: from acceptance to the end", "account", "queue"),
+    gang_reservations_total: counter("leader: reservations of workers for gangs, by what became of them", "outcome"),
+    starts_deferred_total: counter("leader: steps whose start was deferred for urgent work", "queue"),
     worker_speeds: gauge(
         "leader: workers with measured rates, and those whose speed is known to differ",
         "service",
