Fair shares: work of accounts over their share goes last among equals

Cause: among equals, the scheduler serves work in order of arrival, regardless of what the account already holds.

While an account of a service exceeds its fair share by a quarter, waiting work of equal tier, lateness class and priority is ordered by usage, and a stop of its work costs up to a quarter less. Accounts up to their share count as equal. Guaranteed work is not affected. A greedy account can be added to a load of the experiments.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -8,7 +8,7 @@
     OPTIONAL_MECHANISMS,
     type OptionalMechanism,
 } from "./mechanism";
-export { getLatenessClass, LatenessClass, type Urgency } from "./order";
+export { getLatenessClass, getSlackMs, getUsageStep, LatenessClass, type Urgency } from "./order";
 export { decidePace, type PaceInput } from "./pace";
 export { plan } from "./plan";
 export { disableMechanisms, POLICIES, type Policy, type PolicyName } from "./policy";
--- a/src/decisions/order.ts
+++ b/src/decisions/order.ts
@@ -4,9 +4,12 @@
  * A job earns full credit, proportional to its work, until its objective, and partial credit until three times the
  * objective. So work that can meet its objective goes before work that can only be late, and work that can earn no
  * credit goes last, though it still runs if resources are free.
+ *
+ * Among work that is equal so far, that of the account that has used less of its fair share goes first. Otherwise an
+ * account that submits many times its share delays all others by the length of its own queue.
  */
 
-import type * as types from "./types";
+import * as types from "./types";
 
 /** A late job earns partial credit until this multiple of its objective. */
 const PARTIAL_CREDIT_MULTIPLE = 3;
@@ -22,6 +25,8 @@
     readonly objectiveMs: number;
     /** Expected time from the unit's start to the job's end. */
     readonly remainingMs: number;
+    /** What the account has used of the service, relative to its fair share; absent if usage does not count. */
+    readonly usage?: number;
 }
 
 /** Whether the work can still earn full, partial or no credit; lower goes first. */
@@ -50,17 +55,31 @@
     }
 }
 
-/** Sorts by preemption tier, lateness class, priority and slack. */
+/**
+ * Number of steps by which the account exceeds its fair share; 0 up to its share. Always 0 for guaranteed work, since a
+ * guarantee may not be delayed. Steps, because smaller differences of usage matter less than slack.
+ */
+export function getUsageStep({ tier, usage = 0 }: Urgency): number {
+    return tier === types.PreemptionTier.Guaranteed ? 0 : Math.max(0, Math.floor((usage - 1) * USAGE_STEPS_PER_SHARE));
+}
+
+const USAGE_STEPS_PER_SHARE = 4;
+
+/** Sorts by preemption tier, lateness class, priority, usage and slack. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
     return b.tier - a.tier
         || getLatenessClass(a) - getLatenessClass(b)
         || a.priority - b.priority
+        || getUsageStep(a) - getUsageStep(b)
         || compareNumbers(getSlackMs(a), getSlackMs(b));
 }
 
-/** Sorts by preemption tier, priority and slack. */
+/** Sorts by preemption tier, priority, usage and slack. */
 export function compareWithoutLateness(a: Urgency, b: Urgency): number {
-    return b.tier - a.tier || a.priority - b.priority || compareNumbers(getSlackMs(a), getSlackMs(b));
+    return b.tier - a.tier
+        || a.priority - b.priority
+        || getUsageStep(a) - getUsageStep(b)
+        || compareNumbers(getSlackMs(a), getSlackMs(b));
 }
 
 /** Compares numbers that may be infinite, whose difference would be `NaN`. */
--- a/src/decisions/stopCost.ts
+++ b/src/decisions/stopCost.ts
@@ -31,10 +31,17 @@
 /** Fixed cost for each earlier preemption, which also adds the other costs once more. */
 const PREEMPTION_CORE_SECONDS = 100;
 
-/** Cost of stopping the work, in core-seconds. */
+/** Two victims have similar costs if the dearer one costs at most this much more, as a share of the cheaper one. */
+const SIMILAR_COST_SHARE = 0.25;
+/** Number of usage steps from which the whole of `SIMILAR_COST_SHARE` counts: twice the fair share. */
+const FULL_USAGE_STEPS = 4;
+
+/** Cost of stopping the work, in core-seconds. Among similar costs, that of the account with more usage is the lowest. */
 export function getStopCost(input: StopCostInput): number {
     const singleCost = input.lossCoreSeconds + (input.ignoresLateness ? 0 : getLatenessCost(input));
-    return singleCost * (1 + input.preemptions) + PREEMPTION_CORE_SECONDS * input.preemptions;
+    const cost = singleCost * (1 + input.preemptions) + PREEMPTION_CORE_SECONDS * input.preemptions;
+    const usageShare = Math.min(1, order.getUsageStep(input.urgency) / FULL_USAGE_STEPS);
+    return cost / (1 + SIMILAR_COST_SHARE * usageShare);
 }
 
 function getLatenessCost({ urgency, elapsedMs, unsavedMs }: StopCostInput): number {
--- a/src/experiment/generate.ts
+++ b/src/experiment/generate.ts
@@ -49,9 +49,31 @@
             jobs.push(createJob(load, jobClass, jobs.length + 1, at, source));
         }
     }
+    jobs.push(...generateGreedyJobs(load, jobs.length, source));
     return jobs.sort((a, b) => a.arrivesAt - b.arrivesAt);
 }
 
+/** Extra jobs of the greedy account. They are drawn after all others, which are the same without them. */
+function generateGreedyJobs(load: loads.Load, jobCount: number, source: random.Random): PlannedJob[] {
+    const { greedy } = load;
+    if (!greedy) {
+        return [];
+    }
+    const shares = Array.from({ length: load.accounts }, (_, index) => load.skew ** index);
+    const share = shares[greedy.account]! / shares.reduce((sum, each) => sum + each, 0);
+    const classes = load.classes.map(item => ({ ...item, perSecond: item.perSecond * share * (greedy.factor - 1) }));
+    const own = { ...load, classes, greedy: undefined };
+    return generateJobs(own, source).map((planned, index) => ({
+        ...planned,
+        class: load.classes.find(item => item.name === planned.class.name)!,
+        job: { ...planned.job, jobId: getJobId(jobCount + index + 1), account: getAccountName(greedy.account) },
+    }));
+}
+
+function getJobId(jobNumber: number): string {
+    return jobNumber.toString(16).padStart(16, "0");
+}
+
 export function getAccountName(index: number): string {
     return `account-${index}`;
 }
@@ -106,7 +128,7 @@
     const zone = load.zoneShares ? pickIndex(load.zoneShares, source) : jobNumber % load.instances;
     const poisoned = drawBoolean(jobClass.poisonedShare);
     const failurePattern = source.nextInt(FAILURE_PATTERNS);
-    const jobId = jobNumber.toString(16).padStart(16, "0");
+    const jobId = getJobId(jobNumber);
     const crashesWorkers = isChosen(jobId, 1, failurePattern, jobClass.crashingShare ?? 0);
     const sumSteps = (getFactor: (factors: readonly number[]) => number) =>
         durationsMs.reduce((sum, durationMs, step) => sum + durationMs * getFactor(durationFactors[step]!), 0);
--- a/src/experiment/load.ts
+++ b/src/experiment/load.ts
@@ -132,4 +132,6 @@
     readonly speeds?: readonly number[];
     /** Share of the instances that are fast, the first ones of each zone; default 1. */
     readonly fastInstanceShare?: number;
+    /** One account submits `factor` times its own jobs of each class; by default none does. */
+    readonly greedy?: { readonly account: number; readonly factor: number; };
 }
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -5,6 +5,7 @@
 import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
+import * as accountShares from "./accountShares";
 import * as advice from "./advice";
 import * as bestEffortPacing from "./bestEffortPacing";
 import type * as directory from "./directory";
@@ -241,12 +242,21 @@
     const activePredictor = disabledMechanisms.has("prediction") ? decisions.createPredictor() : predictor;
     const estimateRunMs: units.RunTimeEstimator = step =>
         activePredictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
+    const shares = disabledMechanisms.has("fairShares") ? undefined : accountShares.createAccountShares({
+        log,
+        meter,
+        catalog: options.catalog,
+        active: jobRegistry.active,
+        now: time.now,
+        getWorkers: () => registry.workers.values(),
+    });
     const createView = (guaranteed: ReadonlySet<entries.JobEntry>): units.UnitsOptions => ({
         now: time.now(),
         wallNow: time.wallTime(),
         estimateRunMs,
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
+        getUsage: shares?.getUsage,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -275,6 +285,7 @@
             log,
             disabledMechanisms,
         });
+        shares?.sample();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -292,6 +303,7 @@
                 return [...groups.values()].map(item => item.group);
             },
         });
+        shares?.recordDecisions({ plan, waiting, groups });
         execution.executePlan({
             jobRegistry,
             orders,
@@ -341,6 +353,7 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+        ...(shares ? [shares.section] : []),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -407,14 +420,15 @@
         });
     };
     meter.increment("terms_total");
-    const endGauges = meter.registerGauges(() =>
-        gauges.readGauges({
+    const endGauges = meter.registerGauges(() => [
+        ...shares?.readGauges() ?? [],
+        ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
-        })
-    );
+        }),
+    ]);
     signal.addEventListener("abort", () => {
         endGauges();
         registry.closeSessions();
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -16,6 +16,10 @@
 /** A group of placed tasks that are stopped together, and its tasks. */
 export interface GroupOfTasks {
     readonly group: decisions.RunningGroup;
+    /** Urgency of the work as if it had not started. */
+    readonly urgency: decisions.Urgency;
+    /** The group's cost of a stop if usage did not count. */
+    readonly costWithoutUsage: number;
     readonly tasks: readonly entries.TaskEntry[];
 }
 
@@ -29,6 +33,8 @@
     readonly policy: decisions.Policy;
     /** Whether the job is covered by its account's guarantee. */
     isGuaranteed(job: entries.JobEntry): boolean;
+    /** Usage of the job's account, relative to its fair share; `undefined` if it does not count now. */
+    getUsage?(job: entries.JobEntry): number | undefined;
 }
 
 /** Collects the units that can be placed now, in the order of the policy. */
@@ -153,6 +159,7 @@
         ageMs: options.wallNow - since,
         objectiveMs: getExpectedTimes(job, options.estimateRunMs).objectiveMs,
         remainingMs: getRemainingPathMs(step, options.estimateRunMs),
+        usage: options.getUsage?.(job),
     };
 }
 
@@ -197,7 +204,7 @@
     const groups = new Map<string, GroupOfTasks>();
     const add = (tasks: readonly entries.TaskEntry[]) => {
         const key = tasks[0]!.name;
-        groups.set(key, { group: createGroup(key, tasks, options), tasks });
+        groups.set(key, createGroup(key, tasks, options));
     };
     for (const job of active) {
         for (const occurrence of job.occurrences.values()) {
@@ -226,22 +233,28 @@
     key: string,
     tasks: readonly entries.TaskEntry[],
     options: UnitsOptions,
-): decisions.RunningGroup {
+): GroupOfTasks {
     const { step } = tasks[0]!;
     const { elapsedMs, unsavedMs, lossCoreSeconds } = estimateStopLoss(tasks, options.now);
+    const urgency = getUrgency(step, options);
+    const preemptions = tasks[0]!.preemptions + getBudgetAtStake(tasks);
+    const getCost = (counted: decisions.Urgency) =>
+        options.policy.getStopCost({ lossCoreSeconds, urgency: counted, elapsedMs, unsavedMs, preemptions });
+    const costCoreSeconds = getCost(urgency);
     return {
-        key,
-        tier: getPreemptionTier(step, options),
-        members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
-        lossCoreSeconds,
-        costCoreSeconds: options.policy.getStopCost({
+        group: {
+            key,
+            tier: urgency.tier,
+            members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
             lossCoreSeconds,
-            urgency: getUrgency(step, options),
-            elapsedMs,
-            unsavedMs,
-            preemptions: tasks[0]!.preemptions + getBudgetAtStake(tasks),
-        }),
-        disruptionBudget: getProtection(tasks),
+            costCoreSeconds,
+            disruptionBudget: getProtection(tasks),
+        },
+        urgency,
+        costWithoutUsage: decisions.getUsageStep(urgency) > 0
+            ? getCost({ ...urgency, usage: undefined })
+            : costCoreSeconds,
+        tasks,
     };
 }
 
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -44,6 +44,12 @@
     tasks: gauge("leader: tasks of such jobs", "queue", "phase"),
     workers: gauge("leader: workers", "service", "state"),
     accelerators: gauge("leader: accelerators of workers that may take tasks", "service", "state"),
+    account_usage: gauge(
+        "leader: usage of an account relative to its fair share, the highest ones",
+        "service",
+        "account",
+    ),
+    usage_decisions_total: counter("leader: starts and stops that the accounts' usage changed", "kind"),
     placement_wait_ms: histogram("leader: from when a unit could start to its place", "queue"),
     start_orders_total: counter("leader: orders to start", "answer"),
     stop_orders_total: counter("leader: orders to stop", "answer"),
