--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -5,6 +5,7 @@
 import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
+import * as accountShares from "./accountShares";
 import * as advice from "./advice";
 import * as bestEffortPacing from "./bestEffortPacing";
 import type * as directory from "./directory";
@@ -267,6 +268,14 @@
         disabledMechanisms,
     });
     const getLossAgeMs = disabledMechanisms.has("gangExposure") ? () => undefined : leaving.getLossAgeMs;
+    const shares = disabledMechanisms.has("fairShares") ? undefined : accountShares.createAccountShares({
+        log,
+        meter,
+        catalog: options.catalog,
+        active: jobRegistry.active,
+        now: time.now,
+        getWorkers: () => registry.workers.values(),
+    });
     const createView = (guaranteed: ReadonlySet<entries.JobEntry>): units.UnitsOptions => ({
         now: time.now(),
         wallNow: time.wallTime(),
@@ -275,6 +284,7 @@
         isGuaranteed: job => guaranteed.has(job),
         getRunSpeed: naturalSpeeds.getRunSpeed,
         getLossAgeMs,
+        getUsage: shares?.getUsage,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -315,6 +325,7 @@
         if (nextStopAt !== undefined) {
             planPass(Math.max(0, nextStopAt - now));
         }
+        shares?.sample();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -336,6 +347,7 @@
         });
         reservationKeeper?.record(plan, now, waiting);
         naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
+        shares?.recordDecisions({ plan, waiting, groups });
         execution.executePlan({
             jobRegistry,
             orders,
@@ -390,6 +402,7 @@
         ...(headroom ? [headroom.section] : []),
         ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
         ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
+        ...(shares ? [shares.section] : []),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -459,6 +472,7 @@
     const endGauges = meter.registerGauges(() => [
         ...naturalSpeeds.readGauges(),
         ...leaving.readGauges(),
+        ...shares?.readGauges() ?? [],
         ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
