Fair shares: tests under load and failover, a load with a greedy account

Cause: an account of little weight waited behind one that holds the whole service, since with 80% of the weight the usage of that one is only 1.25, which counted as within its share. A test with an account that was removed from the configuration showed it.

Change: usage counts from 1.05. Tests of the order, the cost of a stop, the successor, an account that is not configured, and a guarantee of an account over its share. The load greedyAccount with the check that the others' completion times move by at most a tenth, which fails.

Without fairShares the delay of both is more than twice as long (test).

--- a/src/decisions/order.ts
+++ b/src/decisions/order.ts
@@ -60,10 +60,17 @@
  * guarantee may not be delayed. Steps, because smaller differences of usage matter less than slack.
  */
 export function getUsageStep({ tier, usage = 0 }: Urgency): number {
-    return tier === types.PreemptionTier.Guaranteed ? 0 : Math.max(0, Math.floor((usage - 1) * USAGE_STEPS_PER_SHARE));
+    return tier === types.PreemptionTier.Guaranteed
+        ? 0
+        : Math.max(0, Math.ceil((usage - FAIR_USAGE) * USAGE_STEPS_PER_SHARE));
 }
 
 const USAGE_STEPS_PER_SHARE = 4;
+/**
+ * Usage up to which an account is within its share. A larger tolerance would leave accounts of little weight behind an
+ * account that holds the whole service: with 80% of the weight its usage is only 1.25.
+ */
+const FAIR_USAGE = 1.05;
 
 /** Sorts by preemption tier, lateness class, priority, usage and slack. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
--- a/src/decisions/stopCost.ts
+++ b/src/decisions/stopCost.ts
@@ -33,7 +33,7 @@
 
 /** Two victims have similar costs if the dearer one costs at most this much more, as a share of the cheaper one. */
 const SIMILAR_COST_SHARE = 0.25;
-/** Number of usage steps from which the whole of `SIMILAR_COST_SHARE` counts: twice the fair share. */
+/** Number of usage steps from which the whole of `SIMILAR_COST_SHARE` counts: about twice the fair share. */
 const FULL_USAGE_STEPS = 4;
 
 /** Cost of stopping the work, in core-seconds. Among similar costs, that of the account with more usage is the lowest. */
--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -126,6 +126,7 @@
         >,
         number
     >
+    & { readonly fairShares: number; }
 > = {
     preemption: 30,
     sparing: 35,
@@ -147,6 +148,7 @@
     handover: 32,
     heartbeats: 21,
     prolonging: 27,
+    fairShares: 4,
 };
 
 describe("a batch", () => {
--- a/src/experiment/namedLoads.ts
+++ b/src/experiment/namedLoads.ts
@@ -111,6 +111,22 @@
     return { ...SMALL_SITE, about, faults };
 }
 
+/** The class with single tasks that all can succeed, so that completion times depend on the scheduler alone. */
+function createSingles(jobClass: loads.JobClass, perSecond: number, width: loads.Distribution): loads.JobClass {
+    return {
+        ...jobClass,
+        perSecond,
+        width,
+        accelerators: [1],
+        gangShare: 0,
+        sameRackShare: 0,
+        dataRackShare: 0,
+        cancelledShare: 0,
+        poisonedShare: 0,
+        failedRunShare: 0,
+    };
+}
+
 /** The loads that `experiment` accepts by name. */
 export const LOADS: Readonly<Record<string, loads.Load>> = {
     small: SMALL_SITE,
@@ -171,6 +187,21 @@
             },
         ],
     },
+    greedyAccount: {
+        ...SMALL_SITE,
+        about: "one of six equal accounts submits ten times its share of single tasks and wide steps",
+        workers: 12,
+        workersPerRack: 4,
+        accounts: 6,
+        skew: 1,
+        guaranteedShare: 0.3,
+        greedy: { account: 0, factor: 10 },
+        classes: [
+            createSingles(PLAN, 1.6, createConstant(1)),
+            createSingles(URGENT, 3.2, createConstant(1)),
+            createSingles(BATCH, 0.4, { mean: 6, variation: 0.8, max: 30 }),
+        ],
+    },
     chains: withClasses(
         "chains of wide steps",
         jobClass => ({ ...jobClass, steps: { mean: 3, variation: 0.4, max: 5 } }),
