--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -127,10 +127,9 @@
             | "relay"
             | "firstLooks"
             | "isolation"
-            | Exclude<
-                decisions.OptionalMechanism,
-                "departures" | "gangExposure" | "gangReservations" | "headroom"
-            >
+            | "learnedDurations"
+            | "workerSpeeds"
+            | "admission"
         >,
         number
     >
@@ -159,6 +158,7 @@
     prolonging: 27,
     gangReservations: 21,
     headroom: 21,
+    fairShares: 4,
 };
 
 describe("a batch", () => {
