--- a/src/leader/leavingWorkers.ts
+++ b/src/leader/leavingWorkers.ts
@@ -44,8 +44,10 @@
     readonly noticedAt: number;
     /** Whether the notice may be older, since the first list of this leader already had it. */
     readonly isNoticeOld: boolean;
-    /** Earliest time of leaving that the worker has announced, on the leader's clock. */
+    /** Earliest announced time of leaving, counted from when the leader read the report; learned stays are added to it. */
     announcedAt: number;
+    /** The same, counted from when the worker may have written the report: up to a second earlier. */
+    reportedAt: number;
     isObserved: boolean;
 }
 
@@ -105,6 +107,7 @@
             noticedAt: time.now(),
             isNoticeOld,
             announcedAt: time.now() + worker.info.remainingMs,
+            reportedAt: getReportedAt(worker),
             // An idle worker is not polled, so it would only be seen leaving by the directory, which lags.
             isObserved: isDeciding && !isNoticeOld && worker.tasks.size > 0 && observed < MAX_OBSERVED,
         });
@@ -127,8 +130,12 @@
         }
     };
     const isRemoved = (worker: entries.WorkerEntry) => worker.tasks.size === 0 && present.get(worker.id) !== worker;
-    const getLeavesAt = ({ service, announcedAt, isNoticeOld }: Departure) =>
-        announcedAt + (isNoticeOld ? 0 : stays.getBeyondMs(service) ?? 0);
+    const getReportedAt = (worker: entries.WorkerEntry) =>
+        Math.min(time.now(), worker.reportedAt ?? time.now()) + worker.info.remainingMs;
+    const getLeavesAt = ({ service, announcedAt, reportedAt, isNoticeOld }: Departure) => {
+        const beyondMs = isNoticeOld ? undefined : stays.getBeyondMs(service);
+        return beyondMs === undefined ? reportedAt : announcedAt + beyondMs;
+    };
 
     /** The units with a task that runs on a leaving worker, by their first task. */
     const collectAffected = () => {
@@ -207,6 +214,7 @@
                 if (departure) {
                     // Later reports repeat the announcement or count it down; the earliest time holds.
                     departure.announcedAt = Math.min(departure.announcedAt, time.now() + worker.info.remainingMs);
+                    departure.reportedAt = Math.min(departure.reportedAt, getReportedAt(worker));
                     continue;
                 }
                 addDeparture(worker, !hasList);
--- a/src/scheduler/__tests__/departures.test.ts
+++ b/src/scheduler/__tests__/departures.test.ts
@@ -255,3 +255,30 @@
         expect((await run({ leaving: 2 })).workers).toBeGreaterThan(2);
     });
 });
+
+// Guards against work that is lost with its worker, and against starts beyond a promise, while a sixth of a full site
+// leaves at once at short notice: stops, placements and polls of dozens of tasks then compete.
+test("under load no run is lost with its worker while a sixth of the workers leaves at once", async () => {
+    const jobs = Array.from({ length: 24 }, (_, number) => {
+        const queue = number % 3 === 0 ? "urgent" : "batch";
+        const isGang = number % 2 === 0;
+        return fixtures.createJob(number + 1, {
+            count: 4,
+            gang: isGang,
+            checkpoints: number % 4 < 2,
+            estimateMs: 4_000 + 500 * (number % 5),
+            needs: { ...WHOLE_WORKER, accelerators: 4 },
+        }, { queue });
+    });
+    const site = await fixtures.openSiteWithJobs({ workers: 24, instances: 3 }, jobs);
+    await site.clock.advance(2_000);
+    leave(site, ["worker-0", "worker-5", "worker-10", "worker-15"], 2_000);
+    await site.clock.advance(40_000);
+    for (const job of jobs) {
+        expect(await getState(site, job)).toBe("completed");
+    }
+    expect(getLines(site, "runLost")).toEqual([]);
+    expect(getLines(site, "departureDecision").length).toBeGreaterThan(2);
+    expect(site.workers.violations).toEqual([]);
+    site.close();
+});
