Admission: the leader publishes its load with the lease, instances decide by it

Cause: an instance accepts whatever the store accepts, also work that cannot start before it has lost all its credit; callers of an instance that the store does not serve all return after the same second.

Intake looks a job up before it refuses it for load. Retry-After in an outage follows the outage's age. A refusal for load is not forwarded to other instances. Without the mechanism the lease row and the intake are as before.

--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -2,6 +2,7 @@
  * Serves caller requests: submissions, queries and cancellations. Every instance accepts them; each submission or
  * cancellation is stored before it is confirmed to the caller.
  */
+import * as admission from "../admission/index";
 import type * as catalog from "../catalog/index";
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
@@ -15,7 +16,13 @@
     | { readonly kind: "cancelled"; }
     | { readonly kind: "waiting"; readonly count: number; }
     | { readonly kind: "unknownJob"; }
-    | { readonly kind: "notAccepted"; readonly retryAfterMs: number; readonly reason: string; }
+    | {
+        readonly kind: "notAccepted";
+        readonly retryAfterMs: number;
+        readonly reason: string;
+        /** Set if other instances would decide alike, so that asking them is useless. */
+        readonly final?: boolean;
+    }
     /** The job exceeds a limit and can never run; retrying is useless. */
     | { readonly kind: "impossible"; readonly reason: string; }
     /** A query or cancellation that could not be served; nothing was changed. */
@@ -44,6 +51,8 @@
     getMaxRowBytes(): number;
     /** Waiting jobs of each queue as the leader last published them; `undefined` if no counts are known. */
     getPublishedCounts(): PublishedCounts | undefined;
+    /** The leader's load as this instance knows it. Without this option no submission is refused for load. */
+    getLoadView?(): admission.LoadView | undefined;
 }
 
 /** Waiting jobs by queue, as published by the leader. */
@@ -77,6 +86,8 @@
 const MAX_REFUSALS = 3;
 /** Time after which a refused caller retries; most short outages are shorter. */
 const RETRY_AFTER_MS = 1_000;
+/** Reason of a refusal by admission, as log lines and callers get it. */
+const LOAD_REASON = "refused for load";
 /** Published counts older than this are not used; the rows are counted instead. */
 const MAX_COUNTS_AGE_MS = 2_000;
 
@@ -84,6 +95,10 @@
 export function createIntake(options: IntakeOptions): Intake {
     const { store, clock: time, log, meter, health } = options;
 
+    const memory = admission.createRefusalMemory();
+    /** Time after which a caller retries whom the store did not let this instance serve. */
+    const getOutageRetryMs = (jobId: string) =>
+        options.getLoadView ? admission.getOutageRetryAfterMs(health.getTimeSinceAnswerMs(), jobId) : RETRY_AFTER_MS;
     const isStoreUnreachable = () => health.getUnreachableMs() !== undefined;
     const getRemainingMs = (caller: Caller) => caller.deadlineAt - time.now() - REPLY_MARGIN_MS;
     /** Grows with the latency: a slow store still carries out calls that have timed out, and each retry adds load. */
@@ -106,7 +121,11 @@
         const row = { table: work.Table.Jobs, part: work.getIntakePart(jobId), key };
         if (isStoreUnreachable()) {
             // Nothing is sent, so the refusal is certain as well as immediate.
-            return { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason: "the store cannot be reached" };
+            return {
+                kind: "notAccepted",
+                retryAfterMs: getOutageRetryMs(jobId),
+                reason: "the store cannot be reached",
+            };
         }
         let mayBeWritten = false;
         let refusals = 0;
@@ -136,9 +155,11 @@
             await time.sleep(RETRY_PAUSE_MS);
         }
         while (getRemainingMs(caller) > 0 && !isStoreUnreachable());
-        return mayBeWritten
-            ? { kind: "undecided", retryAfterMs: RETRY_AFTER_MS, reason }
-            : { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason };
+        if (mayBeWritten) {
+            memory.recordUndecided(jobId, time.now());
+            return { kind: "undecided", retryAfterMs: getOutageRetryMs(jobId), reason };
+        }
+        return { kind: "notAccepted", retryAfterMs: getOutageRetryMs(jobId), reason };
     };
 
     /**
@@ -195,11 +216,51 @@
         }
         const present = await readSubmission(caller, jobId);
         if (typeof present === "string") {
-            return { kind: "notAccepted", retryAfterMs: RETRY_AFTER_MS, reason: present };
+            return { kind: "notAccepted", retryAfterMs: getOutageRetryMs(jobId), reason: present };
         }
         return present.some(row => row.key === jobId) ? { kind: "accepted" } : undefined;
     };
 
+    /** A decision of admission, and what came of it, for the request's log line. */
+    interface Admission {
+        readonly decision: string;
+        readonly inputs?: admission.DecisionInputs;
+        readonly reply?: IntakeReply;
+    }
+    /**
+     * Decides whether the submission is refused for load. A job that is stored, or that may be stored by an earlier
+     * submission, is never refused: the refusal would not be true.
+     */
+    const admit = async (caller: Caller, jobId: string, spec: work.JobSpec): Promise<Admission> => {
+        const { queue, account } = caller;
+        const decision = admission.decide({ view: options.getLoadView?.(), queue, account, spec });
+        const { inputs } = decision;
+        if (decision.kind === "accept") {
+            return { decision: decision.reason, inputs };
+        }
+        if (isStoreUnreachable() || memory.mayBeWritten(jobId, time.now())) {
+            return { decision: "mayBeStored", inputs };
+        }
+        const present = await readSubmission(caller, jobId);
+        if (typeof present === "string") {
+            return { decision: "mayBeStored", inputs };
+        }
+        if (present.some(row => row.key === jobId)) {
+            return { decision: "stored", inputs, reply: { kind: "accepted" } };
+        }
+        const retryAfterMs = admission.getLoadRetryAfterMs({
+            jobId,
+            priority: queue.priority,
+            inputs: decision.inputs,
+            sinceFirstRefusalMs: memory.recordRefusal(jobId, time.now()),
+        });
+        return {
+            decision: "refused",
+            inputs,
+            reply: { kind: "notAccepted", retryAfterMs, reason: LOAD_REASON, final: true },
+        };
+    };
+
     const checkLimits = (spec: work.JobSpec, value: string): IntakeReply | undefined => {
         const maxRowBytes = options.getMaxRowBytes();
         const bytes = Buffer.byteLength(value);
@@ -208,13 +269,20 @@
         return reason === undefined ? undefined : { kind: "impossible", reason };
     };
 
-    const createUnavailable = (reason: string): IntakeReply => ({
+    const createUnavailable = (reason: string, jobId: string): IntakeReply => ({
         kind: "unavailable",
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs: getOutageRetryMs(jobId),
         reason,
     });
 
-    const logReply = (call: string, caller: Caller, jobId: string, reply: IntakeReply, startedAt: number) => {
+    const logReply = (
+        call: string,
+        caller: Caller,
+        jobId: string,
+        reply: IntakeReply,
+        startedAt: number,
+        admitted?: Admission,
+    ) => {
         const tookMs = Math.round(time.now() - startedAt);
         const { account } = caller;
         meter.increment("requests_total", { call, outcome: reply.kind, account, queue: caller.queue.name });
@@ -229,6 +297,14 @@
             state: reply.kind === "state" ? reply.state : undefined,
             reason: "reason" in reply ? reply.reason : undefined,
             tookMs,
+            // Only decisions that had a wait to consider: most submissions have none.
+            ...admitted?.inputs && {
+                admission: admitted.decision,
+                expectedWaitMs: Math.round(admitted.inputs.expectedWaitMs),
+                maxWaitMs: Math.round(admitted.inputs.maxWaitMs),
+                loadAgeMs: admitted.inputs.viewAgeMs,
+                retryAfterMs: "retryAfterMs" in reply ? reply.retryAfterMs : undefined,
+            },
         });
         return reply;
     };
@@ -236,14 +312,14 @@
     const readState = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
         const progress = await readProgress(caller, jobId);
         if (typeof progress === "string") {
-            return createUnavailable(progress);
+            return createUnavailable(progress, jobId);
         }
         if (progress[0]) {
             return { kind: "state", state: (JSON.parse(progress[0].value) as work.JobProgress).state };
         }
         const submission = await readSubmission(caller, jobId);
         if (typeof submission === "string") {
-            return createUnavailable(submission);
+            return createUnavailable(submission, jobId);
         }
         return submission.length > 0 ? { kind: "state", state: "queued" } : { kind: "unknownJob" };
     };
@@ -251,7 +327,7 @@
     const cancel = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
         const submission = await readSubmission(caller, jobId);
         if (typeof submission === "string") {
-            return createUnavailable(submission);
+            return createUnavailable(submission, jobId);
         }
         if (submission.length === 0) {
             return { kind: "unknownJob" };
@@ -276,7 +352,7 @@
             ? intake
             : await readTable(work.Table.Progress, [work.LEADER_PART]);
         if (typeof intake === "string" || typeof progress === "string") {
-            return createUnavailable(typeof intake === "string" ? intake : String(progress));
+            return createUnavailable(typeof intake === "string" ? intake : String(progress), caller.requestId);
         }
         const begun = new Set(progress.map(row => row.key));
         const waiting = intake.filter(row =>
@@ -298,10 +374,16 @@
                 spec,
             };
             const value = JSON.stringify(submission);
-            const reply = checkLimits(spec, value)
+            const impossible = checkLimits(spec, value);
+            const admitted = impossible || !options.getLoadView ? undefined : await admit(caller, jobId, spec);
+            if (admitted) {
+                meter.increment("admission_decisions_total", { decision: admitted.decision, queue: caller.queue.name });
+            }
+            const reply = impossible
+                ?? admitted?.reply
                 ?? await readBeforeWrite(caller, jobId)
                 ?? await createRow(caller, jobId, value);
-            return logReply("submit", caller, jobId, reply, startedAt);
+            return logReply("submit", caller, jobId, reply, startedAt, admitted);
         },
         getState: async (caller, jobId) => {
             const startedAt = time.now();
--- a/src/leader/lease/lease.ts
+++ b/src/leader/lease/lease.ts
@@ -5,6 +5,7 @@
  * its lease from the moment when it *sent* the renewal, by whichever clock has advanced most: the monotonic clock of a
  * suspended machine does not count the pause, and the holder would repeat orders that its successor has already issued.
  */
+import type * as admission from "../../admission/index";
 import * as clock from "../../clock/index";
 import type * as observe from "../../observe/index";
 import * as rows from "../../rows/index";
@@ -41,6 +42,8 @@
     readonly power: number;
     readonly signal: AbortSignal;
     getWaitingCounts(): Readonly<Record<string, number>> | undefined;
+    /** Summary of the load to publish with the lease, by default none. */
+    getLoad?(): admission.EncodedSummary | undefined;
     /** A renewal has been unanswered for too long: the store may be unreachable. */
     onRenewalOverdue(): void;
     onElected(leadership: heldLease.Leadership): void;
@@ -187,8 +190,11 @@
         predecessorsInactiveAt: number,
         leaseMs = renewals.LEASE_MS,
         waiting?: Readonly<Record<string, number>>,
+        load?: admission.EncodedSummary,
     ): leaseRecord.LeaseRecord => {
-        const truncated = waiting && waitingCounts.truncateCounts(waiting);
+        const loadBytes = load ? Buffer.byteLength(JSON.stringify(load)) : 0;
+        const truncated = waiting
+            && waitingCounts.truncateCounts(waiting, waitingCounts.MAX_COUNTS_BYTES - loadBytes);
         return {
             holder: options.incarnationId,
             instance: options.instance,
@@ -200,6 +206,7 @@
             othersProlongMs: Math.ceil(Math.max(0, predecessorsInactiveAt - time.now())) || undefined,
             waiting: truncated?.counts,
             othersWait: truncated?.complete === false || undefined,
+            load,
         };
     };
     /**
@@ -262,7 +269,13 @@
             predecessorsInactiveAt,
             createRow: leaseMs => {
                 return leaseRecord.encodeRecord(
-                    createRecord(token, predecessorsInactiveAt, leaseMs, options.getWaitingCounts()),
+                    createRecord(
+                        token,
+                        predecessorsInactiveAt,
+                        leaseMs,
+                        options.getWaitingCounts(),
+                        options.getLoad?.(),
+                    ),
                 );
             },
             onRenewed: (row, renewedVersion) => {
--- a/src/leader/lease/leaseRecord.ts
+++ b/src/leader/lease/leaseRecord.ts
@@ -1,4 +1,5 @@
 /** The row of the lease: its holder, its duration, and other facts that all instances read from it. */
+import type * as admission from "../../admission/index";
 import type * as rows from "../../rows/index";
 import * as work from "../../work/index";
 import * as renewals from "./renewals";
@@ -27,6 +28,8 @@
     readonly waiting?: Readonly<Record<string, number>>;
     /** True if other queues have waiting jobs too, whose counts did not fit. */
     readonly othersWait?: boolean;
+    /** The holder's load; absent in rows of earlier versions, and while admission is disabled. Decoded by its readers. */
+    readonly load?: admission.EncodedSummary;
 }
 
 export const LEASE_KEY: rows.RowKey = { table: work.Table.LeaderLease, part: work.LEADER_PART, key: "lease" };
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -1,4 +1,5 @@
 /** One term of leadership, from loading the stored state to the loss of the lease. */
+import type * as admission from "../admission/index";
 import type * as catalog from "../catalog/index";
 import type * as clock from "../clock/index";
 import * as decisions from "../decisions/index";
@@ -21,6 +22,7 @@
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
+import * as queueLoads from "./queueLoads";
 import * as retention from "./retention";
 import * as sessions from "./sessions/index";
 import * as slowWorkers from "./slowWorkers";
@@ -64,6 +66,8 @@
 export interface Term {
     /** Number of jobs by queue of which no task has started; `undefined` until the stored jobs are loaded. */
     getWaitingCounts(): Readonly<Record<string, number>> | undefined;
+    /** Summary of the load for admission; `undefined` before the first pass, and while admission is disabled. */
+    getLoad(): admission.EncodedSummary | undefined;
 }
 
 /** Delay that batches events into one pass; short compared with the round trip to a worker. */
@@ -257,6 +261,18 @@
         hasSession: worker => registry.getSession(worker) !== undefined,
     });
 
+    const loads = disabledMechanisms.has("admission") ? undefined : queueLoads.createQueueLoads();
+    const observeLoads = (passUnits: readonly units.UnitOfTasks[], now: number) =>
+        loads?.observe({
+            now,
+            wallNow: time.wallTime(),
+            units: passUnits,
+            active: jobRegistry.active,
+            workers: registry.workers.values(),
+            isPlaceable: worker => isPlaceable(worker, now),
+            getAccount: options.catalog.getAccount,
+        });
+
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -277,6 +293,7 @@
         });
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
+            observeLoads(waiting, now);
             return;
         }
         const usable = [...registry.workers.values()].filter(worker => isPlaceable(worker, now));
@@ -306,6 +323,7 @@
             waiting,
             groups,
         });
+        observeLoads(waiting, now);
         const passMs = time.now() - now;
         passes.recordDuration(passMs);
         meter.record("pass_duration_ms", {}, passMs);
@@ -407,14 +425,15 @@
         });
     };
     meter.increment("terms_total");
-    const endGauges = meter.registerGauges(() =>
-        gauges.readGauges({
+    const endGauges = meter.registerGauges(() => [
+        ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
-        })
-    );
+        }),
+        ...loads?.readGauges() ?? [],
+    ]);
     signal.addEventListener("abort", () => {
         endGauges();
         registry.closeSessions();
@@ -434,5 +453,6 @@
             }
             return counts;
         },
+        getLoad: () => loads?.getSummary(),
     };
 }
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -27,6 +27,8 @@
     requests_total: counter("callers' requests", "call", "outcome", "account", "queue"),
     request_duration_ms: histogram("from a request to its answer", "call", "account"),
     requests_passed_total: counter("requests passed on to another instance, by its status", "outcome"),
+    admission_decisions_total: counter("callers' submissions, by the decision of admission", "decision", "queue"),
+    expected_wait_ms: gauge("leader: expected wait of a new job of a queue whose work waits", "queue"),
     ready: gauge("1 while the instance takes callers' connections"),
     configuration_version: gauge("version of the configuration in force"),
     configuration_fresh: gauge("1 while callers may be served under the configuration in force"),
--- a/src/relay/messages.ts
+++ b/src/relay/messages.ts
@@ -29,6 +29,8 @@
     readonly body?: unknown;
     /** Delay after which the caller should retry. */
     readonly retryAfterMs?: number;
+    /** Set if other instances would refuse the request, too; the caller does not see it. */
+    readonly final?: boolean;
 }
 
 /** The reply to a forwarded request. */
@@ -73,7 +75,7 @@
     if (!fields || !reply) {
         return undefined;
     }
-    const { status, body, retryAfterMs } = reply;
+    const { status, body, retryAfterMs, final } = reply;
     if (!isStatus(status) || !isVersion(fields["configurationVersion"])) {
         return undefined;
     }
@@ -82,6 +84,7 @@
             status,
             body,
             retryAfterMs: retryAfterMs === undefined ? undefined : Math.max(0, toNumber(retryAfterMs)),
+            final: final === true || undefined,
         },
         configurationVersion: fields["configurationVersion"],
         peers: Array.isArray(fields["peers"]) ? fields["peers"].filter(isAddress) : [],
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -124,7 +124,7 @@
                     const { reply, configurationVersion, peers } = result.forwarded;
                     newestVersion = Math.max(newestVersion, configurationVersion);
                     namedPeers = peers.length > 0 ? peers : namedPeers;
-                    if (reply.status !== replies.Status.Unavailable) {
+                    if (reply.status !== replies.Status.Unavailable || reply.final) {
                         return reply;
                     }
                     backOff(peer, UNABLE_BACKOFF_MS);
--- a/src/relay/replies.ts
+++ b/src/relay/replies.ts
@@ -21,7 +21,7 @@
     body: { error: "no answer" },
 };
 
-/** Whether a reply states the outcome of its request. */
-export function isDecided({ status }: messages.CallerReply): boolean {
-    return status !== Status.Unavailable && status !== Status.Undecided;
+/** Whether a reply states the outcome of its request, or a refusal that all instances share. */
+export function isDecided({ status, final }: messages.CallerReply): boolean {
+    return final === true || status !== Status.Unavailable && status !== Status.Undecided;
 }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -2,6 +2,7 @@
  * Assembles one instance of the scheduler from its ports: the intake of caller requests, the leader lease, and the term
  * while the instance leads.
  */
+import * as admission from "../admission/index";
 import * as catalogs from "../catalog/index";
 import type * as clock from "../clock/index";
 import type * as decisions from "../decisions/index";
@@ -134,6 +135,7 @@
         signal: options.signal,
         power: options.power,
         getWaitingCounts: () => term?.getWaitingCounts(),
+        getLoad: () => term?.getLoad(),
         onRenewalOverdue: () => offerTerm(),
         onElected: openTerm,
     });
@@ -150,6 +152,15 @@
             void handover.offerLeadership();
         }
     };
+    const getLoadView = admission.createLoadView({
+        clock: time,
+        log,
+        meter,
+        getObservedRow: () => {
+            const observed = lease.getObservation();
+            return observed && { version: observed.version, load: observed.record.load, seenAt: observed.seenAt };
+        },
+    });
     const intake = intakes.createIntake({
         store,
         health,
@@ -157,6 +168,7 @@
         log,
         meter,
         getMaxRowBytes: () => options.getSettings().rowBytes,
+        getLoadView: disabledMechanisms.has("admission") ? undefined : getLoadView,
         getPublishedCounts: () => {
             const observed = lease.getObservation();
             const counts = observed?.record.waiting;
