Admission: late work waits behind the work that arrives meanwhile

Cause: the work that can be in time never exceeded what a new job can wait, so that even ten times the capacity refused nothing. A new job that cannot start within its slack is served only after all that arrives meanwhile.

Change: the summary states that wait, from the rates at which work arrives and is served under the backlog; a job that cannot start in time counts with it.

--- a/src/admission/__tests__/decide.test.ts
+++ b/src/admission/__tests__/decide.test.ts
@@ -11,12 +11,17 @@
 /** Work of 2 s with an objective of 7 s: 5 s of slack, and 19 s of waiting until it earns nothing. */
 const SPEC = { steps: [createStep()], repeats: 0 };
 
-function createView(waits: ReadonlyArray<readonly [slackMs: number, waitMs: number]>, ageMs = 0): admission.LoadView {
+function createView(
+    waits: ReadonlyArray<readonly [slackMs: number, waitMs: number]>,
+    ageMs = 0,
+    lateWaitMs = 0,
+): admission.LoadView {
     return {
         summary: {
             computedAt: 0,
             queues: new Map([["q", {
                 waitingJobs: 9,
+                lateWaitMs,
                 waits: waits.map(([slackMs, waitMs]) => ({ slackMs, waitMs })),
             }]]),
             accountsBeyondGuarantee: new Set(["large"]),
@@ -40,6 +45,14 @@
     const cases: ReadonlyArray<readonly [name: string, input: Partial<admission.AdmissionInput>, expected: string]> = [
         ["that would wait too long", {}, "refuse"],
         ["that can just wait long enough", { view: createView([[0, 19_000]]) }, "canWait"],
+        // A new job goes before all late work, so that an endless late wait does not concern it.
+        [
+            "that starts in time although late jobs wait endlessly",
+            { view: createView([[0, 5_000]], 0, 9e5) },
+            "canWait",
+        ],
+        ["that would be late, and late jobs wait endlessly", { view: createView([[0, 5_001]], 0, 9e5) }, "refuse"],
+        ["that would be late, and late jobs are served soon", { view: createView([[0, 5_001]], 0, 9_000) }, "canWait"],
         ["without a summary", { view: undefined }, "noView"],
         ["with a summary of a lost leader", { view: createView([[0, 19_001]], 2_001) }, "staleView"],
         ["with a summary that is still in force", { view: createView([[0, 19_001]], 2_000) }, "refuse"],
@@ -68,19 +81,19 @@
         const view = createView([[0, 30_000]], 700);
         expect(admission.decide({ view, queue: QUEUE, account: "x", spec: SPEC })).toEqual({
             kind: "refuse",
-            inputs: { expectedWaitMs: 30_000, maxWaitMs: 19_000, viewAgeMs: 700 },
+            inputs: { expectedWaitMs: 30_000, maxWaitMs: 19_000, capacityInMs: 25_000, viewAgeMs: 700 },
         });
     });
 });
 
 describe("Retry-After", () => {
     const IDS = Array.from({ length: 200 }, (_, number) => number.toString(16).padStart(16, "0"));
-    const getAll = (priority: number, excessMs: number, sinceFirstRefusalMs = 0) =>
+    const getAll = (priority: number, capacityInMs: number, sinceFirstRefusalMs = 0) =>
         IDS.map(jobId =>
             admission.getLoadRetryAfterMs({
                 jobId,
                 priority,
-                inputs: { expectedWaitMs: 19_000 + excessMs, maxWaitMs: 19_000 },
+                inputs: { capacityInMs },
                 sinceFirstRefusalMs,
             })
         );
--- a/src/admission/__tests__/loadMeter.test.ts
+++ b/src/admission/__tests__/loadMeter.test.ts
@@ -4,6 +4,7 @@
     readonly ahead?: readonly admission.WorkAhead[];
     readonly heldCores?: number;
     readonly freeCores?: number;
+    readonly arrivedCoreSeconds?: number;
 }
 
 const AHEAD: readonly admission.WorkAhead[] = [{ slackMs: 1_000, coreSeconds: 300 }];
@@ -15,7 +16,15 @@
     for (let at = 0; at <= durationMs; at += 500) {
         if (!skip(at)) {
             load = meter.observe(at, [
-                { queue: "q", waitingJobs: 3, ahead: AHEAD, heldCores: 10, freeCores: 0, ...getSample(at) },
+                {
+                    queue: "q",
+                    waitingJobs: 3,
+                    ahead: AHEAD,
+                    arrivedCoreSeconds: 0,
+                    heldCores: 10,
+                    freeCores: 0,
+                    ...getSample(at),
+                },
             ]).get("q");
         }
     }
@@ -61,6 +70,15 @@
         expect(observe(20_000, () => ({ heldCores: 0 }))).toBeUndefined();
     });
 
+    test.each([
+        ["nothing arrives", 0, 30_000],
+        ["half of what is served arrives", 2.5, 60_000],
+        ["as much arrives as is served", 5, 3_600_000],
+        ["more arrives than is served", 50, 3_600_000],
+    ])("of late work, if %s, is that behind the work that arrives", (_name, arrivedCoreSeconds, expected) => {
+        expect(observe(20_000, () => ({ arrivedCoreSeconds }))!.lateWaitMs).toBeCloseTo(expected);
+    });
+
     test("is stated by slack, in at most four points", () => {
         const ahead = Array.from({ length: 40 }, (_, number) => ({ slackMs: 4_000 - 100 * number, coreSeconds: 10 }));
         const waits = observe(12_000, () => ({ ahead }))!.waits;
--- a/src/admission/__tests__/loadSummary.test.ts
+++ b/src/admission/__tests__/loadSummary.test.ts
@@ -8,6 +8,7 @@
             `queue-${number}`,
             {
                 waitingJobs: 30 + number,
+                lateWaitMs: 99_000,
                 waits: [1, 2, 3, 4].map(point => ({ slackMs: 1_000 * point, waitMs: 10_000 * point + number })),
             },
         ])),
@@ -42,7 +43,9 @@
     test("with names that need escapes fits its bound", () => {
         const summary = createSummary(0, 0);
         const names = Array.from({ length: 400 }, (_, number) => `"\\\n${number}ü`);
-        const queues = new Map(names.map(name => [name, { waitingJobs: 1, waits: [{ slackMs: 0, waitMs: 5 }] }]));
+        const queues = new Map(
+            names.map(name => [name, { waitingJobs: 1, lateWaitMs: 0, waits: [{ slackMs: 0, waitMs: 5 }] }]),
+        );
         const encoded = admission.encodeSummary({ ...summary, queues, accountsBeyondGuarantee: new Set(names) });
         expect(getBytes(encoded)).toBeLessThanOrEqual(admission.MAX_SUMMARY_BYTES);
         expect(Object.keys(encoded.queues).length).toBeGreaterThan(50);
@@ -55,11 +58,11 @@
         ["a record without a time", { queues: {} }],
         ["a record without queues", { at: 1 }],
         ["a queue that is not a list", { at: 1, queues: { q: { 0: 1, length: 3 } } }],
-        ["a queue without points", { at: 1, queues: { q: [1] } }],
-        ["a point without a wait", { at: 1, queues: { q: [1, 2] } }],
-        ["a negative wait", { at: 1, queues: { q: [1, 2, -3] } }],
-        ["a wait that is no number", { at: 1, queues: { q: [1, 2, "3"] } }],
-        ["decreasing slacks", { at: 1, queues: { q: [1, 5, 3, 4, 6] } }],
+        ["a queue without points", { at: 1, queues: { q: [1, 0] } }],
+        ["a point without a wait", { at: 1, queues: { q: [1, 0, 2] } }],
+        ["a negative wait", { at: 1, queues: { q: [1, 0, 2, -3] } }],
+        ["a wait that is no number", { at: 1, queues: { q: [1, 0, 2, "3"] } }],
+        ["decreasing slacks", { at: 1, queues: { q: [1, 0, 5, 3, 4, 6] } }],
         ["accounts that are no names", { at: 1, queues: {}, beyond: [1] }],
     ];
     test.each(malformed)("that is %s is not decoded", (_name, value) => {
--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -1,8 +1,8 @@
 /**
  * Decides whether a submission is accepted, from the leader's last summary.
  *
- * Only a job that certainly earns no credit is refused: work that is served before it takes longer than the job can
- * wait. Whatever is unknown counts in favour of the job.
+ * A job is refused only if it is expected to earn no credit: the work that is served before it takes longer than the
+ * job can wait. Whatever is unknown counts in favour of the job.
  */
 import type * as work from "../work/index";
 import * as loadSummary from "./loadSummary";
@@ -51,6 +51,8 @@
     readonly expectedWaitMs: number;
     /** Longest wait after which the job still earns partial credit. */
     readonly maxWaitMs: number;
+    /** Time in which so much of the waiting work is served that a job like this could start in time; at least 0. */
+    readonly capacityInMs: number;
     readonly viewAgeMs: number;
 }
 
@@ -79,8 +81,11 @@
     }
     const workMs = getCriticalPathMs(spec.steps);
     const objectiveMs = queue.stretch * workMs + queue.objectiveMs;
+    const slackMs = Math.max(0, objectiveMs - workMs);
+    const waitMs = loadSummary.getWaitMs(load, slackMs);
     const inputs: DecisionInputs = {
-        expectedWaitMs: loadSummary.getWaitMs(load, Math.max(0, objectiveMs - workMs)),
+        expectedWaitMs: waitMs <= slackMs ? waitMs : Math.max(waitMs, load.lateWaitMs),
+        capacityInMs: Math.max(0, waitMs - slackMs),
         maxWaitMs: Math.max(0, PARTIAL_CREDIT_MULTIPLE * objectiveMs - workMs),
         viewAgeMs: Math.round(view.ageMs),
     };
--- a/src/admission/loadMeter.ts
+++ b/src/admission/loadMeter.ts
@@ -3,6 +3,9 @@
  *
  * Only a queue's rate under a backlog says how long its work will wait: a queue that had nothing to do was served at
  * rate 0, and would seem to have an endless wait when its next job arrives.
+ *
+ * A new job is served among the work that can still be in time, before all late work. Once it is late itself it gets
+ * only what the work that arrives meanwhile leaves over.
  */
 import type * as loadSummary from "./loadSummary";
 
@@ -19,6 +22,8 @@
     /** Number of jobs of which no task has started. */
     readonly waitingJobs: number;
     readonly ahead: readonly WorkAhead[];
+    /** Work of the jobs that arrived since the last observation. */
+    readonly arrivedCoreSeconds: number;
     /** Core equivalents that the queue's tasks hold. */
     readonly heldCores: number;
     /**
@@ -40,14 +45,17 @@
 const MIN_BACKLOG_MS = 10_000;
 /** After a longer gap, such as a pause of the leader, the rates are measured anew. */
 const MAX_GAP_MS = 2_000;
+/** Wait that stands for an endless one: the work that arrives takes all that is served. */
+const ENDLESS_MS = 3_600_000;
 /** Points of a queue's waits, at equal shares of its work. Bounds the size of the summary. */
 const MAX_POINTS = 4;
 
 interface QueueState {
     readonly backlogSince: number;
-    /** Duration of the backlog and work served during it, with the same decay. */
+    /** Duration of the backlog, and work served and arrived during it, with the same decay. */
     backlogMs: number;
     servedCoreMs: number;
+    arrivedCoreMs: number;
 }
 
 /** Creates a meter without observations. */
@@ -67,19 +75,25 @@
                 }
                 const servedCores = observation.heldCores + observation.freeCores;
                 const before = elapsedMs <= MAX_GAP_MS ? states.get(observation.queue) : undefined;
-                const state = before ?? { backlogSince: now, backlogMs: 0, servedCoreMs: 0 };
+                const state = before ?? { backlogSince: now, backlogMs: 0, servedCoreMs: 0, arrivedCoreMs: 0 };
                 if (before) {
                     state.backlogMs = state.backlogMs * decay + elapsedMs;
                     state.servedCoreMs = state.servedCoreMs * decay + elapsedMs * servedCores;
+                    state.arrivedCoreMs = state.arrivedCoreMs * decay + 1_000 * observation.arrivedCoreSeconds;
                 }
                 next.set(observation.queue, state);
                 if (now - state.backlogSince >= MIN_BACKLOG_MS) {
                     // A queue that takes over the workers of others is served faster than on average.
                     const rate = Math.max(state.servedCoreMs / state.backlogMs, servedCores);
                     if (rate > 0) {
+                        const waits = createPoints(observation.ahead, rate);
+                        const freeShare = 1 - state.arrivedCoreMs / state.backlogMs / rate;
                         loads.set(observation.queue, {
                             waitingJobs: observation.waitingJobs,
-                            waits: createPoints(observation.ahead, rate),
+                            lateWaitMs: freeShare > 0
+                                ? Math.min(ENDLESS_MS, waits.at(-1)!.waitMs / freeShare)
+                                : ENDLESS_MS,
+                            waits,
                         });
                     }
                 }
--- a/src/admission/loadSummary.ts
+++ b/src/admission/loadSummary.ts
@@ -12,6 +12,8 @@
 export interface QueueLoad {
     /** Number of jobs of which no task has started. */
     readonly waitingJobs: number;
+    /** Expected wait of a new job that cannot start within its slack, behind the jobs that still arrive. */
+    readonly lateWaitMs: number;
     /** By increasing slack; not empty. */
     readonly waits: readonly WaitPoint[];
 }
@@ -25,7 +27,7 @@
     readonly accountsBeyondGuarantee: ReadonlySet<string>;
 }
 
-/** Stored form. A queue's numbers are its waiting jobs, and then slack and wait of each point. */
+/** Stored form. A queue's numbers are its waiting jobs, the late wait, and then slack and wait of each point. */
 export interface EncodedSummary {
     readonly at: number;
     readonly queues: Readonly<Record<string, readonly number[]>>;
@@ -56,7 +58,11 @@
         .sort(([, a], [, b]) => getLongestWaitMs(b) - getLongestWaitMs(a))
         .map(([name, load]): [string, number[]] => [
             name,
-            [load.waitingJobs, ...load.waits.flatMap(point => [Math.floor(point.slackMs), Math.floor(point.waitMs)])],
+            [
+                load.waitingJobs,
+                Math.floor(load.lateWaitMs),
+                ...load.waits.flatMap(point => [Math.floor(point.slackMs), Math.floor(point.waitMs)]),
+            ],
         ])
         .filter(([name, numbers]) => take(`${JSON.stringify(name)}:${JSON.stringify(numbers)}`, remaining));
     return {
@@ -87,18 +93,18 @@
 }
 
 function decodeQueue(numbers: unknown): QueueLoad | undefined {
-    if (!Array.isArray(numbers) || !numbers.every(isAmount) || numbers.length < 3 || numbers.length % 2 === 0) {
+    if (!Array.isArray(numbers) || !numbers.every(isAmount) || numbers.length < 4 || numbers.length % 2 !== 0) {
         return undefined;
     }
     const waits: WaitPoint[] = [];
-    for (let index = 1; index < numbers.length; index += 2) {
+    for (let index = 2; index < numbers.length; index += 2) {
         const point = { slackMs: numbers[index]!, waitMs: numbers[index + 1]! };
         if (point.slackMs < (waits.at(-1)?.slackMs ?? 0)) {
             return undefined;
         }
         waits.push(point);
     }
-    return { waitingJobs: numbers[0]!, waits };
+    return { waitingJobs: numbers[0]!, lateWaitMs: numbers[1]!, waits };
 }
 
 /** Expected wait of a job with the most slack, in milliseconds. */
@@ -106,7 +112,7 @@
     return load.waits.at(-1)?.waitMs ?? 0;
 }
 
-/** Expected wait of a job with that slack; 0 if less than the first point's work is served before it. */
+/** Time until the work that is served before a job with that slack has started; 0 if that is less than a point's. */
 export function getWaitMs(load: QueueLoad, slackMs: number): number {
     return load.waits.findLast(point => point.slackMs <= slackMs)?.waitMs ?? 0;
 }
--- a/src/admission/retryAfter.ts
+++ b/src/admission/retryAfter.ts
@@ -6,14 +6,14 @@
     readonly jobId: string;
     /** Priority of the queue; 0 is the highest. */
     readonly priority: number;
-    readonly inputs: Pick<decide.DecisionInputs, "expectedWaitMs" | "maxWaitMs">;
+    readonly inputs: Pick<decide.DecisionInputs, "capacityInMs">;
     /** Time since this instance first refused the job; 0 on the first refusal. */
     readonly sinceFirstRefusalMs: number;
 }
 
 const MIN_RETRY_MS = 500;
 /** The forecast covers the work that waits now; a longer pause would outlast most overloads. */
-const MAX_EXCESS_MS = 12_000;
+const MAX_CAPACITY_IN_MS = 12_000;
 /** Callers of each lower priority return later by this share, up to four priorities. */
 const PRIORITY_SHARE = 0.25;
 const MAX_PRIORITY = 4;
@@ -22,12 +22,12 @@
 /** Most outages are shorter than 2 s; the longer one has lasted, the longer it is likely to last. */
 const MAX_OUTAGE_RETRY_MS = 2_000;
 
-/** Time until a job that is refused now could wait long enough, if work is served at the measured rate. */
+/** Time until a job like the refused one could start in time, if the waiting work is served at the measured rate. */
 export function getLoadRetryAfterMs(input: LoadRetryInput): number {
     const { inputs, jobId } = input;
-    const excessMs = clamp(inputs.expectedWaitMs - inputs.maxWaitMs, MIN_RETRY_MS, MAX_EXCESS_MS);
+    const capacityInMs = clamp(inputs.capacityInMs, MIN_RETRY_MS, MAX_CAPACITY_IN_MS);
     const factor = 1 + PRIORITY_SHARE * clamp(input.priority, 0, MAX_PRIORITY);
-    return Math.round(Math.max(MIN_RETRY_MS, spread(excessMs * factor, jobId) - input.sinceFirstRefusalMs));
+    return Math.round(Math.max(MIN_RETRY_MS, spread(capacityInMs * factor, jobId) - input.sinceFirstRefusalMs));
 }
 
 /** Time until a store that has not served this instance for `outageMs` is likely to serve it again. */
--- a/src/leader/queueLoads.ts
+++ b/src/leader/queueLoads.ts
@@ -19,6 +19,7 @@
     readonly workers: Iterable<entries.WorkerEntry>;
     isPlaceable(worker: entries.WorkerEntry): boolean;
     getAccount(name: string): catalog.Account | undefined;
+    readonly estimateRunMs: units.RunTimeEstimator;
 }
 
 /** The load of a term's queues. */
@@ -45,10 +46,11 @@
             if (state.now - observedAt < INTERVAL_MS) {
                 return;
             }
+            const arrivedAfter = observedAt;
             observedAt = state.now;
             summary = {
                 computedAt: state.wallNow,
-                queues: meter.observe(state.now, collectObservations(state)),
+                queues: meter.observe(state.now, collectObservations(state, arrivedAfter)),
                 accountsBeyondGuarantee: guarantees.findAccountsBeyondGuarantee(state.active, state.getAccount),
             };
         },
@@ -66,7 +68,7 @@
     };
 }
 
-function collectObservations(state: PassState): admission.QueueObservation[] {
+function collectObservations(state: PassState, arrivedAfter: number): admission.QueueObservation[] {
     const aheadByQueue = new Map<string, { queue: catalog.Queue; ahead: admission.WorkAhead[]; }>();
     for (const item of state.units) {
         const workAhead = item.tasks[0]!.worker ? undefined : getWorkAhead(item);
@@ -81,10 +83,14 @@
         return [];
     }
     const waitingJobs = new Map<string, number>();
+    const arrived = new Map<string, number>();
     for (const job of state.active) {
         if (job.state === "queued") {
             add(waitingJobs, job.queue.name, 1);
         }
+        if (job.learnedAt > arrivedAfter) {
+            add(arrived, job.queue.name, getCoreSeconds(job, state.estimateRunMs));
+        }
     }
     const heldCores = new Map<string, number>();
     const freeCores = new Map<string, number>();
@@ -103,6 +109,7 @@
         queue: queue.name,
         waitingJobs: waitingJobs.get(queue.name) ?? 0,
         ahead,
+        arrivedCoreSeconds: arrived.get(queue.name) ?? 0,
         heldCores: heldCores.get(queue.name) ?? 0,
         freeCores: freeCores.get(queue.service) ?? 0,
     }));
@@ -125,6 +132,14 @@
     };
 }
 
+/** Expected work of a job's occurrences. */
+function getCoreSeconds(job: entries.JobEntry, estimateRunMs: units.RunTimeEstimator): number {
+    return [...job.occurrences.values()].flatMap(occurrence => occurrence.steps).reduce(
+        (sum, step) => sum + step.tasks.length * decisions.getCoreEquivalents(step.needs) * estimateRunMs(step) / 1_000,
+        0,
+    );
+}
+
 /** Core equivalents of the share of a worker that is free in each dimension. */
 function getFreeCores(capacity: work.Resources, used: work.Resources): number {
     const getFreeShare = (total: number, taken: number) => total > 0 ? Math.max(0, 1 - taken / total) : 1;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -271,6 +271,7 @@
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, now),
             getAccount: options.catalog.getAccount,
+            estimateRunMs,
         });
 
     const runPass = () => {
