--- a/src/explain/__tests__/timeline.test.ts
+++ b/src/explain/__tests__/timeline.test.ts
@@ -9,8 +9,21 @@
 }
 
 /** A line of a submission with the given outcome. */
-function submitted(second: number, outcome: string, reason?: string): string {
-    return line(second, "request", { request: "r1", call: "submit", job: JOB, account: "x", outcome, reason });
+function submitted(
+    second: number,
+    outcome: string,
+    reason?: string,
+    fields: Record<string, unknown> = {},
+): string {
+    return line(second, "request", {
+        request: "r1",
+        call: "submit",
+        job: JOB,
+        account: "x",
+        outcome,
+        reason,
+        ...fields,
+    });
 }
 
 interface Case {
@@ -28,6 +41,20 @@
         verdict: { kind: "refused", reason: "the store cannot be reached" },
         text: "Refused, not run: the store cannot be reached.",
     },
+    {
+        name: "refused for load",
+        lines: [
+            submitted(1, "notAccepted", "refused for load", {
+                admission: "refused",
+                expectedWaitMs: 40_000,
+                maxWaitMs: 19_000,
+                loadAgeMs: 300,
+            }),
+        ],
+        verdict: { kind: "refusedForLoad", expectedWaitMs: 40_000, maxWaitMs: 19_000, loadAgeMs: 300 },
+        text: "Refused for load, not run: the expected wait of 40000 ms exceeds the 19000 ms after which the job earns "
+            + "nothing; the load was known as of 300 ms before.",
+    },
     {
         name: "accepted at the second attempt, and completed after a preemption",
         lines: [
--- a/src/explain/renderTimeline.ts
+++ b/src/explain/renderTimeline.ts
@@ -20,6 +20,10 @@
     switch (verdict.kind) {
         case "refused":
             return `Refused, not run: ${verdict.reason}.`;
+        case "refusedForLoad":
+            return `Refused for load, not run: the expected wait of ${verdict.expectedWaitMs} ms exceeds the `
+                + `${verdict.maxWaitMs} ms after which the job earns nothing; the load was known as of `
+                + `${verdict.loadAgeMs} ms before.`;
         case "undecided":
             return `Undecided, since the store did not answer: ${verdict.reason}.`;
         case "failed":
--- a/src/explain/timeline.ts
+++ b/src/explain/timeline.ts
@@ -14,6 +14,13 @@
 /** Outcome of the request, as far as the lines show it. */
 export type Verdict =
     | { readonly kind: "refused"; readonly reason: string; }
+    /** The expected wait was longer than the job could wait; the age is that of the leader's summary. */
+    | {
+        readonly kind: "refusedForLoad";
+        readonly expectedWaitMs: number;
+        readonly maxWaitMs: number;
+        readonly loadAgeMs: number;
+    }
     | { readonly kind: "undecided"; readonly reason: string; }
     | { readonly kind: "failed"; readonly runs: number; readonly workers: readonly string[]; }
     /** One of its tasks was given up because workers crashed while they ran it. */
@@ -129,6 +136,14 @@
     }
     const accepted = requestLines.some(line => line.event === "request" && line.fields["outcome"] === "accepted");
     const submitted = requestLines.findLast(line => line.event === "request" && line.fields["call"] === "submit");
+    if (!accepted && submitted?.fields["admission"] === "refused") {
+        return {
+            kind: "refusedForLoad",
+            expectedWaitMs: Number(submitted.fields["expectedWaitMs"]),
+            maxWaitMs: Number(submitted.fields["maxWaitMs"]),
+            loadAgeMs: Number(submitted.fields["loadAgeMs"]),
+        };
+    }
     if (!accepted && submitted?.fields["outcome"] === "notAccepted") {
         return { kind: "refused", reason: String(submitted.fields["reason"]) };
     }
--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -1,3 +1,4 @@
+import type * as admission from "../../admission/index";
 import type * as catalogs from "../../catalog/index";
 import * as clocks from "../../clock/index";
 import * as emulator from "../../emulator/index";
@@ -24,7 +25,8 @@
     readonly time: clocks.ManualClock;
     readonly store: emulator.EmulatedStore;
     readonly intake: intakes.Intake;
-    submit(): Promise<{ reply: intakes.IntakeReply; tookMs: number; }>;
+    readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
+    submit(jobId?: string): Promise<{ reply: intakes.IntakeReply; tookMs: number; }>;
 }
 
 interface OpenOptions {
@@ -35,6 +37,10 @@
     /** Time since the last answer of the store. */
     readonly silenceMs?: number;
     readonly countsAgeMs?: number;
+    /** Delay of calls that are carried out late. */
+    readonly lateMs?: number;
+    /** The leader's load as the instance knows it; without it the instance has no admission. */
+    readonly view?: admission.LoadView;
     /** Counts published by the leader; `complete` if they cover all queues. */
     readonly counts?: { readonly counts: Readonly<Record<string, number>>; readonly complete: boolean; };
 }
@@ -42,10 +48,13 @@
 function open(options: OpenOptions): Opened {
     const time = clocks.createManualClock(1_000);
     let calls = 0;
+    const lines: Array<Readonly<Record<string, unknown>>> = [];
+    const recordLine = (event: string, fields?: Readonly<Record<string, unknown>>) =>
+        void lines.push({ event, ...fields });
     const store = emulator.createEmulatedStore({
         clock: time,
         latencyMs: 5,
-        faults: { decide: () => options.decide?.(calls++) ?? "none", lateMs: 500 },
+        faults: { decide: () => options.decide?.(calls++) ?? "none", lateMs: options.lateMs ?? 500 },
     });
     const intake = intakes.createIntake({
         store: store.open("a"),
@@ -56,17 +65,18 @@
             getLatencyMs: () => 0,
         },
         clock: time,
-        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        log: { info: recordLine, warn: recordLine, error: recordLine },
         ...telemetry.createMetrics(),
         getMaxRowBytes: () => 65_536,
+        getLoadView: options.view && (() => options.view),
         getPublishedCounts: () => ({
             ...(options.counts ?? { counts: { q: 4 }, complete: true }),
             ageMs: options.countsAgeMs ?? 0,
         }),
     });
-    const submit = async () => {
+    const submit = async (jobId = JOB) => {
         const startedAt = time.now();
-        const pending = intake.submit(createCaller(time), JOB, SPEC);
+        const pending = intake.submit(createCaller(time), jobId, SPEC);
         let tookMs: number | undefined;
         void pending.then(() => {
             tookMs = time.now() - startedAt;
@@ -76,7 +86,7 @@
         }
         return { reply: await pending, tookMs };
     };
-    return { time, store, intake, submit };
+    return { time, store, intake, lines, submit };
 }
 
 function createCaller(time: clocks.Clock): intakes.Caller {
@@ -166,6 +176,107 @@
     });
 });
 
+/** A job of the queue can wait for no time at all: its objective is 0. */
+const OVERLOAD: admission.LoadView = {
+    summary: {
+        computedAt: 0,
+        queues: new Map([["q", { waitingJobs: 50, lateWaitMs: 40_000, waits: [{ slackMs: 0, waitMs: 20_000 }] }]]),
+        accountsBeyondGuarantee: new Set(),
+    },
+    ageMs: 300,
+};
+const OTHER_JOB = "00000000000000bb";
+
+describe("a submission to an overloaded queue", () => {
+    test("is refused after the job was looked up, stored nowhere, and logged with what decided", async () => {
+        const { store, lines, submit } = open({ view: OVERLOAD });
+        const { reply, tookMs } = await submit();
+        expect(reply).toMatchObject({ kind: "notAccepted", reason: "refused for load", final: true });
+        expect(tookMs).toBeLessThanOrEqual(10);
+        expect(store.getRows("jobs")).toEqual([]);
+        expect(lines.at(-1)).toMatchObject({
+            event: "request",
+            admission: "refused",
+            expectedWaitMs: 40_000,
+            maxWaitMs: 0,
+            loadAgeMs: 300,
+        });
+    });
+
+    test("is told to return sooner when it was refused before", async () => {
+        const { time, submit } = open({ view: OVERLOAD });
+        const first = (await submit()).reply;
+        await time.advance(5_000);
+        const second = (await submit()).reply;
+        if (first.kind !== "notAccepted" || second.kind !== "notAccepted") {
+            throw new Error("not refused");
+        }
+        expect(first.retryAfterMs - second.retryAfterMs).toBeGreaterThanOrEqual(5_000);
+    });
+
+    test("of a job that is stored already is accepted", async () => {
+        // Guards against an untrue refusal: the answer to the first submission was lost, and the caller sends it again.
+        const opened = open({ view: OVERLOAD });
+        opened.store.put({ table: "jobs", part: work.getIntakePart(JOB), key: JOB, value: "{}" });
+        expect((await opened.submit()).reply).toEqual({ kind: "accepted" });
+        expect((await opened.submit(OTHER_JOB)).reply).toMatchObject({ kind: "notAccepted" });
+    });
+
+    test("is not refused for load if the job cannot be looked up", async () => {
+        const { submit, lines } = open({ view: OVERLOAD, decide: call => call < 3 ? "refuse" : "none" });
+        expect((await submit()).reply).toEqual({ kind: "accepted" });
+        expect(lines.at(-1)).toMatchObject({ admission: "mayBeStored" });
+    });
+
+    test("of a job whose earlier write may still be carried out is not refused for load", async () => {
+        // Guards against an untrue refusal: the write of the first submission is carried out after the look-up. The
+        // overload begins after that submission, so it is not refused itself.
+        const view = { ...OVERLOAD, ageMs: 3_000 };
+        let isRefusing = true;
+        const decide = (call: number) => call === 0 ? "late" : isRefusing ? "refuse" : "none";
+        const opened = open({ view, lateMs: 6_000, decide });
+        expect((await opened.submit()).reply).toMatchObject({ kind: "undecided" });
+        Object.assign(view, { ageMs: 0 });
+        isRefusing = false;
+        expect((await opened.submit()).reply).toEqual({ kind: "accepted" });
+        expect(opened.lines.at(-1)).toMatchObject({ admission: "mayBeStored" });
+        expect((await opened.submit(OTHER_JOB)).reply).toMatchObject({ reason: "refused for load" });
+    });
+
+    test("is refused because of the store, not for load, while the store is unreachable", async () => {
+        const { reply, tookMs } = await open({ view: OVERLOAD, isUnreachable: true }).submit();
+        expect(reply).toMatchObject({ kind: "notAccepted", reason: "the store cannot be reached" });
+        expect(tookMs).toBeLessThanOrEqual(5);
+    });
+});
+
+describe("Retry-After while the store does not serve the instance", () => {
+    const IDS = Array.from({ length: 40 }, (_, number) => number.toString(16).padStart(16, "0"));
+    const getRetries = async (silenceMs: number, view?: admission.LoadView) => {
+        const { submit } = open({ isUnreachable: true, silenceMs, view });
+        const retries: number[] = [];
+        for (const id of IDS) {
+            const { reply, tookMs } = await submit(id);
+            expect(tookMs).toBeLessThanOrEqual(5);
+            retries.push(reply.kind === "notAccepted" ? reply.retryAfterMs : NaN);
+        }
+        return retries;
+    };
+
+    test("grows with the outage and is spread, with admission", async () => {
+        const early = await getRetries(100, OVERLOAD);
+        const late = await getRetries(5_000, OVERLOAD);
+        expect(Math.min(...early)).toBeGreaterThanOrEqual(500);
+        expect(Math.max(...early)).toBeLessThan(Math.min(...late));
+        expect(Math.max(...late)).toBeLessThanOrEqual(2_000);
+        expect(Math.max(...late) - Math.min(...late)).toBeGreaterThan(200);
+    });
+
+    test("is one second without admission", async () => {
+        expect(new Set(await getRetries(5_000))).toEqual(new Set([1_000]));
+    });
+});
+
 describe("a submission that can never run", () => {
     // Guards against leaders that crash while they read the jobs: a job of a billion tasks is accepted if only the
     // length of the request's body is limited.
--- a/src/leader/lease/__tests__/waitingCounts.test.ts
+++ b/src/leader/lease/__tests__/waitingCounts.test.ts
@@ -37,7 +37,11 @@
         });
     });
 
-    test("do not prevent the leader from renewing its lease", async () => {
+    const load = { at: 1, queues: Object.fromEntries(Object.keys(createCounts(80)).map(name => [name, [1, 2, 3, 4]])) };
+    test.each([
+        ["", undefined],
+        [" beside a summary of the load", load],
+    ])("do not prevent the leader from renewing its lease%s", async (_name, published) => {
         // Guards against terms that end a second after they began while the store answers: with 5,000 queues the counts
         // in the row of the lease made it longer than the store accepts.
         const time = clocks.createManualClock(0);
@@ -57,6 +61,7 @@
             power: 1,
             signal: stopping.signal,
             getWaitingCounts: () => createCounts(5_000),
+            getLoad: () => published,
             onRenewalOverdue: () => undefined,
             onElected: () => undefined,
         });
@@ -66,5 +71,10 @@
         const record = JSON.parse(row?.value ?? "{}") as leaseRecord.LeaseRecord;
         expect(Object.keys(record.waiting ?? {}).length).toBeGreaterThan(0);
         expect(Buffer.byteLength(row!.value)).toBeLessThan(ROW_BYTES);
+        // The counts give way to the summary: the row is no longer than without it.
+        expect(record.load).toEqual(published);
+        expect(Buffer.byteLength(JSON.stringify([record.waiting, record.load]))).toBeLessThanOrEqual(
+            waitingCounts.MAX_COUNTS_BYTES + 16,
+        );
     });
 });
--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -40,6 +40,7 @@
     const replies: ReadonlyArray<{ readonly name: string; readonly reply: relay.CallerReply; }> = [
         { name: "accepted", reply: { status: 200, body: { state: "running" } } },
         { name: "refused", reply: { status: 503, retryAfterMs: 900, body: { error: "r" } } },
+        { name: "refused for load", reply: { status: 503, retryAfterMs: 900, final: true, body: { error: "r" } } },
         { name: "without a body", reply: { status: 410 } },
     ];
     test.each(replies)("arrives unchanged, and so does its reply: $name", async ({ reply }) => {
--- a/src/relay/__tests__/relay.test.ts
+++ b/src/relay/__tests__/relay.test.ts
@@ -122,6 +122,23 @@
             asked: ["leader"],
             handled: true,
         },
+        {
+            // Guards against a refusal for load that occupies a second instance, and makes this one avoid it.
+            name: "is not passed on when it is refused here for load",
+            here: { ...refused, final: true },
+            answers: { leader: replied(accepted) },
+            reply: { ...refused, final: true },
+            asked: [],
+            handled: true,
+        },
+        {
+            name: "goes to no other peer when the first refuses it for load",
+            storeUnreachable: true,
+            answers: { a: replied({ ...refused, final: true }), b: replied(accepted) },
+            reply: { ...refused, final: true },
+            asked: ["a"],
+            handled: false,
+        },
         {
             name: "goes to the next peer if the first is unreachable",
             storeUnreachable: true,
