--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -1,4 +1,5 @@
 /** One term of leadership, from loading the stored state to the loss of the lease. */
+import type * as admission from "../admission/index";
 import type * as catalog from "../catalog/index";
 import type * as clock from "../clock/index";
 import * as decisions from "../decisions/index";
@@ -24,6 +25,7 @@
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
+import * as queueLoads from "./queueLoads";
 import * as reservations from "./reservations";
 import * as retention from "./retention";
 import * as sessions from "./sessions/index";
@@ -69,6 +71,8 @@
 export interface Term {
     /** Number of jobs by queue of which no task has started; `undefined` until the stored jobs are loaded. */
     getWaitingCounts(): Readonly<Record<string, number>> | undefined;
+    /** Summary of the load for admission; `undefined` before the first pass, and while admission is disabled. */
+    getLoad(): admission.EncodedSummary | undefined;
 }
 
 /** Delay that batches events into one pass; short compared with the round trip to a worker. */
@@ -301,6 +305,19 @@
     const headroom = disabledMechanisms.has("headroom")
         ? undefined
         : headrooms.createHeadroom({ log, meter, estimateRunMs, getNow: time.now });
+    const loads = disabledMechanisms.has("admission") ? undefined : queueLoads.createQueueLoads();
+    const observeLoads = (passUnits: readonly units.UnitOfTasks[], now: number) =>
+        loads?.observe({
+            now,
+            wallNow: time.wallTime(),
+            units: passUnits,
+            active: jobRegistry.active,
+            workers: registry.workers.values(),
+            isPlaceable: worker => isPlaceable(worker, now),
+            getAccount: options.catalog.getAccount,
+            estimateRunMs,
+        });
+
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -328,6 +345,7 @@
         shares?.sample();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
+            observeLoads(waiting, now);
             return;
         }
         const usable = [...registry.workers.values()].filter(worker => isPlaceable(worker, now));
@@ -364,6 +382,7 @@
             waiting,
             groups,
         });
+        observeLoads(waiting, now);
         const passMs = time.now() - now;
         passes.recordDuration(passMs);
         meter.record("pass_duration_ms", {}, passMs);
@@ -479,6 +498,7 @@
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
         }),
+        ...loads?.readGauges() ?? [],
     ]);
     signal.addEventListener("abort", () => {
         endGauges();
@@ -499,5 +519,6 @@
             }
             return counts;
         },
+        getLoad: () => loads?.getSummary(),
     };
 }
