--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -153,28 +153,36 @@
     for (const { worker } of hosts) {
         speeds.add(getSpeed(worker));
     }
-    /** Highest speed of each class. */
-    const tops: number[] = [];
+    const classBySpeed = new Map<number, number>();
+    const ranges: Array<{ minSpeed: number; readonly maxSpeed: number; readonly hosts: Host[]; }> = [];
     for (const speed of [...speeds].sort((a, b) => b - a)) {
-        if (tops.length === 0 || tops.at(-1)! > MAX_SPEED_RATIO * speed) {
-            tops.push(speed);
+        const current = ranges.at(-1);
+        if (current && current.maxSpeed <= MAX_SPEED_RATIO * speed) {
+            current.minSpeed = speed;
         }
+        else {
+            ranges.push({ minSpeed: speed, maxSpeed: speed, hosts: [] });
+        }
+        classBySpeed.set(speed, ranges.length - 1);
     }
-    if (tops.length <= 1) {
-        return [createPart(hosts, isMostlyFree)];
+    if (ranges.length <= 1) {
+        return [createPart({ minSpeed: 1, maxSpeed: 1, hosts }, isMostlyFree)];
     }
-    const members = tops.map((): Host[] => []);
     for (const host of hosts) {
-        const speed = getSpeed(host.worker);
-        while (speed <= (tops[host.speedClass + 1] ?? -Infinity)) {
-            host.speedClass++;
-        }
-        members[host.speedClass]!.push(host);
+        host.speedClass = classBySpeed.get(getSpeed(host.worker))!;
+        ranges[host.speedClass]!.hosts.push(host);
     }
-    return members.map(list => createPart(list, isMostlyFree));
+    return ranges.map(range => createPart(range, isMostlyFree));
 }
 
-function createPart(hosts: readonly Host[], isMostlyFree: () => boolean): Part {
+function createPart(
+    { minSpeed, maxSpeed, hosts }: {
+        readonly minSpeed: number;
+        readonly maxSpeed: number;
+        readonly hosts: readonly Host[];
+    },
+    isMostlyFree: () => boolean,
+): Part {
     const index = createHostIndex(hosts);
     let racks: ReadonlyMap<string, MutableRack> | undefined;
     const createRacks = () => {
@@ -184,12 +192,6 @@
         }
         return created;
     };
-    let minSpeed = Infinity;
-    let maxSpeed = 0;
-    for (const { worker } of hosts) {
-        minSpeed = Math.min(minSpeed, getSpeed(worker));
-        maxSpeed = Math.max(maxSpeed, getSpeed(worker));
-    }
     return {
         index,
         minSpeed,
