--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -128,7 +128,6 @@
             | "firstLooks"
             | "isolation"
             | "learnedDurations"
-            | "workerSpeeds"
             | "admission"
         >,
         number
@@ -159,6 +158,7 @@
     gangReservations: 21,
     headroom: 21,
     fairShares: 4,
+    workerSpeeds: 34,
 };
 
 describe("a batch", () => {
