The search for a reservation stops at the earliest start found so far

Cause: a pass of 4,800 workers and 10,000 waiting units in order of tier takes 72.9 ms, and with reservations 130 to 151 ms.

Change: the search in further racks leaves out ends that are not earlier than the best start.

Tests of the reservations: 18 of 18 pass.

--- a/src/decisions/reservation.ts
+++ b/src/decisions/reservation.ts
@@ -95,8 +95,8 @@
         reservedByService.get(host.worker.service)?.get(host.worker.id)?.unreserved
             ?? getFutureFree().hosts[host.order]!.free;
 
-    /** Times from which each further member fits on the host, at most one for each member of the unit. */
-    const listMemberTimes = (unit: types.WaitingUnit, host: fleets.Host): number[] => {
+    /** Times before `before` from which each further member fits on the host, at most one for each member of the unit. */
+    const listMemberTimes = (unit: types.WaitingUnit, host: fleets.Host, before = Infinity): number[] => {
         const available = resources.copyResources(getUnreserved(host));
         const times: number[] = [];
         const addTimes = (at: number) => {
@@ -110,6 +110,9 @@
             return times;
         }
         for (const { needs, endsAt } of getEnds(host.worker.id)) {
+            if (endsAt >= before) {
+                break;
+            }
             resources.addResources(available, needs);
             // Groups that this pass stops count both as free and as running.
             resources.capResources(available, host.worker.capacity);
@@ -120,9 +123,13 @@
         }
         return times;
     };
-    const findEarliestAmong = (unit: types.WaitingUnit, hosts: readonly fleets.Host[]): Choice | undefined => {
+    const findEarliestAmong = (
+        unit: types.WaitingUnit,
+        hosts: readonly fleets.Host[],
+        before = Infinity,
+    ): Choice | undefined => {
         const slots = hosts.filter(host => place.isEligible(unit, host.worker)).flatMap(host =>
-            listMemberTimes(unit, host).map(at => ({ host, at }))
+            listMemberTimes(unit, host, before).map(at => ({ host, at }))
         );
         if (slots.length < unit.count) {
             return undefined;
@@ -145,7 +152,7 @@
             return best;
         }
         for (const rack of racks) {
-            const choice = findEarliestAmong(unit, rack.hosts);
+            const choice = findEarliestAmong(unit, rack.hosts, best?.startsAt);
             if (choice && (!best || choice.startsAt < best.startsAt)) {
                 best = choice;
             }
