--- a/src/leader/execution.ts
+++ b/src/leader/execution.ts
@@ -15,10 +15,10 @@
     readonly meter: observe.Meter;
     getWorker(id: string): entries.WorkerEntry;
     readonly evacuations: Pick<evacuation.Evacuations, "list">;
-    /** Time since several workers of the service were lost at once, if gangs are placed on few workers for that reason. */
-    getLossAgeMs(service: string): number | undefined;
     /** Whether the unit has waited for a faster worker. */
     hasWaitedForSpeed(unitKey: string): boolean;
+    /** Time since several workers of the service were lost at once, if gangs are placed on few workers for that reason. */
+    getLossAgeMs(service: string): number | undefined;
     /** Resolves when all changes made so far are stored. */
     flush(): Promise<void>;
 }
@@ -61,7 +61,7 @@
 }
 
 function placeUnit(
-    { jobRegistry: registry, log, meter, getWorker, evacuations, getLossAgeMs, hasWaitedForSpeed }: ExecutionOptions,
+    { jobRegistry: registry, log, meter, getWorker, evacuations, hasWaitedForSpeed, getLossAgeMs }: ExecutionOptions,
     { unit, workerIds }: decisions.PlannedStart,
     tasks: readonly entries.TaskEntry[],
 ): sessions.PlacedTask[] {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -13,6 +13,7 @@
 import * as followIntake from "./followIntake";
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
+import * as headrooms from "./headroom";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
@@ -22,6 +23,7 @@
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
+import * as reservations from "./reservations";
 import * as retention from "./retention";
 import * as sessions from "./sessions/index";
 import * as slowWorkers from "./slowWorkers";
@@ -271,8 +273,8 @@
         estimateRunMs,
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
-        getLossAgeMs,
         getRunSpeed: naturalSpeeds.getRunSpeed,
+        getLossAgeMs,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -283,6 +285,12 @@
         hasSession: worker => registry.getSession(worker) !== undefined,
     });
 
+    const reservationKeeper = disabledMechanisms.has("gangReservations")
+        ? undefined
+        : reservations.createReservationKeeper({ log, meter, estimateRunMs, getWorker: registry.getWorker });
+    const headroom = disabledMechanisms.has("headroom")
+        ? undefined
+        : headrooms.createHeadroom({ log, meter, estimateRunMs, getNow: time.now });
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -302,11 +310,11 @@
             log,
             disabledMechanisms,
         });
+        naturalSpeeds.update();
         const nextStopAt = leaving.decide();
         if (nextStopAt !== undefined) {
             planPass(Math.max(0, nextStopAt - now));
         }
-        naturalSpeeds.update();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             return;
@@ -323,7 +331,10 @@
                 groups = units.collectRunningGroups(jobRegistry.active, view);
                 return [...groups.values()].map(item => item.group);
             },
+            reservations: reservationKeeper?.getInput(now),
+            mayStart: headroom?.observe(waiting, now),
         });
+        reservationKeeper?.record(plan, now, waiting);
         naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
         execution.executePlan({
             jobRegistry,
@@ -333,8 +344,8 @@
             meter,
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
-            getLossAgeMs,
             hasWaitedForSpeed: naturalSpeeds.hasWaited,
+            getLossAgeMs,
             flush: writer.flush,
         }, {
             plan,
@@ -376,8 +387,9 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
-        ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
+        ...(headroom ? [headroom.section] : []),
         ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
+        ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -446,13 +458,13 @@
     meter.increment("terms_total");
     const endGauges = meter.registerGauges(() => [
         ...naturalSpeeds.readGauges(),
+        ...leaving.readGauges(),
         ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
         }),
-        ...leaving.readGauges(),
     ]);
     signal.addEventListener("abort", () => {
         endGauges();
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -29,10 +29,10 @@
     readonly policy: decisions.Policy;
     /** Whether the job is covered by its account's guarantee. */
     isGuaranteed(job: entries.JobEntry): boolean;
-    /** Time since several workers of the service were lost at once; `undefined` if it is long ago, or gangs ignore it. */
-    getLossAgeMs?(service: string): number | undefined;
     /** Speed of the worker that a task runs on, relative to the typical one; by default 1. */
     getRunSpeed?(task: entries.TaskEntry): number;
+    /** Time since several workers of the service were lost at once; `undefined` if it is long ago, or gangs ignore it. */
+    getLossAgeMs?(service: string): number | undefined;
 }
 
 /** Collects the units that can be placed now, in the order of the policy. */
@@ -104,6 +104,7 @@
         allowedWorkerIds: job.queue.advice ? getTicketedWorkerIds(step, options.now) : undefined,
         waitedMs,
         expectedDurationMs: options.estimateRunMs(step),
+        objectiveMs: spec.gang ? urgency.objectiveMs : undefined,
         inTimeDurationMs: urgency.objectiveMs - urgency.ageMs
             - (urgency.remainingMs - options.estimateRunMs(step)),
     };
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -38,6 +38,7 @@
         }),
         fixtures.createJob(4, long, { queue: "batch" }),
         fixtures.createJob(5, long, { queue: "batch" }),
+        fixtures.createJob(7, { gang: true, count: 3, needs: { ...WHOLE_MEMORY, memoryMb: 30_000 } }),
     ]);
     site.workers.add({ ...fixtures.createWorkerInfo(9), service: "nobody's" });
     await site.clock.advance(4_000);
@@ -99,11 +100,26 @@
     return text;
 }
 
+/** Runs a site on which the start of a task is deferred for urgent work, and returns its metrics as text. */
+async function runSiteWithDeferral(): Promise<string> {
+    const site = await fixtures.openSiteWithUrgentWaves();
+    await fixtures.advanceUntilSettled(site.clock, site.submit(fixtures.createJob(1, { estimateMs: 4_000 }), 1));
+    await site.clock.advance(1_000);
+    site.close();
+    return site.metrics.render();
+}
+
 describe("metrics", () => {
     let served: string;
 
     beforeAll(async () => {
-        served = await runSiteWithFailures() + await runUnevenSite() + await runSiteWithDepartures();
+        const sites = [
+            await runSiteWithFailures(),
+            await runUnevenSite(),
+            await runSiteWithDepartures(),
+            await runSiteWithDeferral(),
+        ];
+        served = sites.join("\n");
     });
 
     test.each(NAMES)("%s has a value under its labels after failures of all kinds", name => {
