--- a/src/explain/__tests__/jobReport.test.ts
+++ b/src/explain/__tests__/jobReport.test.ts
@@ -51,6 +51,17 @@
         served: "inTime",
         delays: { entry: 0, place: 1_000, longRun: 0 },
     },
+    {
+        name: "placed after work of an account with less usage",
+        lines: [
+            submitted(0, "accepted"),
+            line(1, "decidedByUsage", { kind: "start", unit: `${OTHER}.0.0.0`, overtaken: `${JOB}.0.0.0` }),
+            placed(2, "0.0.0", 2_000),
+            ended(4),
+        ],
+        served: "inTime",
+        delays: { entry: 0, placeByUsage: 2_000, longRun: 0 },
+    },
     {
         name: "late because its first submission was refused",
         lines: [
--- a/src/explain/jobReport.ts
+++ b/src/explain/jobReport.ts
@@ -13,7 +13,8 @@
 
 /**
  * Time beyond the expected duration of the work, in milliseconds by cause: `entry` until the job was accepted, `place`
- * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, the reason for which a run was lost, or `longRun` for the excess of the last runs over
+ * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, or `placeByUsage` if work of an
+ * account with less usage was started before, the reason for which a run was lost, or `longRun` for the excess of the last runs over
  * their expected duration, on slow workers, on another rack than their data or because of a wrong estimate.
  */
 export type Delays = Readonly<Record<string, number>>;
@@ -66,6 +67,8 @@
     lostMs: number;
     /** Reason for which the first of these runs ended. */
     lostReason: string | undefined;
+    /** Whether work of an account with less usage was started before it while it waited. */
+    overtaken: boolean;
 }
 
 /** What the lines processed so far contain of one job. */
@@ -132,10 +135,18 @@
         case "placed": {
             const unit = findUnit(records, fields["unit"], true);
             if (unit) {
-                const reason = unit.lostReason ?? (fields["evacuatedZones"] ? "placeWithoutZone" : "place");
+                const reason = unit.lostReason ?? getPlaceReason(unit, fields);
                 addDelay(unit, reason, Number(fields["waitedMs"]) + unit.lostMs);
                 unit.lostMs = 0;
                 unit.lostReason = undefined;
+                unit.overtaken = false;
+            }
+            break;
+        }
+        case "decidedByUsage": {
+            const unit = fields["kind"] === "start" ? findUnit(records, fields["overtaken"], true) : undefined;
+            if (unit) {
+                unit.overtaken = true;
             }
             break;
         }
@@ -161,6 +172,13 @@
     }
 }
 
+function getPlaceReason(unit: Unit, fields: logLine.LogLine["fields"]): string {
+    if (fields["evacuatedZones"]) {
+        return "placeWithoutZone";
+    }
+    return unit.overtaken ? "placeByUsage" : "place";
+}
+
 function processSubmission(records: Map<string, JobRecord>, line: logLine.LogLine): void {
     const { fields } = line;
     const jobId = String(fields["job"]);
@@ -208,7 +226,7 @@
         // Undefined if the line that places the run is missing: a busy leader omits lines.
         return known;
     }
-    const unit = { delays: new Map<string, number>(), lostMs: 0, lostReason: undefined };
+    const unit = { delays: new Map<string, number>(), lostMs: 0, lostReason: undefined, overtaken: false };
     units.set(text, unit);
     steps.set(step, units);
     return unit;
