--- a/src/explain/jobReport.ts
+++ b/src/explain/jobReport.ts
@@ -15,7 +15,8 @@
  * Time beyond the expected duration of the work, in milliseconds by cause: `entry` until the job was accepted, `place`
  * until its units were placed, or `placeWithoutZone` if a zone was evacuated then, `placeForSpeed` if it waited for
  * workers that are fast enough, `placeReserved` if workers were reserved for it, `placeDeferred` if its start was deferred
- * for urgent work, the reason for which a run was lost, or `longRun` for the excess of the last runs over
+ * for urgent work, `placeByUsage` if work of an account with less usage was started before it, the reason for which a run
+ * was lost, or `longRun` for the excess of the last runs over
  * their expected duration, on slow workers, on another rack than their data or because of a wrong estimate.
  */
 export type Delays = Readonly<Record<string, number>>;
@@ -152,6 +153,13 @@
             }
             break;
         }
+        case "decidedByUsage": {
+            const unit = fields["kind"] === "start" ? findUnit(records, fields["overtaken"], true) : undefined;
+            if (unit) {
+                unit.waitCause = "placeByUsage";
+            }
+            break;
+        }
         case "runEnded":
         case "runFailed":
         case "runLost": {
