--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -122,7 +122,12 @@
     Record<
         Exclude<
             decisions.Mechanism,
-            "unansweredLooks" | "repeatedOrders" | "relay" | "firstLooks" | "isolation" | decisions.OptionalMechanism
+            | "unansweredLooks"
+            | "repeatedOrders"
+            | "relay"
+            | "firstLooks"
+            | "isolation"
+            | Exclude<decisions.OptionalMechanism, "admission">
         >,
         number
     >
@@ -147,6 +152,7 @@
     handover: 32,
     heartbeats: 21,
     prolonging: 27,
+    admission: 11,
 };
 
 describe("a batch", () => {
