--- a/src/decisions/fleet.ts
+++ b/src/decisions/fleet.ts
@@ -16,6 +16,8 @@
     /** Modified only by `Fleet.updateFree`, which keeps the index consistent. */
     readonly free: resources.MutableResources;
     readonly rack: Rack;
+    /** Index of its speed class; set when the classes are first needed. */
+    speedClass: number;
 }
 
 /** The hosts of one service in one rack. */
@@ -42,10 +44,19 @@
     iterateFullestFirst(needs: work.Resources): Iterable<Host>;
 }
 
+/** The hosts of one service whose speeds are similar. */
+export interface SpeedClass {
+    readonly minSpeed: number;
+    readonly maxSpeed: number;
+    readonly pool: Pool;
+}
+
 /** All workers of a pass. */
 export interface Fleet {
     readonly hosts: readonly Host[];
     getPool(service: string): Pool;
+    /** The speed classes of a service, the fastest first; empty if all its workers are equally fast. */
+    getSpeedClasses(service: string): readonly SpeedClass[];
     getHost(workerId: string): Host | undefined;
     /** Modifies the free resources of a host by `apply` and updates the index. */
     updateFree(host: Host, apply: (free: resources.MutableResources) => void): void;
@@ -65,6 +76,7 @@
     return {
         hosts,
         getPool: service => getOrCreate(pools, service, createPool),
+        getSpeedClasses: service => getOrCreate(pools, service, createPool).getSpeedClasses(),
         getHost: workerId => {
             hostsById ??= new Map(hosts.map(host => [host.worker.id, host]));
             return hostsById.get(workerId);
@@ -81,55 +93,171 @@
 /** Exceeds the millicores of any worker, so that cores never outweigh an accelerator. */
 const CPU_TIE_SCALE = 1e6;
 
+/** The speed of a worker relative to the typical one. */
+export function getSpeed(worker: types.PlaceableWorker): number {
+    return worker.speed ?? 1;
+}
+
+/** Just below the step of 15% to which measured speeds are rounded; smaller differences make no class. */
+const MAX_SPEED_RATIO = 1.14;
+
 interface MutablePool extends Pool {
     add(worker: types.PlaceableWorker, order: number, free: resources.MutableResources): Host;
     updateFree(host: Host, apply: (free: resources.MutableResources) => void): void;
+    getSpeedClasses(): readonly SpeedClass[];
+}
+
+/** The hosts of a speed class, sorted by their free resources. */
+interface Part extends SpeedClass {
+    readonly index: HostIndex;
+    /** Must be called when the free resources of a host in that rack have changed. */
+    invalidateRack(name: string): void;
 }
 
 function createPool(): MutablePool {
     const racks = new Map<string, MutableRack>();
     const hosts: Host[] = [];
     let mostlyFree: boolean | undefined;
-    /** Hosts by number of free accelerators; each list is sorted by free cores, then by order. */
-    const lists = new Map<number, Host[]>();
-    let sorted = true;
-    /** Keys of `lists`, ascending. */
-    let levels: number[] = [];
-
-    const sort = () => {
-        if (!sorted) {
-            lists.forEach(list => list.sort(compareHosts));
-            sorted = true;
-        }
-    };
-    const getList = (accelerators: number) =>
-        getOrCreate(lists, accelerators, () => {
-            levels = [...levels, accelerators].sort((a, b) => a - b);
-            return [];
-        });
+    const isMostlyFree = () => mostlyFree ??= isHalfFree(hosts);
+    let parts: readonly Part[] | undefined;
+    const getParts = () => parts ??= createParts(hosts, isMostlyFree);
     return {
         racks,
-        isMostlyFree: () => mostlyFree ??= isHalfFree(hosts),
+        isMostlyFree,
         add: (worker, order, free) => {
             const rack = getOrCreate(racks, worker.rack, () => createRack(worker.rack));
-            const host = { worker, order, free, rack };
+            const host = { worker, order, free, rack, speedClass: 0 };
             rack.add(host);
             hosts.push(host);
-            getList(free.accelerators).push(host);
-            sorted = false;
             return host;
         },
         updateFree: (host, apply) => {
-            sort();
-            const before = lists.get(host.free.accelerators)!;
-            before.splice(findPosition(before, host.free.cpuMillis, host.order), 1);
+            const { index, invalidateRack } = getParts()[host.speedClass]!;
+            index.remove(host);
             apply(host.free);
-            const after = getList(host.free.accelerators);
-            after.splice(findPosition(after, host.free.cpuMillis, host.order), 0, host);
+            index.insert(host);
             (host.rack as MutableRack).invalidate();
+            invalidateRack(host.worker.rack);
+        },
+        iterateFullestFirst: needs => {
+            const all = getParts();
+            return all.length === 1 ? all[0]!.index.iterate(needs) : mergeFullestFirst(all, needs);
+        },
+        getSpeedClasses: () => getParts().length > 1 ? getParts() : [],
+    };
+}
+
+/** Splits hosts by speed class, the fastest first; one part if all are similar. */
+function createParts(hosts: readonly Host[], isMostlyFree: () => boolean): readonly Part[] {
+    const speeds = new Set<number>();
+    for (const { worker } of hosts) {
+        speeds.add(getSpeed(worker));
+    }
+    /** Highest speed of each class. */
+    const tops: number[] = [];
+    for (const speed of [...speeds].sort((a, b) => b - a)) {
+        if (tops.length === 0 || tops.at(-1)! > MAX_SPEED_RATIO * speed) {
+            tops.push(speed);
+        }
+    }
+    if (tops.length <= 1) {
+        return [createPart(hosts, isMostlyFree)];
+    }
+    const members = tops.map((): Host[] => []);
+    for (const host of hosts) {
+        const speed = getSpeed(host.worker);
+        while (speed <= (tops[host.speedClass + 1] ?? -Infinity)) {
+            host.speedClass++;
+        }
+        members[host.speedClass]!.push(host);
+    }
+    return members.map(list => createPart(list, isMostlyFree));
+}
+
+function createPart(hosts: readonly Host[], isMostlyFree: () => boolean): Part {
+    const index = createHostIndex(hosts);
+    let racks: ReadonlyMap<string, MutableRack> | undefined;
+    const createRacks = () => {
+        const created = new Map<string, MutableRack>();
+        for (const host of hosts) {
+            getOrCreate(created, host.worker.rack, () => createRack(host.worker.rack)).add(host);
+        }
+        return created;
+    };
+    let minSpeed = Infinity;
+    let maxSpeed = 0;
+    for (const { worker } of hosts) {
+        minSpeed = Math.min(minSpeed, getSpeed(worker));
+        maxSpeed = Math.max(maxSpeed, getSpeed(worker));
+    }
+    return {
+        index,
+        minSpeed,
+        maxSpeed,
+        pool: {
+            isMostlyFree,
+            get racks() {
+                return racks ??= createRacks();
+            },
+            iterateFullestFirst: index.iterate,
+        },
+        invalidateRack: name => racks?.get(name)?.invalidate(),
+    };
+}
+
+function* mergeFullestFirst(parts: readonly Part[], needs: work.Resources): Iterable<Host> {
+    const iterators = parts.map(({ index }) => index.iterate(needs)[Symbol.iterator]());
+    const heads = iterators.map(iterator => iterator.next());
+    for (;;) {
+        let first = -1;
+        heads.forEach((head, number) => {
+            if (!head.done && (first < 0 || compareFullestFirst(head.value, heads[first]!.value as Host) < 0)) {
+                first = number;
+            }
+        });
+        if (first < 0) {
+            return;
+        }
+        yield heads[first]!.value as Host;
+        heads[first] = iterators[first]!.next();
+    }
+}
+
+function compareFullestFirst(a: Host, b: Host): number {
+    return a.free.accelerators - b.free.accelerators || compareHosts(a, b);
+}
+
+/** Hosts sorted by their free resources. */
+interface HostIndex {
+    /** Removes a host until `insert`, since its free resources are about to change. */
+    remove(host: Host): void;
+    insert(host: Host): void;
+    /** Hosts that may fit such a member, the fullest first. */
+    iterate(needs: work.Resources): Iterable<Host>;
+}
+
+function createHostIndex(hosts: readonly Host[]): HostIndex {
+    /** Hosts by number of free accelerators; each list is sorted by free cores, then by order. */
+    const lists = new Map<number, Host[]>();
+    /** Keys of `lists`, ascending. */
+    let levels: number[] = [];
+    const getList = (accelerators: number) =>
+        getOrCreate(lists, accelerators, () => {
+            levels = [...levels, accelerators].sort((a, b) => a - b);
+            return [];
+        });
+    hosts.forEach(host => getList(host.free.accelerators).push(host));
+    lists.forEach(list => list.sort(compareHosts));
+    return {
+        remove: host => {
+            const list = lists.get(host.free.accelerators)!;
+            list.splice(findPosition(list, host.free.cpuMillis, host.order), 1);
+        },
+        insert: host => {
+            const list = getList(host.free.accelerators);
+            list.splice(findPosition(list, host.free.cpuMillis, host.order), 0, host);
         },
-        *iterateFullestFirst(needs) {
-            sort();
+        *iterate(needs) {
             for (const level of levels) {
                 if (needs.accelerators > 0 && level < needs.accelerators) {
                     continue;
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -8,7 +8,7 @@
     OPTIONAL_MECHANISMS,
     type OptionalMechanism,
 } from "./mechanism";
-export { getLatenessClass, LatenessClass, type Urgency } from "./order";
+export { getLatenessClass, getSlackMs, getUsageStep, LatenessClass, type Urgency } from "./order";
 export { decidePace, type PaceInput } from "./pace";
 export { plan } from "./plan";
 export { disableMechanisms, POLICIES, type Policy, type PolicyName } from "./policy";
@@ -35,6 +35,7 @@
 export { isMoveWorthwhile, PREEMPTION_BACKOFF_MS } from "./stopCost";
 export {
     type DisruptionBudget,
+    type ExpectedEnd,
     Occupancy,
     type PlaceableWorker,
     type Plan,
@@ -42,7 +43,10 @@
     type PlannedStart,
     type PlannedStop,
     PreemptionTier,
+    type Reservation,
+    type ReservationInput,
     type RunningGroup,
+    type SpeedChoice,
     TIER_NAMES,
     type WaitingUnit,
 } from "./types";
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -6,6 +6,7 @@
 import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
+import * as accountShares from "./accountShares";
 import * as advice from "./advice";
 import * as bestEffortPacing from "./bestEffortPacing";
 import type * as directory from "./directory";
@@ -14,15 +15,18 @@
 import * as followIntake from "./followIntake";
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
+import * as headrooms from "./headroom";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
 import type * as leases from "./lease/index";
+import * as leavingWorkers from "./leavingWorkers";
 import type * as machines from "./machines";
 import * as passTimer from "./passTimer";
 import * as placementFilter from "./placementFilter";
 import * as progressWriter from "./progressWriter";
 import * as queueLoads from "./queueLoads";
+import * as reservations from "./reservations";
 import * as retention from "./retention";
 import * as sessions from "./sessions/index";
 import * as slowWorkers from "./slowWorkers";
@@ -32,6 +36,7 @@
 import * as thrownAways from "./thrownAway";
 import * as units from "./units";
 import * as upkeep from "./upkeep/index";
+import * as workerSpeeds from "./workerSpeeds";
 
 export interface TermOptions {
     readonly store: rows.RowStore;
@@ -93,6 +98,14 @@
     const { disabledMechanisms } = options.policy;
     const pollWaitMs = Math.round(Math.min(MAX_POLL_WAIT_MS, POLL_SHARE * options.maxLeaseMs));
     const predictor = decisions.createPredictor();
+    const naturalSpeeds = workerSpeeds.createWorkerSpeeds({
+        clock: time,
+        disabledMechanisms,
+        log,
+        meter,
+        getTask: name => jobRegistry.getTask(name),
+        getWorker: id => registry.getWorker(id),
+    });
     const pollLimiter = sessions.createInitialPollLimiter(
         time,
         options.policy.disabledMechanisms.has("firstLooks") ? Infinity : undefined,
@@ -164,11 +177,12 @@
             leadership,
             pollLimiter,
             maxLeaseMs: options.maxLeaseMs,
-            isBusy: () => worker.tasks.size > 0 || worker.unknownRunCount > 0,
-            getPollWaitMs: () => taskWatchdog.getPollWaitMs(worker, pollWaitMs),
+            isBusy: () => worker.tasks.size > 0 || worker.unknownRunCount > 0 || leaving.isObserved(worker),
+            getPollWaitMs: () => leaving.getPollWaitMs(worker, taskWatchdog.getPollWaitMs(worker, pollWaitMs)),
             onPollResult: async pollResult => {
                 for (const end of pollResult.ended) {
                     recordRunTime(end);
+                    naturalSpeeds.recordEnd(end);
                 }
                 sessions.reconcile(
                     { jobRegistry, clock: time, log, stopUnknownRun: orders.stopUnknownRun },
@@ -182,6 +196,7 @@
                     disabledMechanisms,
                     getUrgency: step => units.getUrgency(step, createView(new Set())),
                 });
+                naturalSpeeds.recordPoll(worker);
                 bestEffortPacing.paceBestEffortTasks(worker, orders.pace);
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
@@ -205,7 +220,7 @@
             predictor.learn(
                 task.step.occurrence.job.queue.name,
                 task.step.spec.estimateMs,
-                time.now() - task.runningSince,
+                (time.now() - task.runningSince) * naturalSpeeds.getRunSpeed(task),
             );
         }
     };
@@ -232,12 +247,14 @@
         options.directory.follow(signal, workersListed => {
             listed = workersListed;
             registry.applyDirectory(listed);
+            leaving.follow(registry.workers);
         });
         while (!signal.aborted) {
             await time.sleep(DIRECTORY_CHECK_MS, signal);
             // Workers that are no longer listed expire without a change of the directory.
             if (listed && !signal.aborted) {
                 registry.applyDirectory(listed);
+                leaving.follow(registry.workers);
             }
         }
     };
@@ -245,12 +262,33 @@
     const activePredictor = disabledMechanisms.has("prediction") ? decisions.createPredictor() : predictor;
     const estimateRunMs: units.RunTimeEstimator = step =>
         activePredictor.predict(step.occurrence.job.queue.name, step.spec.estimateMs);
+    const leaving = leavingWorkers.createLeavingWorkers({
+        clock: time,
+        log,
+        meter,
+        jobRegistry,
+        estimateTaskMs: task => estimateRunMs(task.step) / naturalSpeeds.getRunSpeed(task),
+        maxLeaseMs: options.maxLeaseMs,
+        disabledMechanisms,
+    });
+    const getLossAgeMs = disabledMechanisms.has("gangExposure") ? () => undefined : leaving.getLossAgeMs;
+    const shares = disabledMechanisms.has("fairShares") ? undefined : accountShares.createAccountShares({
+        log,
+        meter,
+        catalog: options.catalog,
+        active: jobRegistry.active,
+        now: time.now,
+        getWorkers: () => registry.workers.values(),
+    });
     const createView = (guaranteed: ReadonlySet<entries.JobEntry>): units.UnitsOptions => ({
         now: time.now(),
         wallNow: time.wallTime(),
         estimateRunMs,
         policy: options.policy,
         isGuaranteed: job => guaranteed.has(job),
+        getRunSpeed: naturalSpeeds.getRunSpeed,
+        getLossAgeMs,
+        getUsage: shares?.getUsage,
     });
 
     const { isPlaceable, findStartObstacle } = placementFilter.createPlacementFilter({
@@ -274,6 +312,12 @@
             estimateRunMs,
         });
 
+    const reservationKeeper = disabledMechanisms.has("gangReservations")
+        ? undefined
+        : reservations.createReservationKeeper({ log, meter, estimateRunMs, getWorker: registry.getWorker });
+    const headroom = disabledMechanisms.has("headroom")
+        ? undefined
+        : headrooms.createHeadroom({ log, meter, estimateRunMs, getNow: time.now });
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
@@ -288,10 +332,17 @@
         taskWatchdog.stopUnviableTasks([...registry.workers.values()], {
             now,
             estimateRunMs,
+            getRunSpeed: naturalSpeeds.getRunSpeed,
             jobRegistry,
             log,
             disabledMechanisms,
         });
+        naturalSpeeds.update();
+        const nextStopAt = leaving.decide();
+        if (nextStopAt !== undefined) {
+            planPass(Math.max(0, nextStopAt - now));
+        }
+        shares?.sample();
         const waiting = units.collectWaitingUnits(jobRegistry.active, view);
         if (waiting.length === 0) {
             observeLoads(waiting, now);
@@ -303,13 +354,18 @@
         const plan = decisions.plan({
             now,
             disabledMechanisms,
-            workers: usable.map(units.toPlaceableWorker),
+            workers: usable.map(worker => units.toPlaceableWorker(worker, naturalSpeeds.getSpeed(worker))),
             units: waiting.map(item => item.unit),
             getRunningGroups: () => {
                 groups = units.collectRunningGroups(jobRegistry.active, view);
                 return [...groups.values()].map(item => item.group);
             },
+            reservations: reservationKeeper?.getInput(now),
+            mayStart: headroom?.observe(waiting, now),
         });
+        reservationKeeper?.record(plan, now, waiting);
+        naturalSpeeds.recordChoices(plan.speedChoices ?? [], waiting);
+        shares?.recordDecisions({ plan, waiting, groups });
         execution.executePlan({
             jobRegistry,
             orders,
@@ -318,6 +374,8 @@
             meter,
             getWorker: registry.getWorker,
             evacuations: options.evacuations,
+            hasWaitedForSpeed: naturalSpeeds.hasWaited,
+            getLossAgeMs,
             flush: writer.flush,
         }, {
             plan,
@@ -360,6 +418,10 @@
         ...(disabledMechanisms.has("learnedDurations")
             ? []
             : [{ name: "durations", encode: predictor.encode, restore: predictor.restore }]),
+        ...(headroom ? [headroom.section] : []),
+        ...(disabledMechanisms.has("workerSpeeds") ? [] : [naturalSpeeds.section]),
+        ...(disabledMechanisms.has("departures") && disabledMechanisms.has("gangExposure") ? [] : [leaving.section]),
+        ...(shares ? [shares.section] : []),
     ];
     const learnedState = learned.createLearnedState({
         store: options.store,
@@ -427,6 +489,9 @@
     };
     meter.increment("terms_total");
     const endGauges = meter.registerGauges(() => [
+        ...naturalSpeeds.readGauges(),
+        ...leaving.readGauges(),
+        ...shares?.readGauges() ?? [],
         ...gauges.readGauges({
             active: jobRegistry.active,
             workers: registry.workers.values(),
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -16,6 +16,10 @@
 /** A group of placed tasks that are stopped together, and its tasks. */
 export interface GroupOfTasks {
     readonly group: decisions.RunningGroup;
+    /** Urgency of the work as if it had not started. */
+    readonly urgency: decisions.Urgency;
+    /** The group's cost of a stop if usage did not count. */
+    readonly costWithoutUsage: number;
     readonly tasks: readonly entries.TaskEntry[];
 }
 
@@ -29,6 +33,12 @@
     readonly policy: decisions.Policy;
     /** Whether the job is covered by its account's guarantee. */
     isGuaranteed(job: entries.JobEntry): boolean;
+    /** Speed of the worker that a task runs on, relative to the typical one; by default 1. */
+    getRunSpeed?(task: entries.TaskEntry): number;
+    /** Time since several workers of the service were lost at once; `undefined` if it is long ago, or gangs ignore it. */
+    getLossAgeMs?(service: string): number | undefined;
+    /** Usage of the job's account, relative to its fair share; `undefined` if it does not count now. */
+    getUsage?(job: entries.JobEntry): number | undefined;
 }
 
 /** Collects the units that can be placed now, in the order of the policy. */
@@ -87,6 +97,7 @@
         count: tasks.length,
         gang: spec.gang,
         sameRack: spec.gang && spec.sameRack,
+        fewWorkers: isExposed(step, options) || undefined,
         requiredLabel: spec.requiredLabel,
         dataRack: spec.dataRack,
         maxPerWorker: spec.maxPerWorker,
@@ -99,9 +110,20 @@
         allowedWorkerIds: job.queue.advice ? getTicketedWorkerIds(step, options.now) : undefined,
         waitedMs,
         expectedDurationMs: options.estimateRunMs(step),
+        objectiveMs: spec.gang ? urgency.objectiveMs : undefined,
+        inTimeDurationMs: urgency.objectiveMs - urgency.ageMs
+            - (urgency.remainingMs - options.estimateRunMs(step)),
     };
 }
 
+/** Whether the loss of one worker would cost much: the whole gang without checkpoints, or the wait of a wide one. */
+function isExposed({ spec, tasks, occurrence }: entries.StepEntry, options: UnitsOptions): boolean {
+    return spec.gang && tasks.length > 1 && (!spec.checkpoints || tasks.length >= WIDE_GANG_MEMBERS)
+        && options.getLossAgeMs?.(occurrence.job.queue.service) !== undefined;
+}
+
+const WIDE_GANG_MEMBERS = 8;
+
 /** Wait after which a task that may crash its worker is placed on any worker where it fits. */
 const ISOLATION_MAX_WAIT_MS = 2_000;
 
@@ -153,9 +175,18 @@
         ageMs: options.wallNow - since,
         objectiveMs: getExpectedTimes(job, options.estimateRunMs).objectiveMs,
         remainingMs: getRemainingPathMs(step, options.estimateRunMs),
+        usage: options.getUsage?.(job),
     };
 }
 
+/** The urgency of a placed task, whose remaining time depends on the speed of its worker. */
+function getRunUrgency(task: entries.TaskEntry, options: UnitsOptions): decisions.Urgency {
+    const urgency = getUrgency(task.step, options);
+    const runMs = options.estimateRunMs(task.step);
+    const speed = options.getRunSpeed?.(task) ?? 1;
+    return { ...urgency, remainingMs: urgency.remainingMs - runMs + runMs / speed };
+}
+
 function getPreemptionTier(step: entries.StepEntry, options: UnitsOptions): decisions.PreemptionTier {
     const { job } = step.occurrence;
     if (options.isGuaranteed(job)) {
@@ -197,7 +228,7 @@
     const groups = new Map<string, GroupOfTasks>();
     const add = (tasks: readonly entries.TaskEntry[]) => {
         const key = tasks[0]!.name;
-        groups.set(key, { group: createGroup(key, tasks, options), tasks });
+        groups.set(key, createGroup(key, tasks, options));
     };
     for (const job of active) {
         for (const occurrence of job.occurrences.values()) {
@@ -226,22 +257,28 @@
     key: string,
     tasks: readonly entries.TaskEntry[],
     options: UnitsOptions,
-): decisions.RunningGroup {
+): GroupOfTasks {
     const { step } = tasks[0]!;
     const { elapsedMs, unsavedMs, lossCoreSeconds } = estimateStopLoss(tasks, options.now);
+    const urgency = getRunUrgency(tasks[0]!, options);
+    const preemptions = tasks[0]!.preemptions + getBudgetAtStake(tasks);
+    const getCost = (counted: decisions.Urgency) =>
+        options.policy.getStopCost({ lossCoreSeconds, urgency: counted, elapsedMs, unsavedMs, preemptions });
+    const costCoreSeconds = getCost(urgency);
     return {
-        key,
-        tier: getPreemptionTier(step, options),
-        members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
-        lossCoreSeconds,
-        costCoreSeconds: options.policy.getStopCost({
+        group: {
+            key,
+            tier: urgency.tier,
+            members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
             lossCoreSeconds,
-            urgency: getUrgency(step, options),
-            elapsedMs,
-            unsavedMs,
-            preemptions: tasks[0]!.preemptions + getBudgetAtStake(tasks),
-        }),
-        disruptionBudget: getProtection(tasks),
+            costCoreSeconds,
+            disruptionBudget: getProtection(tasks),
+        },
+        urgency,
+        costWithoutUsage: decisions.getUsageStep(urgency) > 0
+            ? getCost({ ...urgency, usage: undefined })
+            : costCoreSeconds,
+        tasks,
     };
 }
 
@@ -279,7 +316,7 @@
 const RESUME_LOSS_MS = 100;
 
 /** Converts a worker to the input of the placement decisions. */
-export function toPlaceableWorker(worker: entries.WorkerEntry): decisions.PlaceableWorker {
+export function toPlaceableWorker(worker: entries.WorkerEntry, speed?: number): decisions.PlaceableWorker {
     const releasing = decisions.copyResources(work.NO_RESOURCES);
     let latencySensitiveTasks = 0;
     let bestEffortTasks = 0;
@@ -301,6 +338,7 @@
         latencySensitiveTasks,
         bestEffortTasks,
         occupancy: getOccupancy(worker),
+        speed,
     };
 }
 
