--- a/src/experiment/__tests__/randomLoad.test.ts
+++ b/src/experiment/__tests__/randomLoad.test.ts
@@ -128,7 +128,6 @@
             | "firstLooks"
             | "isolation"
             | "learnedDurations"
-            | "admission"
         >,
         number
     >
@@ -155,6 +154,7 @@
     handover: 32,
     heartbeats: 21,
     prolonging: 27,
+    admission: 11,
     gangReservations: 21,
     headroom: 21,
     fairShares: 4,
