The leader's model of speeds loads no library

Cause: simple-statistics and zod were imported by src/workerSpeeds, which each instance loads.

Change: five calls of sums, means and medians are a page of their own, and the stored form is checked by hand, like the other sections.

--- a/src/workerSpeeds/speedModel.ts
+++ b/src/workerSpeeds/speedModel.ts
@@ -7,7 +7,7 @@
  * estimate nor a single long task is mistaken for a slow worker. Both kinds of unknowns are solved by Gaussian message
  * passing, which converges here since each unknown has a prior.
  */
-import * as statistics from "simple-statistics";
+import * as statistics from "./statistics";
 import * as storedSpeeds from "./storedSpeeds";
 
 /** A worker as the model knows it. A worker that restarts under its name keeps its speed if its kind is the same. */
@@ -397,8 +397,8 @@
     if (errors.length < MIN_STEPS_FOR_ESTIMATE_ERROR) {
         return { mean: 0, variance: DEFAULT_ESTIMATE_ERROR ** 2 };
     }
-    const mean = statistics.median(errors.map(({ error }) => error));
-    const variance = statistics.mean(errors.map(item => (item.error - mean) ** 2 - item.variance));
+    const mean = statistics.getMedian(errors.map(({ error }) => error));
+    const variance = statistics.getMean(errors.map(item => (item.error - mean) ** 2 - item.variance));
     return { mean, variance: clamp(Math.sqrt(Math.max(0, variance)), ESTIMATE_ERROR_RANGE) ** 2 };
 }
 
@@ -512,7 +512,7 @@
  */
 function getTypical(workers: readonly Worker[]): number {
     const means = workers.filter(worker => worker.precision > 0).map(worker => worker.mean);
-    return means.length < MIN_WORKERS ? 0 : statistics.median(means);
+    return means.length < MIN_WORKERS ? 0 : statistics.getMedian(means);
 }
 
 function selectKnown(service: Service): ServiceSpeeds {
--- a/src/workerSpeeds/storedSpeeds.ts
+++ b/src/workerSpeeds/storedSpeeds.ts
@@ -1,5 +1,4 @@
 /** Stored form of measured speeds: a format version, then one entry for each worker. */
-import * as zod from "zod";
 
 /** The logarithm of a worker's speed, and its variance. */
 export interface StoredSpeed {
@@ -19,16 +18,7 @@
 /** `{"format":1,"speeds":[]}` and a comma. */
 const OVERHEAD_BYTES = 32;
 
-const SCHEMA = zod.object({
-    format: zod.literal(FORMAT),
-    speeds: zod.array(zod.tuple([
-        zod.string(),
-        zod.string(),
-        zod.string(),
-        zod.number().min(-MAX_LOG_SPEED).max(MAX_LOG_SPEED),
-        zod.number().min(0).max(100),
-    ])),
-});
+const MAX_VARIANCE = 100;
 
 /** At most `maxBytes` bytes, the speeds that differ most from 1 first; `undefined` if there are none. */
 export function encode(speeds: readonly StoredSpeed[], maxBytes: number): string | undefined {
@@ -48,7 +38,12 @@
 
 /** Throws if the text is of another format. */
 export function decode(text: string): StoredSpeed[] {
-    return SCHEMA.parse(JSON.parse(text)).speeds.map(([service, name, kind, mean, variance]) => ({
+    const stored = JSON.parse(text) as { readonly format?: unknown; readonly speeds?: unknown; } | undefined;
+    const entries = stored?.format === FORMAT ? stored.speeds : undefined;
+    if (!Array.isArray(entries) || !entries.every(isEntry)) {
+        throw new Error("not a list of speeds");
+    }
+    return entries.map(([service, name, kind, mean, variance]) => ({
         service,
         name,
         kind,
@@ -57,6 +52,19 @@
     }));
 }
 
+type Entry = readonly [service: string, name: string, kind: string, mean: number, variance: number];
+const ENTRY_LENGTH = 5;
+
+function isEntry(value: unknown): value is Entry {
+    if (!Array.isArray(value) || value.length !== ENTRY_LENGTH) {
+        return false;
+    }
+    const [service, name, kind, mean, variance] = value as unknown[];
+    return [service, name, kind].every(item => typeof item === "string")
+        && typeof mean === "number" && Math.abs(mean) <= MAX_LOG_SPEED
+        && typeof variance === "number" && variance >= 0 && variance <= MAX_VARIANCE;
+}
+
 function round(value: number): number {
     return Number(value.toFixed(DIGITS));
 }
