--- a/review/standins/site.mjs
+++ b/review/standins/site.mjs
@@ -181,6 +181,7 @@
                 maxHoldMs: BOUNDS.maxHoldMs,
                 stopMs: BOUNDS.stopMs,
                 born: bornWorkers || undefined,
+                slowFile: path.join(folder, "slow.json"),
                 record: recordFile,
             }),
         ], `worker-${number}.txt`);
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -1,9 +1,11 @@
 // Stand-in of one worker, as PROTOCOL.md describes it ("Running tasks", "Service discovery"). It runs tasks in name
 // only. It guards nothing (`admission-check` is false), keeps a lease, fence, runs and ends, and enters itself in the
-// store. What it does with a run stands in the run's `spec`: a JSON object with `ms`, the time that the work takes.
+// store. What it does with a run stands in the run's `spec`: a JSON object with `ms`, the time that the work takes, and
+// `crashMs` for a task that crashes its worker after that time. While the file `slowFile` names the worker, what it
+// starts takes as many times as long as the file says.
 //
 // node worker.mjs SETTINGS, a JSON object with: id, address, service, zone, rack, capacity, store, maxHoldMs, stopMs,
-// checkpointMs, gangMs, record, and born if the worker may start again under its id.
+// slowFile, record, and born if the worker may start again under its id.
 import fs from "node:fs";
 import http from "node:http";
 
@@ -69,6 +71,13 @@
     return false;
 }
 
+function getSlowdown() {
+    if (!settings.slowFile || !fs.existsSync(settings.slowFile)) {
+        return 1;
+    }
+    return JSON.parse(fs.readFileSync(settings.slowFile, "utf8"))[settings.id] ?? 1;
+}
+
 const refuse = reason => ({ status: 409, body: { "clock-ms": getClock(), reason } });
 const accept = () => ({ status: 200, body: { "clock-ms": getClock() } });
 
@@ -89,11 +98,21 @@
         return refuse("late");
     }
     extendLease(body["deadline-ms"]);
-    const work = JSON.parse(spec);
+    const slowdown = getSlowdown();
+    const { ms, crashMs } = JSON.parse(spec);
+    const work = { ms: ms * slowdown };
     const entry = { task, run, saved, work, startedAt: performance.now() };
     entry.timer = setTimeout(() => end(entry, "done", ""), work.ms);
+    if (crashMs !== undefined) {
+        setTimeout(() => {
+            if (running.get(task) === entry) {
+                write("crash", { task, run });
+                process.kill(process.pid, "SIGKILL");
+            }
+        }, crashMs * slowdown);
+    }
     running.set(task, entry);
-    write("start", { task, run });
+    write("start", { task, run, slowdown });
     return accept();
 }
 
