Review case 2: a worker whose machine has had its upkeep gets no task any more

Shown by review/2/run.sh: a wave of two machines, the platform's machines silent for 5 s from the first order on, so that both answers are lost.

--- a/review/standins/site.mjs
+++ b/review/standins/site.mjs
@@ -52,7 +52,9 @@
     throw new Error("no free block of loopback addresses");
 }
 
-export async function createSite({ recordFile, instances = 3, workers = 4, bornWorkers = false, capacity }) {
+export async function createSite(
+    { recordFile, instances = 3, workers = 4, bornWorkers = false, hasMachines = false, capacity },
+) {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "plantainchute-review-"));
     const block = await chooseBlock(instances);
     const children = new Set();
@@ -82,6 +84,8 @@
     }
 
     const store = `${block}.100:7100`;
+    /** The address of the platform's machines; a case that has them listens there. */
+    const cloud = `${block}.101:8524`;
     spawn([path.join(FOLDER, "store.mjs"), store], "store.txt");
 
     const call = (address, method, requestPath, { body, headers = {}, timeoutMs = 3_000 } = {}) =>
@@ -122,11 +126,16 @@
             req.on("error", err => finish({ status: 0, why: err.message }));
             req.end(text);
         });
+    /** Writes as the operator, the platform or a worker does; without a value it removes the row. */
     const putRow = async (table, key, value) => {
-        const put = [{ table, part: "", key, value: Buffer.from(JSON.stringify(value)).toString("base64") }];
+        const row = { table, part: "", key };
+        const put = value === undefined
+            ? []
+            : [{ ...row, value: Buffer.from(JSON.stringify(value)).toString("base64") }];
+        const remove = value === undefined ? [row] : [];
         for (let tries = 0; tries < 50; tries++) {
             const answer = await call(store, "POST", "/-/rows-tx", {
-                body: { put },
+                body: { put, remove },
                 headers: { "x-standin": "operator" },
             });
             if (answer.status === 200) {
@@ -164,9 +173,8 @@
     };
     await putRow("op", "config", config);
 
-    const startWorker = (number, { publicAddress } = {}) => {
+    const startWorker = (number, { publicAddress, kind, id = `srv${number}f3a9` } = {}) => {
         const address = `${block}.${150 + number}:9000`;
-        const id = `srv${number}f3a9`;
         const process_ = spawn([
             path.join(FOLDER, "worker.mjs"),
             JSON.stringify({
@@ -174,6 +182,7 @@
                 address,
                 publicAddress,
                 service: "booking",
+                kind,
                 zone: ZONES[number % ZONES.length],
                 rack: `r1-${Math.floor(number / 8)}`,
                 capacity: capacity ?? { cpu: 32_000, "mem-mb": 65_536, gpu: 8 },
@@ -207,6 +216,7 @@
                 "coreSpeed = 1",
                 `store = "${store}"`,
                 "rowBytes = 65536",
+                ...(hasMachines ? [`machines = "${cloud}"`] : []),
                 "[bounds]",
                 `maxLeaseMs = ${BOUNDS.maxHoldMs}`,
                 `graceSeconds = ${BOUNDS.graceS}`,
@@ -232,6 +242,7 @@
         folder,
         block,
         store,
+        cloud,
         record,
         startWorker,
         startInstance,
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -4,7 +4,7 @@
 // `crashMs` for a task that crashes its worker after that time. While the file `slowFile` names the worker, what it
 // starts takes as many times as long as the file says.
 //
-// node worker.mjs SETTINGS, a JSON object with: id, address, service, zone, rack, capacity, store, maxHoldMs, stopMs,
+// node worker.mjs SETTINGS, a JSON object with: id, address, service, zone, kind, rack, capacity, store, maxHoldMs, stopMs,
 // slowFile, record, and born if the worker may start again under its id.
 import fs from "node:fs";
 import http from "node:http";
@@ -201,7 +201,7 @@
         slots: 8,
         state: "ready",
         capacity: settings.capacity,
-        labels: ["a", settings.rack],
+        labels: [settings.kind ?? "a", settings.rack],
         born,
         "seq-no": ++seqNo,
     };
