A job with many dependencies between its steps no longer stops the instances

Cause: getRemainingPathMs in units.ts walked the graph of steps path by path, anew for each waiting step and each running task of a pass. Calls of the run time estimate in one getExpectedTimes on the old code: 128 for 8 steps, 2,048 for 12, 32,768 for 16, 524,288 for 20. Two earlier steps in each `after`, or stages, grow in the same way. Ruled out: readiness of steps (no step has ended when the first leader hangs) and intake (the job is answered at once).

Change: work.getLongestChains visits the steps from last to first and each dependency once; pathTimes.ts keeps the result of a job within a pass. Admission had a forward copy of the computation and uses the same function.

Test: stepPaths.test.ts counts visits of steps and dependencies for five shapes of 12 steps.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -4,7 +4,7 @@
  * A job is refused only if it is expected to earn no credit: the work that is served before it takes longer than the
  * job can wait. Whatever is unknown counts in favour of the job.
  */
-import type * as work from "../work/index";
+import * as work from "../work/index";
 import * as loadSummary from "./loadSummary";
 
 /** A summary and its age at this instance. */
@@ -100,10 +100,6 @@
 
 /** Length of the longest chain of dependent steps, by the caller's estimates. */
 function getCriticalPathMs(steps: readonly work.StepSpec[]): number {
-    const endsMs: number[] = [];
-    for (const step of steps) {
-        const startMs = step.after.reduce((latest, number) => Math.max(latest, endsMs[number] ?? 0), 0);
-        endsMs.push(startMs + step.estimateMs);
-    }
-    return endsMs.reduce((longest, endMs) => Math.max(longest, endMs), 0);
+    const chains = work.getLongestChains(steps, steps.map(step => step.estimateMs));
+    return chains.reduce((longest, chain) => Math.max(longest, chain), 0);
 }
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -5,6 +5,7 @@
 import * as entries from "./entries";
 import * as workerLosses from "./losses/index";
 import type * as outcomes from "./outcomes";
+import * as pathTimes from "./pathTimes";
 
 /** A waiting unit, its urgency, and its tasks. */
 export interface UnitOfTasks {
@@ -24,7 +25,7 @@
 }
 
 /** Estimates the run time of a task of the step in milliseconds, from what was learned about its queue. */
-export type RunTimeEstimator = (step: entries.StepEntry) => number;
+export type RunTimeEstimator = pathTimes.RunTimeEstimator;
 
 export interface UnitsOptions {
     readonly now: number;
@@ -41,11 +42,21 @@
     getUsage?(job: entries.JobEntry): number | undefined;
 }
 
+/** The options with the path times of the jobs, which hold for one call from outside. */
+interface OptionsWithPaths extends UnitsOptions {
+    readonly paths: pathTimes.PathTimes;
+}
+
+function withPaths(options: UnitsOptions): OptionsWithPaths {
+    return { ...options, paths: pathTimes.createPathTimes(options.estimateRunMs) };
+}
+
 /** Collects the units that can be placed now, in the order of the policy. */
 export function collectWaitingUnits(
     active: Iterable<entries.JobEntry>,
-    options: UnitsOptions,
+    unitsOptions: UnitsOptions,
 ): UnitOfTasks[] {
+    const options = withPaths(unitsOptions);
     const units: UnitOfTasks[] = [];
     for (const job of active) {
         for (const occurrence of job.occurrences.values()) {
@@ -62,7 +73,7 @@
     return units.sort((a, b) => options.policy.compare(a.urgency, b.urgency));
 }
 
-function collectOfStep(step: entries.StepEntry, options: UnitsOptions): UnitOfTasks[] {
+function collectOfStep(step: entries.StepEntry, options: OptionsWithPaths): UnitOfTasks[] {
     const startable = step.tasks.filter(task =>
         task.phase === "waiting" && !task.worker && task.backoffUntil <= options.now
         && !crashHistory.isCrashLimitReached(task.crashes)
@@ -70,7 +81,7 @@
     if (startable.length === 0 || (step.spec.gang && startable.length < step.tasks.length)) {
         return [];
     }
-    const urgency = getUrgency(step, options);
+    const urgency = createUrgency(step, options);
     const groups = step.spec.gang ? [startable] : startable.map(task => [task]);
     return groups.map(tasks => ({ unit: createUnit(step, tasks, urgency, options), urgency, tasks }));
 }
@@ -166,6 +177,10 @@
 
 /** Returns the urgency by which the policy orders the step. */
 export function getUrgency(step: entries.StepEntry, options: UnitsOptions): decisions.Urgency {
+    return createUrgency(step, withPaths(options));
+}
+
+function createUrgency(step: entries.StepEntry, options: OptionsWithPaths): decisions.Urgency {
     const { occurrence } = step;
     const { job } = occurrence;
     const since = occurrence.dueAt ?? job.submission.acceptedAt;
@@ -173,15 +188,15 @@
         tier: getPreemptionTier(step, options),
         priority: job.queue.priority,
         ageMs: options.wallNow - since,
-        objectiveMs: getExpectedTimes(job, options.estimateRunMs).objectiveMs,
-        remainingMs: getRemainingPathMs(step, options.estimateRunMs),
+        objectiveMs: toExpectedTimes(job, options.paths).objectiveMs,
+        remainingMs: options.paths.getRemainingMs(step),
         usage: options.getUsage?.(job),
     };
 }
 
 /** The urgency of a placed task, whose remaining time depends on the speed of its worker. */
-function getRunUrgency(task: entries.TaskEntry, options: UnitsOptions): decisions.Urgency {
-    const urgency = getUrgency(task.step, options);
+function getRunUrgency(task: entries.TaskEntry, options: OptionsWithPaths): decisions.Urgency {
+    const urgency = createUrgency(task.step, options);
     const runMs = options.estimateRunMs(task.step);
     const speed = options.getRunSpeed?.(task) ?? 1;
     return { ...urgency, remainingMs: urgency.remainingMs - runMs + runMs / speed };
@@ -200,31 +215,20 @@
 
 /** Expected times of an occurrence of the job. The objective counts from the job's acceptance or from the due time. */
 export function getExpectedTimes(job: entries.JobEntry, estimateRunMs: RunTimeEstimator): outcomes.ExpectedTimes {
-    const [occurrence] = job.occurrences.values();
-    const criticalPathMs = occurrence ? getCriticalPathMs(occurrence, estimateRunMs) : 0;
-    return { criticalPathMs, objectiveMs: job.queue.stretch * criticalPathMs + job.queue.objectiveMs };
-}
-
-/** Returns the length of an occurrence's critical path in milliseconds. */
-function getCriticalPathMs(occurrence: entries.OccurrenceEntry, estimateRunMs: RunTimeEstimator): number {
-    return occurrence.steps
-        .filter(step => step.spec.after.length === 0)
-        .reduce((longest, step) => Math.max(longest, getRemainingPathMs(step, estimateRunMs)), 0);
+    return toExpectedTimes(job, pathTimes.createPathTimes(estimateRunMs));
 }
 
-/** Returns the length of the critical path from the step's start to the end of the occurrence, in milliseconds. */
-function getRemainingPathMs(step: entries.StepEntry, estimateRunMs: RunTimeEstimator): number {
-    const longestAfter = step.occurrence.steps
-        .filter(next => next.spec.after.includes(step.number) && next.number > step.number)
-        .reduce((longest, next) => Math.max(longest, getRemainingPathMs(next, estimateRunMs)), 0);
-    return estimateRunMs(step) + longestAfter;
+function toExpectedTimes(job: entries.JobEntry, paths: pathTimes.PathTimes): outcomes.ExpectedTimes {
+    const criticalPathMs = paths.getCriticalPathMs(job);
+    return { criticalPathMs, objectiveMs: job.queue.stretch * criticalPathMs + job.queue.objectiveMs };
 }
 
 /** Collects the placed tasks, grouped by those that are stopped together. */
 export function collectRunningGroups(
     active: Iterable<entries.JobEntry>,
-    options: UnitsOptions,
+    unitsOptions: UnitsOptions,
 ): Map<string, GroupOfTasks> {
+    const options = withPaths(unitsOptions);
     const groups = new Map<string, GroupOfTasks>();
     const add = (tasks: readonly entries.TaskEntry[]) => {
         const key = tasks[0]!.name;
@@ -256,7 +260,7 @@
 function createGroup(
     key: string,
     tasks: readonly entries.TaskEntry[],
-    options: UnitsOptions,
+    options: OptionsWithPaths,
 ): GroupOfTasks {
     const { step } = tasks[0]!;
     const { elapsedMs, unsavedMs, lossCoreSeconds } = estimateStopLoss(tasks, options.now);
--- a/src/work/index.ts
+++ b/src/work/index.ts
@@ -1,4 +1,5 @@
 /** Jobs, steps, occurrences and tasks: their specification and their progress, both as stored. */
+export { getLongestChains } from "./dependencies";
 export { findExceededLimit } from "./limits";
 export {
     decodeOccurrence,
