What the tasks of a step share is computed once per step in a pass

Cause: createUnit ran once for each waiting task and counted the tasks of the whole step by worker, or listed all its tickets, each time; getProtection counted the unavailable tasks of the step for each running task, and the report of stalled steps looked through the occurrence for each waiting task.

Change: describeStep gives the fields that all units of a step share, getDisruptionBudget is read once per step, stalled steps remember an occurrence. Decisions are the same.

Test: passCost.test.ts counts reads of a step's tasks and tickets, bound 8 for each of 120 tasks.

--- /dev/null
+++ b/src/leader/__tests__/passCost.test.ts
@@ -0,0 +1,74 @@
+import * as decisions from "../../decisions/index";
+import type * as work from "../../work/index";
+import * as entries from "../entries";
+import * as stalledSteps from "../stalledSteps";
+import * as units from "../units";
+import * as fixtures from "./fixtures";
+
+const TASKS = 120;
+const PLACED_TASKS = 40;
+/** Reads of entries that a pass may take for each task of a step. */
+const MAX_READS_EACH = 8;
+
+/** A step of which some tasks run, with counters of the reads of its tasks and its tickets. */
+function createStep(spec: Partial<work.StepSpec>, { hasAdvice, placed }: { hasAdvice: boolean; placed: number; }) {
+    let reads = 0;
+    const registry = fixtures.createJobRegistry();
+    const submission = fixtures.createSubmission("job", { count: TASKS, ...spec });
+    const job = registry.addJob(submission);
+    job.queue = { ...job.queue, advice: hasAdvice ? { decideMs: 1, eachMs: 1, validMs: 1_000 } : undefined };
+    registry.releaseDueOccurrences();
+    const step = job.occurrences.get(0)!.steps[0]!;
+    for (const [index, task] of step.tasks.slice(0, placed).entries()) {
+        entries.assign(task, entries.createWorkerEntry(entries.createUnknownWorkerInfo(`w${index}`)));
+        Object.assign(task, { phase: "running", percent: 100 });
+        step.tickets.set(`w${index}`, { ticket: "t", until: Infinity });
+    }
+    Object.assign(step, {
+        tasks: new Proxy(step.tasks, {
+            get: (target, key, receiver) => {
+                reads += typeof key === "string" && /^\d+$/.test(key) ? 1 : 0;
+                return Reflect.get(target, key, receiver) as unknown;
+            },
+        }),
+        tickets: new Proxy(step.tickets, {
+            get: (target, key) => {
+                reads += key === Symbol.iterator ? target.size : 0;
+                const value = Reflect.get(target, key) as unknown;
+                return typeof value === "function" ? (value.bind(target) as unknown) : value;
+            },
+        }),
+    });
+    return { job, getReads: () => reads };
+}
+
+// Guards against passes whose time grows with the square of a step's tasks, during which an instance answers nothing.
+describe("a pass reads the tasks of a step a bounded number of times", () => {
+    test.each([
+        { name: "a limit of tasks per worker", spec: { maxPerWorker: 1 } },
+        { name: "tickets of an adviser", spec: {}, hasAdvice: true },
+        { name: "a disruption budget", spec: { lasting: true, mayMiss: 5 } },
+        { name: "no placed task", spec: {}, placed: 0 },
+    ])("$name", ({ spec, hasAdvice = false, placed = PLACED_TASKS }) => {
+        const { job, getReads } = createStep(spec, { hasAdvice, placed });
+        const options: units.UnitsOptions = {
+            now: 10_000,
+            wallNow: 10_000,
+            estimateRunMs: () => 1_000,
+            policy: decisions.POLICIES.worth,
+            isGuaranteed: () => false,
+        };
+        const waiting = units.collectWaitingUnits([job], options);
+        expect(waiting).toHaveLength(TASKS - placed);
+        expect(units.collectRunningGroups([job], options).size).toBe(placed);
+        stalledSteps.logStalledSteps({
+            now: 10_000,
+            log: fixtures.LOG,
+            waiting,
+            workers: [],
+            isPlaceable: () => true,
+            evacuations: { isEvacuated: () => false },
+        });
+        expect(getReads()).toBeLessThanOrEqual(MAX_READS_EACH * TASKS);
+    });
+});
--- a/src/leader/stalledSteps.ts
+++ b/src/leader/stalledSteps.ts
@@ -3,7 +3,7 @@
 import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import * as crashHistory from "./crashHistory";
-import * as entries from "./entries";
+import type * as entries from "./entries";
 import type * as units from "./units";
 
 export interface StalledStepsOptions {
@@ -22,8 +22,14 @@
 
 /** Logs the steps that have waited longest, with the workers that remain after each condition. */
 export function logStalledSteps(options: StalledStepsOptions): void {
+    const idle = new Map<entries.OccurrenceEntry, boolean>();
+    const isIdle = (occurrence: entries.OccurrenceEntry) => {
+        const known = idle.get(occurrence) ?? !hasPlacedTask(occurrence);
+        idle.set(occurrence, known);
+        return known;
+    };
     const stalled = options.waiting
-        .filter(({ unit, tasks }) => unit.waitedMs >= REPORT_AFTER_MS && !hasPlacedTask(tasks[0]!.step.occurrence))
+        .filter(({ unit, tasks }) => unit.waitedMs >= REPORT_AFTER_MS && isIdle(tasks[0]!.step.occurrence))
         .sort((a, b) => b.unit.waitedMs - a.unit.waitedMs);
     const byStep = new Map(stalled.map(item => [item.unit.step, item]));
     for (const { unit, tasks } of [...byStep.values()].slice(0, MAX_REPORTED)) {
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -82,30 +82,20 @@
         return [];
     }
     const urgency = createUrgency(step, options);
+    const ofStep = describeStep(step, urgency, options);
     const groups = step.spec.gang ? [startable] : startable.map(task => [task]);
-    return groups.map(tasks => ({ unit: createUnit(step, tasks, urgency, options), urgency, tasks }));
+    return groups.map(tasks => ({ unit: createUnit(step, tasks, ofStep, options), urgency, tasks }));
 }
 
-function createUnit(
-    step: entries.StepEntry,
-    tasks: readonly entries.TaskEntry[],
-    urgency: decisions.Urgency,
-    options: UnitsOptions,
-): decisions.WaitingUnit {
+/** The fields that are the same in all units of the step. */
+function describeStep(step: entries.StepEntry, urgency: decisions.Urgency, options: UnitsOptions) {
     const { spec } = step;
-    const firstTask = tasks[0]!;
     const { job } = step.occurrence;
-    const waitedMs = options.now - Math.max(step.readySince ?? options.now, firstTask.waitingSince);
-    const stepName = getStepName(step);
-    const mayCrashWorker = waitedMs < ISOLATION_MAX_WAIT_MS && !options.policy.disabledMechanisms.has("isolation")
-        && tasks.some(task => crashHistory.isSuspect(task.crashes));
+    const expectedDurationMs = options.estimateRunMs(step);
     return {
-        key: firstTask.name,
-        equivalenceClass: firstTask.failures > 0 || mayCrashWorker ? firstTask.name : stepName,
-        step: stepName,
+        step: getStepName(step),
         service: job.queue.service,
         needs: step.needs,
-        count: tasks.length,
         gang: spec.gang,
         sameRack: spec.gang && spec.sameRack,
         fewWorkers: isExposed(step, options) || undefined,
@@ -116,14 +106,31 @@
         tier: urgency.tier,
         latencySensitive: spec.targetMs > 0,
         bestEffort: spec.fills,
+        allowedWorkerIds: job.queue.advice ? getTicketedWorkerIds(step, options.now) : undefined,
+        expectedDurationMs,
+        objectiveMs: spec.gang ? urgency.objectiveMs : undefined,
+        inTimeDurationMs: urgency.objectiveMs - urgency.ageMs - (urgency.remainingMs - expectedDurationMs),
+    };
+}
+
+function createUnit(
+    step: entries.StepEntry,
+    tasks: readonly entries.TaskEntry[],
+    ofStep: ReturnType<typeof describeStep>,
+    options: UnitsOptions,
+): decisions.WaitingUnit {
+    const firstTask = tasks[0]!;
+    const waitedMs = options.now - Math.max(step.readySince ?? options.now, firstTask.waitingSince);
+    const mayCrashWorker = waitedMs < ISOLATION_MAX_WAIT_MS && !options.policy.disabledMechanisms.has("isolation")
+        && tasks.some(task => crashHistory.isSuspect(task.crashes));
+    return {
+        ...ofStep,
+        key: firstTask.name,
+        equivalenceClass: firstTask.failures > 0 || mayCrashWorker ? firstTask.name : ofStep.step,
+        count: tasks.length,
         mayCrashWorker,
         excludedWorkerIds: waitedMs < OTHER_WORKER_MAX_WAIT_MS ? getFailedWorkerIds(tasks) : NO_WORKERS,
-        allowedWorkerIds: job.queue.advice ? getTicketedWorkerIds(step, options.now) : undefined,
         waitedMs,
-        expectedDurationMs: options.estimateRunMs(step),
-        objectiveMs: spec.gang ? urgency.objectiveMs : undefined,
-        inTimeDurationMs: urgency.objectiveMs - urgency.ageMs
-            - (urgency.remainingMs - options.estimateRunMs(step)),
     };
 }
 
@@ -230,10 +237,6 @@
 ): Map<string, GroupOfTasks> {
     const options = withPaths(unitsOptions);
     const groups = new Map<string, GroupOfTasks>();
-    const add = (tasks: readonly entries.TaskEntry[]) => {
-        const key = tasks[0]!.name;
-        groups.set(key, createGroup(key, tasks, options));
-    };
     for (const job of active) {
         for (const occurrence of job.occurrences.values()) {
             for (const step of occurrence.steps) {
@@ -241,11 +244,11 @@
                 if (placed.length === 0) {
                     continue;
                 }
-                if (step.spec.gang) {
-                    add(placed);
-                    continue;
+                const budget = getDisruptionBudget(step);
+                for (const tasks of step.spec.gang ? [placed] : placed.map(task => [task])) {
+                    const key = tasks[0]!.name;
+                    groups.set(key, createGroup(key, tasks, budget, options));
                 }
-                placed.forEach(task => add([task]));
             }
         }
     }
@@ -260,6 +263,7 @@
 function createGroup(
     key: string,
     tasks: readonly entries.TaskEntry[],
+    budget: decisions.DisruptionBudget | undefined,
     options: OptionsWithPaths,
 ): GroupOfTasks {
     const { step } = tasks[0]!;
@@ -276,7 +280,8 @@
             members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
             lossCoreSeconds,
             costCoreSeconds,
-            disruptionBudget: getProtection(tasks),
+            // Unavailable tasks are not protected: their step already counts them as missing.
+            disruptionBudget: tasks.some(entries.isAvailable) ? budget : undefined,
         },
         urgency,
         costWithoutUsage: decisions.getUsageStep(urgency) > 0
@@ -302,14 +307,11 @@
     return { elapsedMs, unsavedMs, lossCoreSeconds };
 }
 
-/** Unavailable tasks are not protected: their step already counts them as missing. */
-function getProtection(tasks: readonly entries.TaskEntry[]): decisions.DisruptionBudget | undefined {
-    const { step } = tasks[0]!;
+function getDisruptionBudget(step: entries.StepEntry): decisions.DisruptionBudget | undefined {
     const { mayMiss } = step.spec;
-    if (mayMiss === 0 || !tasks.some(entries.isAvailable)) {
-        return undefined;
-    }
-    return { step: getStepName(step), allowedDisruptions: mayMiss - entries.countUnavailable(step) };
+    return mayMiss === 0
+        ? undefined
+        : { step: getStepName(step), allowedDisruptions: mayMiss - entries.countUnavailable(step) };
 }
 
 function getStepName(step: entries.StepEntry): string {
