The end of a step visits only the steps that wait for it

Cause: markStepDone looked at all steps and all their dependencies at each end of a step, and restoring an occurrence did so for each step that was done: the square of the steps for a dense job, times its occurrences in a takeover.

Change: work.createStepGraph gives each step's successors and the number of its predecessors, once for a job; a step counts its unfinished predecessors and an occurrence its unfinished steps. A dependency that is listed twice counts once.

Test: the ends of all steps in stepDependencies.test.ts (stepPaths.test.ts before).

--- a/src/leader/__tests__/stepPaths.test.ts
+++ b/src/leader/__tests__/stepDependencies.test.ts
@@ -64,7 +64,7 @@
         isGuaranteed: () => false,
     };
     visits = 0;
-    return { job, options, size, getVisits: () => visits };
+    return { registry, job, options, size, getVisits: () => visits };
 }
 
 describe.each(SHAPES)("$name", ({ getAfter, longestChain }) => {
@@ -84,6 +84,24 @@
         expect(getVisits()).toBeLessThanOrEqual(MAX_VISITS_EACH * size);
     });
 
+    // Guards against ends of steps whose time grows with all dependencies of the job, also for each step of a takeover.
+    test("the ends of all steps visit each dependency a bounded number of times, and release the steps in order", () => {
+        const { registry, job, size, getVisits } = createJob(getAfter);
+        const { steps } = job.occurrences.get(0)!;
+        const worker = entries.createWorkerEntry(entries.createUnknownWorkerInfo("w"));
+        const listReady = () => steps.filter(step => step.readySince !== undefined).map(step => step.number);
+        for (let ended = 0; ended < STEPS; ended++) {
+            const isReleased = (number: number) => getAfter(number).every(earlier => earlier < ended);
+            expect(listReady()).toEqual(steps.map(step => step.number).filter(isReleased));
+            const [task] = steps[ended]!.tasks;
+            entries.assign(task!, worker);
+            Object.assign(task!, { phase: "running", run: 1 });
+            registry.recordRunEnd(worker, { number: ended + 1, task: task!.name, run: 1, how: "done", saved: "" });
+        }
+        expect(job.state).toBe("completed");
+        expect(getVisits()).toBeLessThanOrEqual(MAX_VISITS_EACH * size);
+    });
+
     test("the critical path is the longest chain, and what remains of it shrinks to the last step", () => {
         const { job, options } = createJob(getAfter);
         const { steps } = job.occurrences.get(0)!;
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -86,6 +86,10 @@
     crashesWorkers: boolean;
     /** Ids of workers that were quarantined because the step failed there right after its start. */
     readonly earlyFailureWorkers: Set<string>;
+    /** Number of steps that it depends on and that are not done. */
+    unfinishedPredecessors: number;
+    /** Whether the steps that depend on it know that it is done. */
+    hasReleasedSuccessors: boolean;
     /** When all steps that it depends on were done; `undefined` while the step may not start. */
     readySince: number | undefined;
     /** The adviser's tickets by worker id, each with its expiry time. */
@@ -97,6 +101,8 @@
     readonly job: JobEntry;
     readonly number: number;
     readonly steps: StepEntry[];
+    /** Number of steps that are not done. */
+    unfinishedSteps: number;
     /** Version of the stored row; 0 if none is stored yet. */
     rowVersion: number;
     /** Wall-clock time at which the occurrence of a scheduled job is due, in milliseconds. */
@@ -107,6 +113,8 @@
 /** A job and its occurrences. */
 export interface JobEntry {
     readonly submission: work.Submission;
+    /** Dependencies of the steps; `undefined` until an occurrence needs them. */
+    stepGraph: work.StepGraph | undefined;
     /** The queue as configured when this leader learned of the job. */
     queue: catalog.Queue;
     state: work.JobState;
@@ -176,6 +184,7 @@
 export function createJobEntry(submission: work.Submission, queue: catalog.Queue, now: number): JobEntry {
     return {
         submission,
+        stepGraph: undefined,
         queue,
         state: "queued",
         cancelled: false,
@@ -190,15 +199,19 @@
 
 /** Creates an occurrence whose tasks all wait. */
 export function createOccurrenceEntry(job: JobEntry, number: number, now: number): OccurrenceEntry {
+    const { steps } = job.submission.spec;
+    const { predecessorCounts } = getStepGraph(job);
     const occurrence: OccurrenceEntry = {
         job,
         number,
         steps: [],
+        unfinishedSteps: steps.length,
         rowVersion: 0,
         dueAt: work.getDueAt(job.submission.spec, number),
         isEnded: false,
     };
-    job.submission.spec.steps.forEach((spec, stepNumber) => {
+    steps.forEach((spec, stepNumber) => {
+        const unfinishedPredecessors = predecessorCounts[stepNumber]!;
         const step: StepEntry = {
             occurrence,
             number: stepNumber,
@@ -209,7 +222,9 @@
             lastFailedRun: 0,
             crashesWorkers: false,
             earlyFailureWorkers: new Set(),
-            readySince: spec.after.length === 0 ? now : undefined,
+            unfinishedPredecessors,
+            hasReleasedSuccessors: false,
+            readySince: unfinishedPredecessors === 0 ? now : undefined,
             tickets: new Map(),
         };
         for (let index = 0; index < spec.count; index++) {
@@ -220,6 +235,11 @@
     return occurrence;
 }
 
+/** Returns the dependencies of the job's steps, which all its occurrences share. */
+export function getStepGraph(job: JobEntry): work.StepGraph {
+    return job.stepGraph ??= work.createStepGraph(job.submission.spec.steps);
+}
+
 function createTaskEntry(step: StepEntry, index: number, now: number): TaskEntry {
     const { job, number } = step.occurrence;
     return {
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -83,7 +83,6 @@
             options.stopOccurrence(occurrence, "jobFailed");
         }
         if (job.endedOccurrences.size >= work.getOccurrenceCount(job.submission.spec)) {
-            /** Ends the job in the given state. */
             endJob(job, job.failed ? "failed" : "completed");
             return;
         }
@@ -92,16 +91,19 @@
 
     const markStepDone = (step: entries.StepEntry) => {
         const { occurrence } = step;
-        for (const next of occurrence.steps) {
-            const ready = next.spec.after.every(number => {
-                const earlier = occurrence.steps[number];
-                return !earlier || entries.isStepDone(earlier);
-            });
-            if (ready) {
-                next.readySince ??= time.now();
+        if (step.hasReleasedSuccessors) {
+            return;
+        }
+        step.hasReleasedSuccessors = true;
+        for (const number of entries.getStepGraph(occurrence.job).successors[step.number]!) {
+            const next = occurrence.steps[number]!;
+            next.unfinishedPredecessors--;
+            if (next.unfinishedPredecessors === 0) {
+                next.readySince = time.now();
             }
         }
-        if (occurrence.steps.every(entries.isStepDone) && !occurrence.isEnded) {
+        occurrence.unfinishedSteps--;
+        if (occurrence.unfinishedSteps === 0 && !occurrence.isEnded) {
             endOccurrence(occurrence, false);
         }
     };
--- a/src/work/index.ts
+++ b/src/work/index.ts
@@ -1,5 +1,5 @@
 /** Jobs, steps, occurrences and tasks: their specification and their progress, both as stored. */
-export { getLongestChains } from "./dependencies";
+export { createStepGraph, getLongestChains, type StepGraph } from "./dependencies";
 export { findExceededLimit } from "./limits";
 export {
     decodeOccurrence,
