A pass makes units for at most 256 new tasks of a step

Change: collectOfStep takes at most 256 tasks of a step that have not run before, and all that have, since those may need other workers. The last unit of a step says how many are left out, which the load of the queue counts.

Test: passCost.test.ts, a step of 1,000 tasks got 1,000 units before, now 256.

--- a/src/leader/__tests__/passCost.test.ts
+++ b/src/leader/__tests__/passCost.test.ts
@@ -72,3 +72,44 @@
         expect(getReads()).toBeLessThanOrEqual(MAX_READS_EACH * TASKS);
     });
 });
+
+// Guards against passes whose time and memory grow with all tasks that wait, of which a few large jobs have 96,000.
+describe("a step of many waiting tasks", () => {
+    const COUNT = 1_000;
+    const collect = (job: entries.JobEntry) =>
+        units.collectWaitingUnits([job], {
+            now: 0,
+            wallNow: 0,
+            estimateRunMs: () => 1_000,
+            policy: decisions.POLICIES.worth,
+            isGuaranteed: () => false,
+        });
+    const createJob = (spec: Partial<work.StepSpec>) => {
+        const registry = fixtures.createJobRegistry();
+        const job = registry.addJob(fixtures.createSubmission("job", { count: COUNT, ...spec }));
+        registry.releaseDueOccurrences();
+        return job;
+    };
+
+    test("gets units for the first ones, and says how many are left out", () => {
+        const waiting = collect(createJob({}));
+        expect(waiting).toHaveLength(256);
+        expect(waiting.map(item => item.tasks[0]!.index)).toEqual(waiting.map((_, index) => index));
+        expect(waiting.reduce((sum, item) => sum + item.omittedTasks, waiting.length)).toBe(COUNT);
+    });
+
+    test("gets units for all tasks that have run before, which may need other workers than the rest", () => {
+        const job = createJob({});
+        const restarted = job.occurrences.get(0)!.steps[0]!.tasks.slice(500);
+        restarted.forEach(task => task.run = 1);
+        const waiting = new Set(collect(job).flatMap(item => item.tasks));
+        expect(restarted.every(task => waiting.has(task))).toBe(true);
+        expect(waiting.size).toBe(restarted.length + 256);
+    });
+
+    test("gets one unit for a gang, with all its members", () => {
+        const waiting = collect(createJob({ gang: true }));
+        expect(waiting.map(item => item.tasks.length)).toEqual([COUNT]);
+        expect(waiting[0]!.omittedTasks).toBe(0);
+    });
+});
--- a/src/leader/queueLoads.ts
+++ b/src/leader/queueLoads.ts
@@ -119,7 +119,7 @@
  * The unit's work, if it is served before some new jobs of its queue. A new job can still be in time, so late work of
  * its tier goes after it, and among work that can be in time the one with less slack goes first.
  */
-function getWorkAhead({ unit, urgency, tasks }: units.UnitOfTasks): admission.WorkAhead | undefined {
+function getWorkAhead({ unit, urgency, tasks, omittedTasks }: units.UnitOfTasks): admission.WorkAhead | undefined {
     const newJobTier = urgency.priority === 0 ? decisions.PreemptionTier.Urgent : decisions.PreemptionTier.None;
     const isInTime = decisions.getLatenessClass(urgency) === decisions.LatenessClass.InTime;
     // How much is left of work that resumes from a checkpoint is unknown; counting all of it could refuse too many.
@@ -128,7 +128,8 @@
     }
     return {
         slackMs: unit.tier > newJobTier ? 0 : urgency.objectiveMs - urgency.ageMs - urgency.remainingMs,
-        coreSeconds: unit.count * decisions.getCoreEquivalents(unit.needs) * unit.expectedDurationMs / 1_000,
+        coreSeconds: (unit.count + omittedTasks) * decisions.getCoreEquivalents(unit.needs) * unit.expectedDurationMs
+            / 1_000,
     };
 }
 
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -12,6 +12,8 @@
     readonly unit: decisions.WaitingUnit;
     readonly urgency: decisions.Urgency;
     readonly tasks: readonly entries.TaskEntry[];
+    /** Number of further waiting tasks of the step for which the pass has no units; only in the step's last unit. */
+    readonly omittedTasks: number;
 }
 
 /** A group of placed tasks that are stopped together, and its tasks. */
@@ -83,8 +85,28 @@
     }
     const urgency = createUrgency(step, options);
     const ofStep = describeStep(step, urgency, options);
-    const groups = step.spec.gang ? [startable] : startable.map(task => [task]);
-    return groups.map(tasks => ({ unit: createUnit(step, tasks, ofStep, options), urgency, tasks }));
+    const groups = step.spec.gang ? [startable] : selectForPass(startable).map(task => [task]);
+    const omittedTasks = step.spec.gang ? 0 : startable.length - groups.length;
+    return groups.map((tasks, index) => ({
+        unit: createUnit(step, tasks, ofStep, options),
+        urgency,
+        tasks,
+        omittedTasks: index === groups.length - 1 ? omittedTasks : 0,
+    }));
+}
+
+/**
+ * Maximum tasks of a step that have not started before and get a unit in one pass. They are alike, so the others could
+ * not be placed earlier; a pass that starts tasks is soon followed by the next.
+ */
+const MAX_NEW_TASKS_PER_STEP = 256;
+
+function selectForPass(startable: readonly entries.TaskEntry[]): readonly entries.TaskEntry[] {
+    if (startable.length <= MAX_NEW_TASKS_PER_STEP) {
+        return startable;
+    }
+    let newTasks = 0;
+    return startable.filter(task => task.run > 0 || ++newTasks <= MAX_NEW_TASKS_PER_STEP);
 }
 
 /** The fields that are the same in all units of the step. */
