Overdue occurrences are opened as room comes, and dropped after their end

Cause: each pass opened all occurrences whose time had passed, with entries for all tasks (826 bytes each, one run), dropped none before the job's retention was over, and a takeover created those of ended occurrences anew.

Change: leader/occurrences.ts opens the due occurrences of a job in order while fewer than 4,000 of its open tasks wait, and 20,000 of all jobs; each job has its first unfinished occurrence open in any case, so none waits for another's schedule. Entries are dropped when an occurrence has ended and no worker holds a run of it. A job remembers up to which number it has opened occurrences. Retention lists the rows of dropped occurrences by their numbers.

--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -262,11 +262,12 @@
     };
 
     const checkLimits = (spec: work.JobSpec, value: string): IntakeReply | undefined => {
-        const maxRowBytes = options.getMaxRowBytes();
-        const bytes = Buffer.byteLength(value);
-        const reason = work.findExceededLimit(spec, maxRowBytes)
-            ?? (bytes > maxRowBytes ? `${bytes} bytes, more than the ${maxRowBytes} of a row` : undefined);
-        return reason === undefined ? undefined : { kind: "impossible", reason };
+        const exceeded = work.findExceededLimit(spec, Buffer.byteLength(value), options.getMaxRowBytes());
+        if (!exceeded) {
+            return undefined;
+        }
+        meter.increment("jobs_over_limit_total", { limit: exceeded.limit });
+        return { kind: "impossible", reason: exceeded.reason };
     };
 
     const createUnavailable = (reason: string, jobId: string): IntakeReply => ({
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -121,7 +121,10 @@
     cancelled: boolean;
     failed: boolean;
     readonly endedOccurrences: Set<number>;
+    /** The open occurrences by number. */
     readonly occurrences: Map<number, OccurrenceEntry>;
+    /** All occurrences of lower numbers have been opened. */
+    nextOccurrence: number;
     rowVersion: number;
     endedAt: number;
     /** Monotonic time at which this leader learned of the job, in milliseconds. */
@@ -191,6 +194,7 @@
         failed: false,
         endedOccurrences: new Set(),
         occurrences: new Map(),
+        nextOccurrence: 0,
         rowVersion: 0,
         endedAt: 0,
         learnedAt: now,
@@ -321,6 +325,11 @@
     return step.doneCount === step.tasks.length;
 }
 
+/** Whether a worker holds, or may hold, a run of one of the occurrence's tasks. */
+export function hasPlacedTask(occurrence: OccurrenceEntry): boolean {
+    return occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined));
+}
+
 /** Returns the info of a worker of which only the id is known. */
 export function createUnknownWorkerInfo(id: string): WorkerInfo {
     return {
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -10,6 +10,7 @@
 import * as crashHistory from "./crashHistory";
 import * as entries from "./entries";
 import * as workerLosses from "./losses/index";
+import * as openOccurrences from "./occurrences";
 import * as outcomes from "./outcomes";
 import * as restore from "./restore";
 import type * as sessions from "./sessions/index";
@@ -54,8 +55,13 @@
     addJob(submission: work.Submission): entries.JobEntry;
     cancelJob(jobId: string): void;
     getTask(name: string): entries.TaskEntry | undefined;
-    /** Creates the occurrences that are due. Returns the Unix time at which the next one is due, in milliseconds. */
+    /**
+     * Opens the occurrences that are due, as many as may be open at once, and drops those that have ended. Returns the
+     * Unix time at which the next one is due, in milliseconds.
+     */
     releaseDueOccurrences(): number | undefined;
+    /** Number of occurrences that are due and not open yet. */
+    countHeldBackOccurrences(): number;
     /** Assigns a worker to each task. The rows must be stored before any order is sent. */
     place(tasks: readonly entries.TaskEntry[], workers: readonly entries.WorkerEntry[]): void;
     confirmRunning(task: entries.TaskEntry): void;
@@ -81,18 +87,7 @@
     const { clock: time, log, meter, listener } = options;
     const jobs = new Map<string, entries.JobEntry>();
     const active = new Set<entries.JobEntry>();
-    const tasks = new Map<string, entries.TaskEntry>();
-
-    const openOccurrence = (job: entries.JobEntry, number: number) => {
-        const occurrence = entries.createOccurrenceEntry(job, number, time.now());
-        job.occurrences.set(number, occurrence);
-        for (const step of occurrence.steps) {
-            for (const task of step.tasks) {
-                tasks.set(task.name, task);
-            }
-        }
-        return occurrence;
-    };
+    const occurrences = openOccurrences.createOccurrences({ clock: time, log, active });
 
     const stopOccurrence = (occurrence: entries.OccurrenceEntry, reason: string) => {
         for (const step of occurrence.steps) {
@@ -111,6 +106,7 @@
         estimateRunMs: options.estimateRunMs,
         disabledMechanisms: options.disabledMechanisms,
         onJobEnded: job => active.delete(job),
+        onOccurrenceEnded: occurrences.markEnded,
         stopOccurrence,
     });
 
@@ -208,7 +204,8 @@
     const restorer = restore.createRestorer({
         clock: time,
         active,
-        openOccurrence,
+        openOccurrence: occurrences.open,
+        onOccurrenceEnded: occurrences.markEnded,
         markStepDone,
         failOccurrence,
         requestStop: (task, reason) => registry.requestStop(task, reason),
@@ -241,30 +238,13 @@
             endJob(job, "cancelled");
             for (const occurrence of job.occurrences.values()) {
                 occurrence.isEnded = true;
+                occurrences.markEnded(occurrence);
                 stopOccurrence(occurrence, "jobCancelled");
             }
         },
-        getTask: name => tasks.get(name),
-        releaseDueOccurrences: () => {
-            const now = time.wallTime();
-            let next: number | undefined;
-            for (const job of active) {
-                const count = work.getOccurrenceCount(job.submission.spec);
-                for (let number = 0; number < count; number++) {
-                    if (job.endedOccurrences.has(number) || job.occurrences.has(number)) {
-                        continue;
-                    }
-                    const dueAt = work.getDueAt(job.submission.spec, number);
-                    if (dueAt === undefined || dueAt <= now) {
-                        openOccurrence(job, number);
-                        continue;
-                    }
-                    next = Math.min(next ?? Infinity, dueAt);
-                    break;
-                }
-            }
-            return next;
-        },
+        getTask: occurrences.getTask,
+        releaseDueOccurrences: occurrences.update,
+        countHeldBackOccurrences: occurrences.countHeldBack,
         place: (members, workers) => {
             const run = Math.max(...members.map(member => member.run)) + 1;
             members.forEach((task, index) => {
@@ -333,7 +313,7 @@
             }
         },
         recordRunEnd: (worker, end) => {
-            const task = tasks.get(end.task);
+            const task = occurrences.getTask(end.task);
             if (!task || task.run !== end.run) {
                 if (task && end.run < task.run) {
                     handleEarlierRunEnd(worker, task, end);
@@ -414,11 +394,7 @@
         crashAttribution: losses.crashAttribution,
         forgetJob: job => {
             jobs.delete(job.submission.jobId);
-            for (const occurrence of job.occurrences.values()) {
-                for (const step of occurrence.steps) {
-                    step.tasks.forEach(task => tasks.delete(task.name));
-                }
-            }
+            occurrences.forget(job);
         },
     };
     return registry;
--- a/src/leader/outcomes.ts
+++ b/src/leader/outcomes.ts
@@ -28,6 +28,7 @@
     estimateRunMs(step: entries.StepEntry): number;
     readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
     onJobEnded(job: entries.JobEntry): void;
+    onOccurrenceEnded(occurrence: entries.OccurrenceEntry): void;
     /** Stops the remaining runs of an occurrence that has ended. */
     stopOccurrence(occurrence: entries.OccurrenceEntry, reason: string): void;
 }
@@ -76,6 +77,7 @@
     const endOccurrence = (occurrence: entries.OccurrenceEntry, failed: boolean) => {
         const { job } = occurrence;
         occurrence.isEnded = true;
+        options.onOccurrenceEnded(occurrence);
         job.endedOccurrences.add(occurrence.number);
         job.failed ||= failed;
         options.listener.onOccurrenceChanged(occurrence);
--- a/src/leader/restore.ts
+++ b/src/leader/restore.ts
@@ -9,6 +9,7 @@
     /** Jobs that have not ended. */
     readonly active: Set<entries.JobEntry>;
     openOccurrence(job: entries.JobEntry, number: number): entries.OccurrenceEntry;
+    onOccurrenceEnded(occurrence: entries.OccurrenceEntry): void;
     markStepDone(step: entries.StepEntry): void;
     failOccurrence(occurrence: entries.OccurrenceEntry): void;
     requestStop(task: entries.TaskEntry, reason: string): void;
@@ -92,9 +93,14 @@
             }
         },
         restoreOccurrence: (job, number, progress, version, getWorker) => {
+            const isEnded = job.endedOccurrences.has(number) || !active.has(job);
+            if (isEnded && !progress.some(tasks => tasks.some(isPlaced))) {
+                job.endedOccurrences.add(number);
+                return;
+            }
             const occurrence = options.openOccurrence(job, number);
             occurrence.rowVersion = version;
-            occurrence.isEnded = job.endedOccurrences.has(number) || !active.has(job);
+            occurrence.isEnded = isEnded;
             for (const step of occurrence.steps) {
                 for (const task of step.tasks) {
                     const stored = progress[step.number]?.[task.index];
@@ -112,11 +118,24 @@
             occurrence.steps.forEach(step => step.tasks.forEach(enforceLimits));
             if (occurrence.isEnded) {
                 options.stopOccurrence(occurrence, "jobOver");
+                options.onOccurrenceEnded(occurrence);
             }
         },
     };
 }
 
+/** Whether a worker may hold a run of the task. */
+function isPlaced(task: work.TaskProgress): boolean {
+    switch (task.kind) {
+        case "placed":
+        case "closing":
+            return true;
+        case "waiting":
+        case "done":
+            return false;
+    }
+}
+
 /** Assumes that the task runs, until its worker reports otherwise. */
 function assumeRunning(task: entries.TaskEntry, worker: entries.WorkerEntry, now: number): void {
     entries.assign(task, worker);
--- a/src/leader/retention.ts
+++ b/src/leader/retention.ts
@@ -8,7 +8,7 @@
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
 import * as work from "../work/index";
-import type * as entries from "./entries";
+import * as entries from "./entries";
 import type * as jobRegistries from "./jobRegistry";
 import type * as leases from "./lease/index";
 
@@ -54,12 +54,7 @@
 
 /** A task that is being stopped needs its entry until its worker confirms the end. */
 function hasPlacedTask(job: entries.JobEntry): boolean {
-    for (const occurrence of job.occurrences.values()) {
-        if (occurrence.steps.some(step => step.tasks.some(task => task.worker))) {
-            return true;
-        }
-    }
-    return false;
+    return [...job.occurrences.values()].some(entries.hasPlacedTask);
 }
 
 async function removeRows(options: RetentionOptions, job: entries.JobEntry): Promise<boolean> {
@@ -76,7 +71,8 @@
     if (intake.kind !== "committed") {
         return false;
     }
-    const keys = [jobId, ...[...job.occurrences.keys()].map(number => work.getOccurrenceKey(jobId, number))];
+    const numbers = new Set([...job.endedOccurrences, ...job.occurrences.keys()]);
+    const keys = [jobId, ...[...numbers].map(number => work.getOccurrenceKey(jobId, number))];
     const progress = await options.leadership.transact(options.store, {
         removals: keys.map(key => ({ table: work.Table.Progress, part: work.LEADER_PART, key })),
     }, CALL_TIMEOUT_MS);
--- a/src/leader/stalledSteps.ts
+++ b/src/leader/stalledSteps.ts
@@ -3,7 +3,7 @@
 import type * as evacuation from "../evacuation/index";
 import type * as observe from "../observe/index";
 import * as crashHistory from "./crashHistory";
-import type * as entries from "./entries";
+import * as entries from "./entries";
 import type * as units from "./units";
 
 export interface StalledStepsOptions {
@@ -24,7 +24,7 @@
 export function logStalledSteps(options: StalledStepsOptions): void {
     const idle = new Map<entries.OccurrenceEntry, boolean>();
     const isIdle = (occurrence: entries.OccurrenceEntry) => {
-        const known = idle.get(occurrence) ?? !hasPlacedTask(occurrence);
+        const known = idle.get(occurrence) ?? !entries.hasPlacedTask(occurrence);
         idle.set(occurrence, known);
         return known;
     };
@@ -43,10 +43,6 @@
     }
 }
 
-function hasPlacedTask(occurrence: entries.OccurrenceEntry): boolean {
-    return occurrence.steps.some(step => step.tasks.some(task => task.worker !== undefined));
-}
-
 /** Counts the workers of the unit's service that remain after each condition. */
 function countWorkers(unit: decisions.WaitingUnit, { workers, isPlaceable, evacuations }: StalledStepsOptions) {
     const ofService = workers.filter(worker => worker.info.service === unit.service);
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -498,6 +498,7 @@
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
         }),
+        { metric: "occurrences_held_back", value: jobRegistry.countHeldBackOccurrences() },
         ...loads?.readGauges() ?? [],
     ]);
     signal.addEventListener("abort", () => {
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -25,6 +25,7 @@
  */
 export const METRICS = {
     requests_total: counter("callers' requests", "call", "outcome", "account", "queue"),
+    jobs_over_limit_total: counter("callers' submissions refused for good, by the limit", "limit"),
     request_duration_ms: histogram("from a request to its answer", "call", "account"),
     requests_passed_total: counter("requests passed on to another instance, by its status", "outcome"),
     admission_decisions_total: counter("callers' submissions, by the decision of admission", "decision", "queue"),
@@ -43,7 +44,8 @@
     takeover_duration_ms: histogram("leader: from the lease to the first pass"),
     pass_duration_ms: histogram("leader: one pass of the decisions"),
     jobs: gauge("leader: jobs that are not over", "account", "queue", "state"),
-    tasks: gauge("leader: tasks of such jobs", "queue", "phase"),
+    tasks: gauge("leader: tasks of such jobs, of the open occurrences", "queue", "phase"),
+    occurrences_held_back: gauge("leader: due occurrences that are not open, since too many tasks wait"),
     workers: gauge("leader: workers", "service", "state"),
     accelerators: gauge("leader: accelerators of workers that may take tasks", "service", "state"),
     account_usage: gauge(
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -44,6 +44,7 @@
     await site.clock.advance(4_000);
     const urgent = fixtures.createJob(6, { estimateMs: 1_000, needs: WHOLE_MEMORY }, { queue: "urgent" });
     await fixtures.advanceUntilSettled(site.clock, site.submit(urgent, 1));
+    await fixtures.advanceUntilSettled(site.clock, site.submit(fixtures.createJob(8, { count: 100_000 }), 1));
     await site.clock.advance(4_000);
     site.kill(site.getLeader()!);
     await site.clock.advance(10_000);
--- a/src/work/__tests__/limits.test.ts
+++ b/src/work/__tests__/limits.test.ts
@@ -15,12 +15,17 @@
         ["reject a job with too many tasks", createSpec([1e9]), /1000000000 tasks/],
         ["reject a job whose progress exceeds a row", createSpec([700, 700]), /1400 tasks.*1170/],
         ["reject a job with too many occurrences to list", createSpec([1], 10_001), /10001 occurrences/],
+        [
+            "reject a job whose row is too large",
+            createSpec(new Array<number>(300).fill(1)),
+            /bytes, more than the 65536/,
+        ],
         ["reject a job with too many tasks over all occurrences", createSpec([100], 1_000), /100000 tasks over all/],
     ];
     test.each(cases)("%s", (_name, spec, excess) => {
-        const found = work.findExceededLimit(spec, ROW_BYTES);
+        const found = work.findExceededLimit(spec, JSON.stringify(spec).length, ROW_BYTES);
         expect(found === undefined).toBe(excess === undefined);
-        expect(found ?? "").toMatch(excess ?? /^$/);
+        expect(found?.reason ?? "").toMatch(excess ?? /^$/);
     });
 
     test("guarantee that the progress fits into a row in the worst case", () => {
--- a/src/work/index.ts
+++ b/src/work/index.ts
@@ -1,6 +1,6 @@
 /** Jobs, steps, occurrences and tasks: their specification and their progress, both as stored. */
 export { createStepGraph, getLongestChains, type StepGraph } from "./dependencies";
-export { findExceededLimit } from "./limits";
+export { type ExceededLimit, findExceededLimit, type JobLimit } from "./limits";
 export {
     decodeOccurrence,
     encodeOccurrence,
@@ -10,6 +10,7 @@
     type TaskProgress,
 } from "./progress";
 export {
+    countTasks,
     DEFAULT_STEP,
     getDueAt,
     getOccurrenceCount,
--- a/src/work/limits.ts
+++ b/src/work/limits.ts
@@ -5,7 +5,7 @@
  * instances crash one after another. If the progress of a job does not fit into a row, no progress of any job is stored
  * from then on, since rows are written in sequence; `progressNotWritten` is then logged without end.
  */
-import type * as spec from "./spec";
+import * as spec from "./spec";
 
 /** Maximum number of tasks of a job over all its occurrences: as many as a site of the intended size runs at once. */
 const MAX_TASKS = 96_000;
@@ -17,16 +17,36 @@
  */
 const MAX_TASK_BYTES = 56;
 
-/** Describes the limit that the job exceeds, or returns `undefined`. `rowBytes` is the maximum size of a row's value. */
-export function findExceededLimit(job: spec.JobSpec, rowBytes: number): string | undefined {
-    const tasks = job.steps.reduce((sum, step) => sum + step.count, 0);
+/** Limits of a job. The names are labels of a metric. */
+export type JobLimit = "storedTasks" | "occurrences" | "allTasks" | "rowBytes";
+
+/** A limit that a job exceeds. */
+export interface ExceededLimit {
+    readonly limit: JobLimit;
+    /** For the caller. */
+    readonly reason: string;
+}
+
+/**
+ * Returns a limit that the job exceeds, if any. `jobBytes` is the size of the job's row, `rowBytes` the maximum size of
+ * a row's value.
+ */
+export function findExceededLimit(job: spec.JobSpec, jobBytes: number, rowBytes: number): ExceededLimit | undefined {
+    const tasks = spec.countTasks(job);
+    const allTasks = tasks * spec.getOccurrenceCount(job);
     const maxStoredTasks = Math.floor(rowBytes / MAX_TASK_BYTES);
     if (tasks > maxStoredTasks) {
-        return `${tasks} tasks, more than the ${maxStoredTasks} whose progress can be stored`;
+        const reason = `${tasks} tasks, more than the ${maxStoredTasks} whose progress can be stored`;
+        return { limit: "storedTasks", reason };
     }
     if (job.repeats > MAX_OCCURRENCES) {
-        return `${job.repeats} occurrences, more than ${MAX_OCCURRENCES}`;
+        return { limit: "occurrences", reason: `${job.repeats} occurrences, more than ${MAX_OCCURRENCES}` };
+    }
+    if (allTasks > MAX_TASKS) {
+        return { limit: "allTasks", reason: `${allTasks} tasks over all occurrences, more than ${MAX_TASKS}` };
+    }
+    if (jobBytes > rowBytes) {
+        return { limit: "rowBytes", reason: `${jobBytes} bytes, more than the ${rowBytes} of a row` };
     }
-    const totalTasks = tasks * Math.max(1, job.repeats);
-    return totalTasks > MAX_TASKS ? `${totalTasks} tasks over all occurrences, more than ${MAX_TASKS}` : undefined;
+    return undefined;
 }
--- a/src/work/spec.ts
+++ b/src/work/spec.ts
@@ -101,3 +101,8 @@
 export function getOccurrenceCount(spec: JobSpec): number {
     return Math.max(1, spec.repeats);
 }
+
+/** Number of tasks of one occurrence. */
+export function countTasks(spec: JobSpec): number {
+    return spec.steps.reduce((sum, step) => sum + step.count, 0);
+}
