--- a/bench/fuzz.ts
+++ b/bench/fuzz.ts
@@ -17,6 +17,7 @@
             "--no-contention",
             "leave out competing accounts, uneven workers, and groups of workers that leave at short notice",
         )
+        .option("--unusual-jobs", "add jobs with many dependencies, tasks or overdue occurrences")
         .option("--shift <ms>", "delay faults and events by this much relative to the leader's timers", "0")
         .option("--log", "print the log lines of sites with a violation")
         .parse();
@@ -31,6 +32,7 @@
             restarts: boolean;
             evacuations: boolean;
             contention: boolean;
+            unusualJobs?: boolean;
         }
     >();
     const firstSeed = Number(options.seed);
@@ -43,6 +45,7 @@
             restarts: options.restarts,
             evacuations: options.evacuations,
             contention: options.contention,
+            unusualJobs: options.unusualJobs,
             shiftMs: Number(options.shift),
         });
         wronglyFailedJobs += report.wronglyFailedJobs;
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -17,6 +17,8 @@
     readonly jobSource: random.Random;
     /** Source of the choice of jobs whose tasks crash their workers. */
     readonly crashSource: random.Random;
+    /** Source of jobs of unusual shapes; without it there are none. */
+    readonly unusualJobSource?: random.Random;
     readonly balancer: loadBalancers.LoadBalancer;
     readonly workers: emulator.EmulatedWorkers;
     readonly queues: readonly catalogs.Queue[];
@@ -45,6 +47,8 @@
 const CANCEL_ONE_IN = 8;
 /** Longest time from the acceptance of a job to its cancellation. */
 const MAX_CANCEL_DELAY_MS = 6_000;
+/** One job of an unusual shape is added to this many others on average. */
+const UNUSUAL_ONE_IN = 6;
 const END_STATES = ["completed", "failed", "cancelled"];
 
 export function createCallers(options: CallersOptions): Callers {
@@ -111,24 +115,31 @@
         }
         await pollUntilEnded(record);
     };
+    const addJob = (job: emulator.EmulatedJob) => {
+        options.jobs.set(job.jobId, job);
+        const record: violationChecks.JobRecord = {
+            job,
+            refused: false,
+            acceptedAt: undefined,
+            cancelSentAt: undefined,
+            cancelledAt: undefined,
+            state: undefined,
+        };
+        records.push(record);
+        void runJob(record);
+    };
     return {
         records,
         violations,
         run: async (perSecond, signal) => {
+            const { unusualJobSource } = options;
             while (!signal.aborted) {
-                const randomJob = emulator.createRandomJob(options.jobSource, nextNumber++);
-                const job = emulator.withRandomCrashes(options.crashSource, randomJob);
-                options.jobs.set(job.jobId, job);
-                const record: violationChecks.JobRecord = {
-                    job,
-                    refused: false,
-                    acceptedAt: undefined,
-                    cancelSentAt: undefined,
-                    cancelledAt: undefined,
-                    state: undefined,
-                };
-                records.push(record);
-                void runJob(record);
+                const randomJob = emulator.createRandomJob(options.jobSource, nextNumber);
+                addJob(emulator.withRandomCrashes(options.crashSource, randomJob));
+                if (unusualJobSource?.nextInt(UNUSUAL_ONE_IN) === 0) {
+                    addJob(emulator.createUnusualJob(unusualJobSource, nextNumber, time.wallTime()));
+                }
+                nextNumber++;
                 await time.sleep(options.jobSource.nextExponential(1_000 / perSecond), signal);
             }
         },
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -24,6 +24,7 @@
     readonly seconds: string;
     readonly size: keyof typeof SIZES;
     readonly block: string;
+    readonly unusualJobs?: boolean;
     readonly verbose?: boolean;
     readonly keep?: boolean;
 }
@@ -41,6 +42,7 @@
             "uses the loopback addresses 127.BLOCK.*; concurrent soak runs need different blocks",
             "41",
         )
+        .option("--unusual-jobs", "add jobs with many dependencies, tasks or overdue occurrences")
         .option("--verbose", "print each fault as it begins")
         .option("--keep", "keep settings and logs of the processes, also of runs without a violation")
         .parse()
@@ -56,6 +58,7 @@
             seed,
             faultPhaseMs: Number(options.seconds) * 1_000,
             addressBlock: Number(options.block),
+            unusualJobs: options.unusualJobs ?? false,
             onProgress: line => {
                 if (options.verbose) {
                     print(line);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -23,6 +23,8 @@
     readonly faultCount: number;
     readonly jobsPerSecond: number;
     readonly addressBlock: number;
+    /** Whether callers also submit jobs of unusual shapes. */
+    readonly unusualJobs: boolean;
     /** Number of queues in the configuration that no caller uses. */
     readonly otherQueues: number;
     /** Bandwidth of each connection to the store, except the first instance's; absent: no limit. */
@@ -112,6 +114,7 @@
         source: createSource(4),
         jobSource: createSource(5),
         crashSource: createSource(7),
+        unusualJobSource: options.unusualJobs ? createSource(8) : undefined,
         balancer,
         workers: site.workers,
         queues: operator.queues,
--- a/soak/violations.ts
+++ b/soak/violations.ts
@@ -5,6 +5,7 @@
  * are longer, and a command that a link has held may be executed long after it was sent.
  */
 import * as emulator from "../src/emulator/index";
+import * as work from "../src/work/index";
 import type * as evacuations from "./evacuations";
 import * as instances from "./instance";
 
@@ -160,7 +161,10 @@
 }
 
 function listTasks(job: emulator.EmulatedJob): string[] {
-    return job.spec.steps.flatMap((step, number) =>
-        Array.from({ length: step.count }, (_, index) => `${job.jobId}.0.${number}.${index}`)
-    );
+    const listOfStep = (occurrence: number, { count }: work.StepSpec, number: number) =>
+        Array.from({ length: count }, (_, index) => work.getTaskName(job.jobId, occurrence, number, index));
+    return Array.from(
+        { length: work.getOccurrenceCount(job.spec) },
+        (_, occurrence) => job.spec.steps.flatMap((step, number) => listOfStep(occurrence, step, number)),
+    ).flat();
 }
--- a/src/emulator/__tests__/chaos.test.ts
+++ b/src/emulator/__tests__/chaos.test.ts
@@ -95,6 +95,13 @@
         },
     );
 
+    const unusualSeeds = Array.from({ length: 8 }, (_, number) => FIRST_RANDOM_SEED + number);
+    test.each(unusualSeeds)("seed %i violates no invariant with jobs of unusual shapes", async seed => {
+        const options = { slowStore: true, hazards: true, restarts: true, unusualJobs: true };
+        const { violations } = await emulator.runChaos(seed, options);
+        expect(violations).toEqual([]);
+    });
+
     const shiftedSeeds = SHIFTED_SEEDS.map(([seed, shiftMs]) => ({ seed, shiftMs }));
     test.each(shiftedSeeds)(
         "seed $seed violates no invariant with its faults delayed by $shiftMs ms",
--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -14,6 +14,7 @@
 import * as randomJob from "./randomJob";
 import * as sites from "./site";
 import type * as stores from "./store";
+import * as unusualJob from "./unusualJob";
 import type * as workerOrders from "./workerOrders";
 import * as emulatedWorkers from "./workers";
 import * as zoneEvacuations from "./zoneEvacuations";
@@ -62,7 +63,9 @@
  * With `slowStore` the store is also slow for a while, and carries out the transactions of a part one at a time. With
  * `hazards` tasks crash their workers, workers crash and come back, and capacities change. With `restarts` workers
  * restart under the same ids. With `evacuations` zones are evacuated and restored. With `contention` accounts compete,
- * workers are uneven, and groups of them leave at short notice. `shiftMs` delays faults and events, so that they coincide with other timers of the leader.
+ * workers are uneven, and groups of them leave at short notice. With `unusualJobs`
+ * some jobs have many dependencies, tasks or overdue occurrences. `shiftMs` delays faults and events, so that they
+ * coincide with other timers of the leader.
  */
 export async function runChaos(
     seed: number,
@@ -72,6 +75,7 @@
         restarts: withRestarts = false,
         evacuations: withEvacuations = false,
         contention: withContention = false,
+        unusualJobs: withUnusualJobs = false,
         shiftMs = 0,
     } = {},
 ): Promise<ChaosReport> {
@@ -152,7 +156,8 @@
     });
     const randomJobs = range(JOBS).map(number => randomJob.createRandomJob(source, number));
     const accountJobs = contention ? randomJobs.map(contention.withRandomAccount) : randomJobs;
-    const jobs = hazards ? accountJobs.map(hazards.withRandomCrashes) : accountJobs;
+    const ordinaryJobs = hazards ? accountJobs.map(hazards.withRandomCrashes) : accountJobs;
+    const jobs = [...ordinaryJobs, ...(withUnusualJobs ? createUnusualJobs(seed, time.wallTime()) : [])];
     const cancelled = new Set<string>();
     const accepted = new Set<string>();
     const acknowledged = new Set<string>();
@@ -283,6 +288,15 @@
     return events;
 }
 
+function createUnusualJobs(seed: number, wallNow: number): jobModel.EmulatedJob[] {
+    const source = random.createRandom(seed + UNUSUAL_JOBS_SEED_OFFSET);
+    return range(UNUSUAL_JOBS).map(number => unusualJob.createUnusualJob(source, number, wallNow));
+}
+
+const UNUSUAL_JOBS = 4;
+/** Keeps the derived seeds apart from the seeds of sites. */
+const UNUSUAL_JOBS_SEED_OFFSET = 19_000_000;
+
 /** Uses a random source of its own, so that a seed gives the same jobs and faults with and without `slowStore`. */
 function createSlowWindow(seed: number) {
     const source = random.createRandom(seed + SLOW_STORE_SEED_OFFSET);
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -12,6 +12,7 @@
 export { createSite, getFirstWorkerId, getInstanceName, type Site, type SiteOptions } from "./site";
 export { type StartRecord } from "./startChecks";
 export { createEmulatedStore, type EmulatedStore, type StoreFault, type StoreFaults } from "./store";
+export { createUnusualJob } from "./unusualJob";
 export { type TaskModel } from "./workerIncarnation";
 export type { OrderFault, WorkerFaults } from "./workerOrders";
 export { createEmulatedWorkers, type EmulatedWorkers, listViolations } from "./workers";
