Occurrences of many jobs that wait are opened within a total, in turns

Cause: each job has its first unfinished occurrence open, of up to 1,170 tasks for some 400 bytes of text.

Change: occurrences.ts opens the first occurrences of jobs up to 30,000 waiting tasks in all, 40,000 with jobs of the most urgent priority. So that work that fits nowhere does not keep out work that does, an occurrence that has not started within a second gives its place to a job that has none; it has no state but its number, so nothing is lost. Below the total nothing changes.

--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -56,13 +56,14 @@
 
 /** An empty registry; `onStopRequested` is called for each task that is to be stopped. */
 export function createJobRegistry(
-    { getWorkers = () => [], onStopRequested = () => undefined }: {
+    { clock = clocks.createManualClock(), getWorkers = () => [], onStopRequested = () => undefined }: {
+        clock?: clocks.Clock;
         getWorkers?(): Iterable<entries.WorkerEntry>;
         onStopRequested?(task: entries.TaskEntry): void;
     } = {},
 ): jobRegistries.JobRegistry {
     return jobRegistries.createJobRegistry({
-        clock: clocks.createManualClock(),
+        clock,
         log: LOG,
         meter: telemetry.createMetrics().meter,
         signal: new AbortController().signal,
--- a/src/leader/__tests__/occurrences.test.ts
+++ b/src/leader/__tests__/occurrences.test.ts
@@ -1,3 +1,4 @@
+import * as clocks from "../../clock/index";
 import type * as work from "../../work/index";
 import * as entries from "../entries";
 import * as fixtures from "./fixtures";
@@ -85,6 +86,67 @@
     });
 });
 
+describe("more waiting tasks than may be open at once", () => {
+    const JOBS = 70;
+    const TASKS = 1_000;
+    const MAX_WAITING_TASKS = 30_000;
+    const openSite = () => {
+        const clock = clocks.createManualClock();
+        const registry = fixtures.createJobRegistry({ clock });
+        const jobs = Array.from(
+            { length: JOBS },
+            (_, number) => registry.addJob(fixtures.createSubmission(`job${number}`, { count: TASKS })),
+        );
+        return { clock, registry, jobs };
+    };
+
+    // Guards against many large jobs, each within the limits, that end each leader in turn for want of memory.
+    test("are opened up to the limit, the oldest jobs first", () => {
+        const { registry, jobs } = openSite();
+        registry.releaseDueOccurrences();
+        expect(countOpenTasks(jobs)).toBe(MAX_WAITING_TASKS);
+        expect(jobs.filter(job => job.occurrences.size > 0)).toEqual(jobs.slice(0, MAX_WAITING_TASKS / TASKS));
+        expect(registry.countHeldBackOccurrences()).toBe(JOBS - MAX_WAITING_TASKS / TASKS);
+    });
+
+    // Guards against jobs that fit on no worker and keep all later ones from starting.
+    test("take turns within seconds while none of them can start", async () => {
+        const { clock, registry, jobs } = openSite();
+        const seen = new Set<entries.JobEntry>();
+        for (let pass = 0; pass < 16; pass++) {
+            registry.releaseDueOccurrences();
+            jobs.filter(job => job.occurrences.size > 0).forEach(job => seen.add(job));
+            expect(countOpenTasks(jobs)).toBeLessThanOrEqual(MAX_WAITING_TASKS);
+            await clock.advance(250);
+        }
+        expect(seen.size).toBe(JOBS);
+    });
+
+    test("leave room for urgent work", () => {
+        const { registry } = openSite();
+        registry.releaseDueOccurrences();
+        const submission = fixtures.createSubmission("urgent", { count: TASKS });
+        const urgent = registry.addJob(submission);
+        urgent.queue = { ...urgent.queue, priority: 0 };
+        registry.releaseDueOccurrences();
+        expect(listOpen(urgent)).toEqual([0]);
+    });
+
+    test("keep the entries of occurrences that have started", async () => {
+        const { clock, registry, jobs } = openSite();
+        registry.releaseDueOccurrences();
+        const worker = entries.createWorkerEntry(entries.createUnknownWorkerInfo("w"));
+        const task = registry.getTask("job0.0.0.0")!;
+        registry.place([task], [worker]);
+        for (let pass = 0; pass < 16; pass++) {
+            await clock.advance(250);
+            registry.releaseDueOccurrences();
+            expect(registry.getTask(task.name)).toBe(task);
+        }
+        expect(jobs[1]!.nextOccurrence).toBeLessThanOrEqual(1);
+    });
+});
+
 // Guards against passes that count through all occurrences of a job, thousands of which may have ended.
 test("a pass does not look at occurrences that have ended", () => {
     const registry = fixtures.createJobRegistry();
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -101,6 +101,8 @@
     readonly job: JobEntry;
     readonly number: number;
     readonly steps: StepEntry[];
+    /** Monotonic time at which its entries were created, in milliseconds. */
+    readonly openedAt: number;
     /** Number of steps that are not done. */
     unfinishedSteps: number;
     /** Version of the stored row; 0 if none is stored yet. */
@@ -209,6 +211,7 @@
         job,
         number,
         steps: [],
+        openedAt: now,
         unfinishedSteps: steps.length,
         rowVersion: 0,
         dueAt: work.getDueAt(job.submission.spec, number),
--- a/src/leader/occurrences.ts
+++ b/src/leader/occurrences.ts
@@ -1,8 +1,9 @@
 /**
  * The open occurrences of jobs, and their tasks.
  *
- * A job may have thousands of occurrences due at once. Only as many are open as the leader has memory and time for in
- * each pass; the others follow in the order of their due times. The entries of an occurrence are dropped after its end.
+ * A job may have thousands of occurrences due at once, and thousands of jobs may wait. Only as many occurrences are open
+ * as the leader has memory and time for in each pass; the others of a job follow in the order of their due times. The
+ * entries of an occurrence are dropped after its end.
  */
 import type * as clock from "../clock/index";
 import type * as observe from "../observe/index";
@@ -34,10 +35,19 @@
     forget(job: entries.JobEntry): void;
 }
 
-/** Maximum open tasks of one job that have not started, apart from its first open occurrence. */
+/** Maximum open tasks of one job that wait, apart from its first unfinished occurrence. */
 const MAX_WAITING_TASKS_OF_JOB = 4_000;
-/** Maximum open tasks of all jobs that have not started, apart from the first open occurrence of each job. */
+/** Number of open tasks of all jobs that wait from which a job gets no occurrence beside its first unfinished one. */
 const MAX_WAITING_TASKS = 20_000;
+/** Maximum open tasks of all jobs that wait. */
+const MAX_WAITING_TASKS_WITH_FIRST = 30_000;
+/** The same for jobs of the most urgent priority, so that other work cannot take all places. */
+const MAX_WAITING_TASKS_WITH_URGENT = 40_000;
+/**
+ * Time after which an occurrence that no worker could take gives its place to one that is held back, while all places
+ * are taken. Otherwise work that fits nowhere would keep out work that does.
+ */
+const TURN_MS = 1_000;
 
 /** Creates the occurrences of a term, none of which is open. */
 export function createOccurrences(options: OccurrencesOptions): Occurrences {
@@ -47,6 +57,9 @@
     const ended = new Set<entries.OccurrenceEntry>();
     /** Jobs of which a due occurrence is not open. */
     const heldBack = new Set<entries.JobEntry>();
+    /** Jobs whose first occurrence was open, did not start and gave up its place; the latest comes last. */
+    const suspended = new Set<entries.JobEntry>();
+    let turnEndsAt = 0;
 
     const open = (job: entries.JobEntry, number: number) => {
         const occurrence = entries.createOccurrenceEntry(job, number, time.now());
@@ -59,15 +72,43 @@
         return occurrence;
     };
 
-    const drop = (occurrence: entries.OccurrenceEntry) => {
-        const { job, number } = occurrence;
-        ended.delete(occurrence);
+    const close = ({ job, number, steps }: entries.OccurrenceEntry) => {
         job.occurrences.delete(number);
-        job.endedOccurrences.add(number);
-        for (const step of occurrence.steps) {
+        for (const step of steps) {
             step.tasks.forEach(task => tasks.delete(task.name));
         }
     };
+    const drop = (occurrence: entries.OccurrenceEntry) => {
+        ended.delete(occurrence);
+        occurrence.job.endedOccurrences.add(occurrence.number);
+        close(occurrence);
+    };
+    /** Closes an occurrence that has not started, to be opened again later. */
+    const suspend = (occurrence: entries.OccurrenceEntry) => {
+        const { job, number } = occurrence;
+        close(occurrence);
+        job.nextOccurrence = Math.min(job.nextOccurrence, number);
+        suspended.delete(job);
+        suspended.add(job);
+    };
+    /** Suspends occurrences that have not started in their turn, until as many tasks as asked for could be opened. */
+    const endTurn = (tasksWanted: number) => {
+        const now = time.now();
+        if (now < turnEndsAt) {
+            return;
+        }
+        turnEndsAt = now + TURN_MS;
+        let freed = 0;
+        for (const occurrence of [...active].flatMap(job => [...job.occurrences.values()])) {
+            if (freed >= tasksWanted) {
+                return;
+            }
+            if (occurrence.openedAt <= now - TURN_MS && !hasStarted(occurrence)) {
+                suspend(occurrence);
+                freed += work.countTasks(occurrence.job.submission.spec);
+            }
+        }
+    };
 
     /** Opens the job's due occurrences. Returns when its next one is due; `undefined` if none is or it is held back. */
     const openDue = (job: entries.JobEntry, now: number, total: WaitingTotal): number | undefined => {
@@ -85,15 +126,19 @@
             if (dueAt !== undefined && dueAt > now) {
                 return dueAt;
             }
-            if (hasUnfinishedOccurrence(job)) {
-                waiting ??= countWaitingTasks(job);
-                if (waiting + tasksEach > MAX_WAITING_TASKS_OF_JOB || total.get() + tasksEach > MAX_WAITING_TASKS) {
-                    heldBack.add(job);
-                    return undefined;
-                }
-                waiting += tasksEach;
+            const isFirst = !hasUnfinishedOccurrence(job);
+            waiting ??= isFirst ? 0 : countWaitingTasks(job);
+            const limit = isFirst ? getLimitOfFirst(job) : MAX_WAITING_TASKS;
+            if (
+                (!isFirst && waiting + tasksEach > MAX_WAITING_TASKS_OF_JOB)
+                || (tasks.size + tasksEach > limit && total.get() + tasksEach > limit)
+            ) {
+                heldBack.add(job);
+                return undefined;
             }
             open(job, number);
+            suspended.delete(job);
+            waiting += tasksEach;
             total.add(tasksEach);
         }
         return undefined;
@@ -108,37 +153,47 @@
                     drop(occurrence);
                 }
             }
-            for (const job of heldBack) {
+            for (const job of [...heldBack, ...suspended]) {
                 if (!active.has(job)) {
                     heldBack.delete(job);
+                    suspended.delete(job);
                 }
             }
             const now = time.wallTime();
             const total = createWaitingTotal(active);
             let next: number | undefined;
-            for (const job of active) {
+            let tasksWanted = 0;
+            const inTurn = [...suspended];
+            for (const job of [...active].filter(candidate => !suspended.has(candidate)).concat(inTurn)) {
                 const wasHeldBack = heldBack.has(job);
                 const dueAt = openDue(job, now, total);
                 if (dueAt !== undefined) {
                     next = Math.min(next ?? Infinity, dueAt);
                 }
+                if (heldBack.has(job) && !hasUnfinishedOccurrence(job)) {
+                    tasksWanted += work.countTasks(job.submission.spec);
+                }
                 if (heldBack.has(job) && !wasHeldBack) {
                     log.info("occurrencesHeldBack", {
                         job: job.submission.jobId,
                         open: job.occurrences.size,
-                        heldBack: countDue(job, now) - job.nextOccurrence,
+                        heldBack: countHeldBackOf(job, now),
                     });
                 }
             }
+            if (tasksWanted > 0) {
+                endTurn(tasksWanted);
+            }
             return next;
         },
         markEnded: occurrence => ended.add(occurrence),
         countHeldBack: () => {
             const now = time.wallTime();
-            return [...heldBack].reduce((sum, job) => sum + countDue(job, now) - job.nextOccurrence, 0);
+            return [...heldBack].reduce((sum, job) => sum + countHeldBackOf(job, now), 0);
         },
         forget: job => {
             heldBack.delete(job);
+            suspended.delete(job);
             [...job.occurrences.values()].forEach(drop);
         },
     };
@@ -170,6 +225,15 @@
     };
 }
 
+function getLimitOfFirst(job: entries.JobEntry): number {
+    return job.queue.priority === 0 ? MAX_WAITING_TASKS_WITH_URGENT : MAX_WAITING_TASKS_WITH_FIRST;
+}
+
+/** Whether a run of the occurrence has been placed, so that a row of it may be stored. */
+function hasStarted(occurrence: entries.OccurrenceEntry): boolean {
+    return occurrence.rowVersion > 0 || occurrence.steps.some(step => step.tasks.some(task => task.run > 0));
+}
+
 function hasUnfinishedOccurrence(job: entries.JobEntry): boolean {
     for (const occurrence of job.occurrences.values()) {
         if (!occurrence.isEnded) {
@@ -191,6 +255,12 @@
     return waiting;
 }
 
+/** Number of the job's occurrences that are due and have not been opened. */
+function countHeldBackOf(job: entries.JobEntry, now: number): number {
+    const openLater = [...job.occurrences.keys()].filter(number => number >= job.nextOccurrence).length;
+    return countDue(job, now) - job.nextOccurrence - openLater;
+}
+
 /** Number of the job's occurrences whose due time has passed. */
 function countDue(job: entries.JobEntry, now: number): number {
     const { spec } = job.submission;
