--- a/src/leader/occurrences.ts
+++ b/src/leader/occurrences.ts
@@ -57,6 +57,8 @@
     const ended = new Set<entries.OccurrenceEntry>();
     /** Jobs of which a due occurrence is not open. */
     const heldBack = new Set<entries.JobEntry>();
+    /** Jobs of which it has been logged that they are held back. */
+    const logged = new WeakSet<entries.JobEntry>();
     /** Jobs whose first occurrence was open, did not start and gave up its place; the latest comes last. */
     const suspended = new Set<entries.JobEntry>();
     let turnEndsAt = 0;
@@ -144,6 +146,18 @@
         return undefined;
     };
 
+    const logHeldBack = (job: entries.JobEntry, now: number) => {
+        if (logged.has(job)) {
+            return;
+        }
+        logged.add(job);
+        log.info("occurrencesHeldBack", {
+            job: job.submission.jobId,
+            open: job.occurrences.size,
+            heldBack: countHeldBackOf(job, now),
+        });
+    };
+
     return {
         getTask: name => tasks.get(name),
         open,
@@ -161,30 +175,29 @@
             }
             const now = time.wallTime();
             const total = createWaitingTotal(active);
-            let next: number | undefined;
+            let next = Infinity;
             let tasksWanted = 0;
-            const inTurn = [...suspended];
-            for (const job of [...active].filter(candidate => !suspended.has(candidate)).concat(inTurn)) {
-                const wasHeldBack = heldBack.has(job);
-                const dueAt = openDue(job, now, total);
-                if (dueAt !== undefined) {
-                    next = Math.min(next ?? Infinity, dueAt);
+            const visit = (job: entries.JobEntry) => {
+                next = Math.min(next, openDue(job, now, total) ?? Infinity);
+                if (!heldBack.has(job)) {
+                    return;
                 }
-                if (heldBack.has(job) && !hasUnfinishedOccurrence(job)) {
+                if (!hasUnfinishedOccurrence(job)) {
                     tasksWanted += work.countTasks(job.submission.spec);
                 }
-                if (heldBack.has(job) && !wasHeldBack) {
-                    log.info("occurrencesHeldBack", {
-                        job: job.submission.jobId,
-                        open: job.occurrences.size,
-                        heldBack: countHeldBackOf(job, now),
-                    });
+                logHeldBack(job, now);
+            };
+            const lastInLine = [...suspended];
+            for (const job of active) {
+                if (!suspended.has(job)) {
+                    visit(job);
                 }
             }
+            lastInLine.forEach(visit);
             if (tasksWanted > 0) {
                 endTurn(tasksWanted);
             }
-            return next;
+            return next === Infinity ? undefined : next;
         },
         markEnded: occurrence => ended.add(occurrence),
         countHeldBack: () => {
@@ -199,7 +212,7 @@
     };
 }
 
-/** The number of open tasks of all jobs that have not started, which is counted when first asked for. */
+/** The number of open tasks of all jobs that wait, which is counted when first asked for. */
 interface WaitingTotal {
     get(): number;
     add(tasks: number): void;
