Units list their fields, and a step alone needs no path

Collecting the units of 10,000 jobs took 386 ms where took 96, of 1,000 jobs of ten tasks 441 where it took 44 (medians of 20, both in one process, beside load); a unit took 988 bytes.

Change: createUnit lists the fields; a job of one step has its estimate as its path without a graph.

--- a/src/leader/pathTimes.ts
+++ b/src/leader/pathTimes.ts
@@ -27,9 +27,9 @@
     const getPaths = ({ job, steps }: entries.OccurrenceEntry) => {
         let paths = pathsByJob.get(job);
         if (!paths) {
-            const remainingMs = work.getLongestChains(job.submission.spec.steps, steps.map(estimateRunMs));
-            const criticalPathMs = remainingMs.reduce((longest, chain) => Math.max(longest, chain), 0);
-            paths = { remainingMs, criticalPathMs };
+            const runsMs = steps.map(estimateRunMs);
+            const remainingMs = steps.length > 1 ? work.getLongestChains(job.submission.spec.steps, runsMs) : runsMs;
+            paths = { remainingMs, criticalPathMs: Math.max(...remainingMs) };
             pathsByJob.set(job, paths);
         }
         return paths;
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -145,14 +145,31 @@
     const waitedMs = options.now - Math.max(step.readySince ?? options.now, firstTask.waitingSince);
     const mayCrashWorker = waitedMs < ISOLATION_MAX_WAIT_MS && !options.policy.disabledMechanisms.has("isolation")
         && tasks.some(task => crashHistory.isSuspect(task.crashes));
+    // Lists the fields: an object that is spread and then extended takes several times the time and memory.
     return {
-        ...ofStep,
         key: firstTask.name,
         equivalenceClass: firstTask.failures > 0 || mayCrashWorker ? firstTask.name : ofStep.step,
+        step: ofStep.step,
+        service: ofStep.service,
+        needs: ofStep.needs,
         count: tasks.length,
+        gang: ofStep.gang,
+        sameRack: ofStep.sameRack,
+        fewWorkers: ofStep.fewWorkers,
+        requiredLabel: ofStep.requiredLabel,
+        dataRack: ofStep.dataRack,
+        maxPerWorker: ofStep.maxPerWorker,
+        stepTasksByWorker: ofStep.stepTasksByWorker,
+        tier: ofStep.tier,
+        latencySensitive: ofStep.latencySensitive,
+        bestEffort: ofStep.bestEffort,
         mayCrashWorker,
         excludedWorkerIds: waitedMs < OTHER_WORKER_MAX_WAIT_MS ? getFailedWorkerIds(tasks) : NO_WORKERS,
+        allowedWorkerIds: ofStep.allowedWorkerIds,
         waitedMs,
+        expectedDurationMs: ofStep.expectedDurationMs,
+        objectiveMs: ofStep.objectiveMs,
+        inTimeDurationMs: ofStep.inTimeDurationMs,
     };
 }
 
