--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -1,5 +1,6 @@
 import type * as catalogs from "../../catalog/index";
 import * as clocks from "../../clock/index";
+import * as decisions from "../../decisions/index";
 import type * as observe from "../../observe/index";
 import * as telemetry from "../../telemetry/index";
 import * as work from "../../work/index";
@@ -8,6 +9,7 @@
 import type * as leases from "../lease/index";
 import type * as workerLosses from "../losses/index";
 import * as thrownAway from "../thrownAway";
+import type * as units from "../units";
 
 export const QUEUE: catalogs.Queue = {
     name: "plan",
@@ -82,3 +84,27 @@
         thrownAway: thrownAway.createThrownAwayWork(),
     });
 }
+
+/** Returns the array with a counter: `onRead` is called for each read of an element. */
+export function countReads<T extends object>(items: T, onRead: () => void): T {
+    return new Proxy(items, {
+        get: (target, key, receiver) => {
+            if (typeof key === "string" && key !== "" && key <= "9") {
+                onRead();
+            }
+            return Reflect.get(target, key, receiver) as unknown;
+        },
+    });
+}
+
+/** Options of a pass at time 0 that estimates each run by its caller's estimate. */
+export function createUnitsOptions(options: Partial<units.UnitsOptions> = {}): units.UnitsOptions {
+    return {
+        now: 0,
+        wallNow: 0,
+        estimateRunMs: step => step.spec.estimateMs,
+        policy: decisions.POLICIES.worth,
+        isGuaranteed: () => false,
+        ...options,
+    };
+}
