--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -88,11 +88,11 @@
 /** Returns the array with a counter: `onRead` is called for each read of an element. */
 export function countReads<T extends object>(items: T, onRead: () => void): T {
     return new Proxy(items, {
-        get: (target, key, receiver) => {
+        get: (target, key) => {
             if (typeof key === "string" && key !== "" && key <= "9") {
                 onRead();
             }
-            return Reflect.get(target, key, receiver) as unknown;
+            return target[key as keyof T];
         },
     });
 }
