Names and comments of the occurrences that are suspended

Cause: the code spoke of turns, places and a line where it suspends occurrences that have not started.

--- a/src/leader/__tests__/occurrences.test.ts
+++ b/src/leader/__tests__/occurrences.test.ts
@@ -109,8 +109,8 @@
         expect(registry.countHeldBackOccurrences()).toBe(JOBS - MAX_WAITING_TASKS / TASKS);
     });
 
-    // Guards against jobs that fit on no worker and keep all later ones from starting.
-    test("take turns within seconds while none of them can start", async () => {
+    // Guards against jobs that fit on no worker and block all later ones.
+    test("are each open within seconds while none of them can start", async () => {
         const { clock, registry, jobs } = openSite();
         const seen = new Set<entries.JobEntry>();
         for (let pass = 0; pass < 16; pass++) {
--- a/src/leader/occurrences.ts
+++ b/src/leader/occurrences.ts
@@ -41,13 +41,13 @@
 const MAX_WAITING_TASKS = 20_000;
 /** Maximum open tasks of all jobs that wait. */
 const MAX_WAITING_TASKS_WITH_FIRST = 30_000;
-/** The same for jobs of the most urgent priority, so that other work cannot take all places. */
+/** The same for jobs of the most urgent priority, which other work must not block. */
 const MAX_WAITING_TASKS_WITH_URGENT = 40_000;
 /**
- * Time after which an occurrence that no worker could take gives its place to one that is held back, while all places
- * are taken. Otherwise work that fits nowhere would keep out work that does.
+ * Time after which an occurrence that has not started is suspended if jobs without an open occurrence are held back.
+ * Otherwise jobs that fit on no worker would block all later ones.
  */
-const TURN_MS = 1_000;
+const SUSPEND_AFTER_MS = 1_000;
 
 /** Creates the occurrences of a term, none of which is open. */
 export function createOccurrences(options: OccurrencesOptions): Occurrences {
@@ -59,9 +59,9 @@
     const heldBack = new Set<entries.JobEntry>();
     /** Jobs of which it has been logged that they are held back. */
     const logged = new WeakSet<entries.JobEntry>();
-    /** Jobs whose first occurrence was open, did not start and gave up its place; the latest comes last. */
+    /** Jobs with a suspended occurrence, in the order of suspension. */
     const suspended = new Set<entries.JobEntry>();
-    let turnEndsAt = 0;
+    let nextSuspensionAt = 0;
 
     const open = (job: entries.JobEntry, number: number) => {
         const occurrence = entries.createOccurrenceEntry(job, number, time.now());
@@ -93,19 +93,19 @@
         suspended.delete(job);
         suspended.add(job);
     };
-    /** Suspends occurrences that have not started in their turn, until as many tasks as asked for could be opened. */
-    const endTurn = (tasksWanted: number) => {
+    /** Suspends occurrences that have not started, the oldest first, until `tasksWanted` tasks are closed. */
+    const suspendUnstarted = (tasksWanted: number) => {
         const now = time.now();
-        if (now < turnEndsAt) {
+        if (now < nextSuspensionAt) {
             return;
         }
-        turnEndsAt = now + TURN_MS;
+        nextSuspensionAt = now + SUSPEND_AFTER_MS;
         let freed = 0;
         for (const occurrence of [...active].flatMap(job => [...job.occurrences.values()])) {
             if (freed >= tasksWanted) {
                 return;
             }
-            if (occurrence.openedAt <= now - TURN_MS && !hasStarted(occurrence)) {
+            if (occurrence.openedAt <= now - SUSPEND_AFTER_MS && !hasStarted(occurrence)) {
                 suspend(occurrence);
                 freed += work.countTasks(occurrence.job.submission.spec);
             }
@@ -187,15 +187,15 @@
                 }
                 logHeldBack(job, now);
             };
-            const lastInLine = [...suspended];
+            const visitedLast = [...suspended];
             for (const job of active) {
                 if (!suspended.has(job)) {
                     visit(job);
                 }
             }
-            lastInLine.forEach(visit);
+            visitedLast.forEach(visit);
             if (tasksWanted > 0) {
-                endTurn(tasksWanted);
+                suspendUnstarted(tasksWanted);
             }
             return next === Infinity ? undefined : next;
         },
