--- a/src/work/dependencies.ts
+++ b/src/work/dependencies.ts
@@ -9,24 +9,14 @@
     readonly successors: ReadonlyArray<readonly number[]>;
 }
 
-const NO_STEPS: readonly number[] = [];
-
-/** Builds the graph. A dependency that is no earlier step, or that is listed twice, counts once or not at all. */
+/** Builds the graph. A dependency that is listed twice counts once; one that names no earlier step is ignored. */
 export function createStepGraph(steps: ReadonlyArray<Pick<spec.StepSpec, "after">>): StepGraph {
     const predecessorCounts: number[] = [];
-    const successors = steps.map((): readonly number[] | number[] => NO_STEPS);
+    const successors = steps.map((): number[] => []);
     steps.forEach(({ after }, number) => {
         const predecessors = new Set(after.filter(earlier => isEarlierStep(earlier, number)));
         predecessorCounts.push(predecessors.size);
-        for (const earlier of predecessors) {
-            const present = successors[earlier]!;
-            if (present === NO_STEPS) {
-                successors[earlier] = [number];
-            }
-            else {
-                (present as number[]).push(number);
-            }
-        }
+        predecessors.forEach(earlier => successors[earlier]!.push(number));
     });
     return { predecessorCounts, successors };
 }
