--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,75 +1,107 @@
-/** A worker starts again under its id as another kind, and gets a task that needs the kind it was before. */
+/** An upkeep stops the last task of a step that may miss one, while the other has been away for over `notice-ms`. */
 import * as path from "node:path";
 import { fileURLToPath } from "node:url";
+import { createMachineService } from "../standins-2/machines.mjs";
 import * as s from "../standins-2/site.mjs";
 
-/** How long the crashed worker is down: `for_s` of `srv_crash` is 4.5 at most in the site file. */
-const DOWN_MS = 3_500;
+/** `max-hold-ms` of facile-rennes. */
+s.useBounds({ maxLeaseMs: 10_000 });
+const NOTICE_MS = 4_500;
+/** When the wave is asked for, after the crash. */
+const WAVE_AFTER_MS = 5_500;
 
 await s.runCase(path.dirname(fileURLToPath(import.meta.url)), async trouble => {
     const block = await s.findBlock();
     const temporary = s.createTemporary();
     const site = { events: [], store: await s.createStore(`${block}.1`), instances: [] };
-    site.store.put("op", "config", s.createConfiguration({ guards: true }));
-    const start = (name, host, kind, port) =>
-        s.createWorker(site, {
-            name,
-            host,
-            port,
-            service: "booking",
-            zone: "zone-a",
-            labels: [kind, "rack-1"],
-            getDurationMs: () => 1_000,
-        });
-    const worker = await start("worker-0", `${block}.100`, "a");
-    await start("worker-1", `${block}.101`, "b");
-    await start("worker-2", `${block}.102`, "b");
+    site.store.put("op", "config", s.createConfiguration());
+    const workers = new Map();
+    const machines = await createMachineService(site, {
+        host: `${block}.2`,
+        machines: ["m1", "m2", "m3", "m4"].map((machine, index) => ({
+            machine,
+            pool: "booking",
+            zone: index < 2 ? "zone-a" : "zone-b",
+            labels: ["a", index < 2 ? "rack-1" : "rack-2"],
+        })),
+        createLife: async ({ machine, zone, labels }, life) => {
+            const worker = await s.createWorker(site, {
+                name: `${machine}-life-${life}`,
+                host: `${block}.${100 + Number(machine.slice(1)) * 10 + life}`,
+                service: "booking",
+                zone,
+                labels,
+                getDurationMs: () => Infinity,
+            });
+            workers.set(worker.name, { worker, machine });
+            return worker;
+        },
+    });
     site.instances = ["a", "b", "c"].map((zone, index) =>
         s.createInstance({
             name: `front-${zone}-1`,
             zone: `zone-${zone}`,
             address: `${block}.${11 + index}`,
             store: site.store.address,
+            machines: machines.address,
             temporary,
         })
     );
     site.instances.forEach(instance => instance.start());
     await s.waitUntilServing(site);
     const caller = s.createCaller(site, { host: "plan.example", prefix: "/plan/", key: "key-office" });
-    const submit = async () => {
-        const id = s.createJobId();
-        await caller.submitUntilAccepted(id, {
-            spec: "needs kind a",
-            steps: [{ count: 1, cpu: 1_000, "mem-mb": 512, gpu: 1, "estimate-ms": 1_000, "required-label": "a" }],
-        });
-        return id;
-    };
-    const first = await submit();
-    await s.waitFor(
-        "end of the first job",
-        10_000,
-        () => site.events.some(event => event.kind === "end" && event.task.startsWith(first)),
-    );
-    await s.sleep(1_000);
+    const id = s.createJobId();
+    await caller.submitUntilAccepted(id, {
+        spec: "lasts",
+        steps: [{
+            count: 2,
+            cpu: 4_000,
+            "mem-mb": 2_048,
+            "estimate-ms": 60_000,
+            "long-running": true,
+            "may-miss": 1,
+            "anti-affinity": 1,
+        }],
+    });
+    const findRuns = () =>
+        [...workers.values()].flatMap(({ worker, machine }) =>
+            [...worker.running.values()].map(run => ({ task: run.task, worker, machine }))
+        );
+    await s.waitFor("two tasks at work", 10_000, () => findRuns().length === 2);
+    // Lets the leader pass the time for which it orders no upkeep after a takeover.
+    await s.sleep(5_000);
+    const [first, second] = findRuns();
+    s.record("tasks", {
+        first: `${first.task} on ${first.worker.name}`,
+        second: `${second.task} on ${second.worker.name}`,
+    });
+    const crashedAt = s.now();
     if (trouble) {
-        s.record("disruption", { what: "worker crashes and starts again as kind b", downMs: DOWN_MS });
-        worker.crash();
-        await s.sleep(DOWN_MS);
-        const port = Number(worker.address.split(":")[1]);
-        await start("worker-0", `${block}.100`, "b", port);
-        s.record("worker.startedAgain", { worker: "worker-0", labels: ["b", "rack-1"] });
+        s.record("disruption", { what: "worker crashes and stays away", worker: first.worker.name });
+        first.worker.crash();
+        machines.setDown(first.machine);
+        setTimeout(() => site.store.remove("servers", first.worker.name), 3 * 1_500).unref();
     }
-    const second = await submit();
-    await s.sleep(6_000);
-    const starts = site.events.filter(event => event.kind === "start" && event.task.startsWith(second));
-    const wrong = starts.filter(event => !event.labels.includes("a"));
+    await s.sleep(WAVE_AFTER_MS);
+    site.store.put("op", "wave/1", { wave: 1, machines: [second.machine], "within-s": 60, "max-count": 1 });
+    s.record("operator.wave", { wave: 1, machines: [second.machine] });
+    await s.waitFor("upkeep", 60_000, () => machines.getUpkeepAt(second.machine, 1) !== undefined);
+    const ended = site.events.find(event => event.kind === "end" && event.task === second.task && event.at > crashedAt);
+    // When the other task of the step was at work again.
+    const back = site.events.find(event => event.kind === "start" && event.task === first.task && event.at > crashedAt);
+    const awayMs = trouble ? Math.min(ended.at, back?.at ?? Infinity) - crashedAt : 0;
     s.record("judged", {
-        job: second,
-        starts: starts.length,
-        wrong: wrong.length,
-        state: await caller.getState(second),
+        ended: ended.how,
+        afterMs: Math.round(ended.at - crashedAt),
+        otherAwayMs: Math.round(awayMs),
+        otherBackAtMs: back && Math.round(back.at - crashedAt),
     });
-    return wrong.map(event =>
-        `ROUTE: ${event.task} needs the label a and was started on ${event.worker}, which has ${event.labels}`
-    );
+    await s.sleep(1_000);
+    const isAway = trouble && (back === undefined || back.at > ended.at) && awayMs >= NOTICE_MS;
+    return isAway && ["stopped", "gone"].includes(ended.how)
+        ? [
+            `AVAIL: the upkeep of ${second.machine} ended ${second.task} (${ended.how}), at work on a sound worker, while ${first.task}, `
+            + `the one that may be missed, had been away for ${Math.round(awayMs)} ms`,
+        ]
+        : [];
 });
