--- a/review/standins-2/machines.mjs
+++ b/review/standins-2/machines.mjs
@@ -89,6 +89,8 @@
         /** When the machine began its upkeep for the wave; `undefined` if it has not. */
         getUpkeepAt: (machine, wave) => doneBy.get(`${machine} ${wave}`),
         getWorkerName: machine => known.get(machine).worker?.name,
+        /** The machine's worker has crashed, and the machine stays down. */
+        setDown: machine => Object.assign(known.get(machine), { state: "down", worker: undefined }),
         getState: machine => known.get(machine).state,
     };
 }
--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -35,6 +35,11 @@
     reportMs: 1_500,
 };
 
+/** Takes other bounds than those of cedarflue-hq. */
+export function useBounds(other) {
+    Object.assign(BOUNDS, other);
+}
+
 // ---------------------------------------------------------------- record
 
 const lines = [];
