--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -221,7 +221,7 @@
 // ---------------------------------------------------------------- the platform's store
 
 /** Rows, transactions and the feed. `onTx(entry)` may return "late:MS" (done later, no answer) or "refuse". */
-export async function createStore(host, { onTx = () => undefined } = {}) {
+export async function createStore(host, { onTx = () => undefined, rowBytes = Infinity } = {}) {
     const rows = new Map();
     const history = [];
     const waiters = new Set();
@@ -283,6 +283,14 @@
         switch (call) {
             case "POST /-/rows-tx": {
                 await sleep(5);
+                const tooLong = (body.put ?? []).find(row => Buffer.from(row.value, "base64").length > rowBytes);
+                if (tooLong) {
+                    record("store.rowTooLong", {
+                        row: `${tooLong.table}/${tooLong.key}`,
+                        bytes: Buffer.from(tooLong.value, "base64").length,
+                    });
+                    return { status: 400 };
+                }
                 const fault = onTx({ from, body });
                 if (fault === "refuse") {
                     return { status: 503 };
@@ -338,7 +346,8 @@
 
 /**
  * A worker: one life of a machine. `getDurationMs(task, spec)` says how long a run works, `Infinity` for a task that
- * lasts; `getFigure(run, runs)` the fifth entry of its row. `onCall(call, body)` may return "late:MS" (carried out later, no answer), "lost" (carried out, no answer) or
+ * lasts; `getFigure(run, runs)` the fifth entry of its row, `getSaved(run)` its
+ * checkpoint. `onCall(call, body)` may return "late:MS" (carried out later, no answer), "lost" (carried out, no answer) or
  * "cut" (not carried out, no answer).
  */
 export async function createWorker(site, {
@@ -351,6 +360,7 @@
     capacity = { cpu: 32_000, "mem-mb": 65_536, gpu: 8 },
     getDurationMs,
     getFigure = () => 0,
+    getSaved,
     onCall = () => undefined,
     heartbeatMs = 1_500,
 }) {
@@ -466,7 +476,7 @@
                     running: [...running.values()].map(run => [
                         run.task,
                         run.run,
-                        run.saved,
+                        getSaved?.(run) ?? run.saved,
                         run.durationMs === Infinity
                             ? 100
                             : Math.min(99, Math.floor(100 * (now() - run.startedAt) / run.durationMs)),
@@ -706,7 +716,7 @@
 export const createJobId = () => Array.from({ length: 16 }, () => Math.floor(Math.random() * 16).toString(16)).join("");
 
 /** A configuration with one service and one queue, and one tenant. */
-export function createConfiguration({ version = 7, advice, guards = false } = {}) {
+export function createConfiguration({ version = 7, advice, guards = false, guaranteed = 0 } = {}) {
     return {
         version,
         routes: [
@@ -721,9 +731,22 @@
                 "slo-ms": 1_000,
                 ...advice && { advice },
             },
+            {
+                name: "now",
+                host: "plan.example",
+                "path-prefix": "/now/",
+                service: "booking",
+                priority: 0,
+                "max-attempts": 2,
+                stretch: 2,
+                "slo-ms": 250,
+            },
         ],
         services: [{ name: "booking", ...guards && { "admission-check": true } }],
-        tenants: [{ name: "office", "api-keys": ["key-office"], guaranteed: { gpu: 0 } }],
+        tenants: [
+            { name: "office", "api-keys": ["key-office"], guaranteed: { gpu: 0 } },
+            { name: "desk", "api-keys": ["key-desk"], guaranteed: { gpu: guaranteed } },
+        ],
         limits: {
             "max-header-bytes": 16_384,
             "max-body-bytes": 262_144,
