--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -8,9 +8,9 @@
 /** A call for 30 workers takes 0.5 s, so the service answers 2 calls a second. */
 const DECIDE_MS = Number(process.env.DECIDE ?? 200);
 const EACH_MS = Number(process.env.EACH ?? 10);
-/** `slot-confirm` of cedarflue-hq: jobs a second; the largest burst of that class is 2.4 times that for 6 s. */
+/** `slot-confirm` of cedarflue-hq: jobs a second; the largest burst of that class there is 2.2 times that for 6 s. */
 const JOBS_PER_S = Number(process.env.RATE ?? 1.34);
-const BURST = Number(process.env.BURST ?? 2.4);
+const BURST = Number(process.env.BURST ?? 2.2);
 const BURST_MS = 6_000;
 const BEFORE_MS = 10_000;
 const AFTER_MS = 15_000;
