Calls to the adviser: one in flight, chosen when the one before has ended

Cause: each waiting step had a call of its own in flight, with a timeout for its own service only, and the adviser serves one call at a time. With more than four steps waiting the calls time out in the line; the adviser works on abandoned calls, and the steps join the end of the line again, for good.

Change: src/leader/advice sends one call at a time. requestOrder.ts chooses the next one among the steps that wait then: those that could start now first, by turns the most urgent that has not been asked for and the one that has waited longest; steps without room only if they hold no valid ticket. A call that times out doubles the next timeout, up to four times, for an adviser that is slower than declared. Log lines have waitedMs and tookMs; advice_calls_total, advice_call_duration_ms; a timeout without a connection says so.

--- a/src/calls/httpClient.ts
+++ b/src/calls/httpClient.ts
@@ -68,6 +68,7 @@
 function send(agent: http.Agent, call: HttpCall): Promise<HttpOutcome> {
     return new Promise(resolve => {
         let sent = false;
+        let hasConnection = false;
         let receivedBytes = 0;
         const { host, port } = parseAddress(call.address);
         const headers: Record<string, string | number> = { ...call.headers };
@@ -85,13 +86,21 @@
         });
         const timer = callTimeout.startCallTimer(call, afterMs => {
             // The connection may be dead, so the next call needs a new one.
-            req.destroy(new Error(describeTimeout(afterMs, receivedBytes)));
+            const ms = Math.round(afterMs);
+            req.destroy(
+                new Error(
+                    hasConnection
+                        ? describeTimeout(ms, receivedBytes)
+                        : `not sent within ${ms} ms: all connections to ${call.address} are in use`,
+                ),
+            );
         });
         const finish = (outcome: HttpOutcome) => {
             timer.stop();
             resolve(outcome);
         };
         req.once("socket", socket => {
+            hasConnection = true;
             if (!socket.connecting) {
                 sent = true;
                 return;
@@ -122,8 +131,7 @@
 }
 
 /** Error message of a timeout; distinguishes a silent server from one whose answer was still arriving. */
-function describeTimeout(afterMs: number, receivedBytes: number): string {
-    const ms = Math.round(afterMs);
+function describeTimeout(ms: number, receivedBytes: number): string {
     return receivedBytes === 0
         ? `no answer within ${ms} ms`
         : `no whole answer within ${ms} ms, ${receivedBytes} bytes of it had come`;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -7,7 +7,7 @@
 import type * as observe from "../observe/index";
 import type * as rows from "../rows/index";
 import * as accountShares from "./accountShares";
-import * as advice from "./advice";
+import * as advice from "./advice/index";
 import * as bestEffortPacing from "./bestEffortPacing";
 import type * as directory from "./directory";
 import * as entries from "./entries";
@@ -163,6 +163,7 @@
         adviser: options.adviser,
         clock: time,
         log,
+        meter,
         signal,
         onTicketsChanged: () => planPass(PASS_DELAY_MS),
     });
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -57,6 +57,8 @@
     placement_wait_ms: histogram("leader: from when a unit could start to its place", "queue"),
     start_orders_total: counter("leader: orders to start", "answer"),
     stop_orders_total: counter("leader: orders to stop", "answer"),
+    advice_calls_total: counter("leader: calls to the adviser", "answer"),
+    advice_call_duration_ms: histogram("leader: a call to the adviser", "queue"),
     pace_orders_total: counter("leader: orders on the pace of fillers", "answer"),
     runs_ended_total: counter("leader: runs that ended", "queue", "how"),
     runs_lost_total: counter("leader: runs that were lost with their worker", "queue", "reason"),
--- a/src/scheduler/__tests__/advice.test.ts
+++ b/src/scheduler/__tests__/advice.test.ts
@@ -1,3 +1,4 @@
+import type * as clocks from "../../clock/index";
 import type * as leader from "../../leader/index";
 import * as fixtures from "./fixtures";
 
@@ -67,3 +68,77 @@
         site.close();
     });
 });
+
+/**
+ * An adviser that handles one call at a time, the abandoned ones too, refuses beyond 32 that wait, and allows every
+ * worker. A call takes `serviceMs`.
+ */
+function createSerialAdviser(getClock: () => clocks.Clock, serviceMs: number): leader.Adviser & { calls: number; } {
+    const MAX_WAITING = 32;
+    let waitingCalls = 0;
+    let freeAt = 0;
+    const adviser = {
+        calls: 0,
+        advise: async (_step: string, workerNames: readonly string[], timeoutMs: number) => {
+            const time = getClock();
+            const { signal } = new AbortController();
+            adviser.calls++;
+            if (waitingCalls >= MAX_WAITING) {
+                return { kind: "unavailable", message: "status 429" } as const;
+            }
+            waitingCalls++;
+            freeAt = Math.max(freeAt, time.now()) + serviceMs;
+            const answerInMs = freeAt - time.now();
+            time.setTimer(answerInMs, () => waitingCalls--);
+            await time.sleep(Math.min(answerInMs, timeoutMs), signal);
+            return answerInMs > timeoutMs
+                ? { kind: "unavailable", message: `no answer within ${timeoutMs} ms` } as const
+                : {
+                    kind: "advised",
+                    suitable: workerNames.map(workerName => ({ workerName, ticket: `t-${workerName}` })),
+                    validMs: 10_000,
+                } as const;
+        },
+    };
+    return adviser;
+}
+
+interface BurstCase {
+    readonly name: string;
+    readonly jobs: number;
+    /** What the adviser takes for a call on 30 workers, of which the queue declares 500 ms. */
+    readonly serviceMs: number;
+    readonly startsWithinMs: number;
+    readonly maxCalls: number;
+}
+
+const bursts: readonly BurstCase[] = [
+    { name: "at once", jobs: 24, serviceMs: 500, startsWithinMs: 24 * 500 / 0.9 + 500, maxCalls: 24 },
+    // One call is given up before the timeout is long enough, and is worked on as well.
+    {
+        name: "of an adviser that is slower than declared",
+        jobs: 4,
+        serviceMs: 3_000,
+        startsWithinMs: 5 * 3_000 / 0.9 + 500,
+        maxCalls: 5,
+    },
+];
+
+// Guards against a burst of jobs after which the adviser works only on calls that have been given up, and none starts.
+describe("more jobs wait for the adviser than it answers within a timeout", () => {
+    test.each(bursts)("$name", async ({ jobs, serviceMs, startsWithinMs, maxCalls }) => {
+        const queues = CATALOG.queues.map(queue => ({
+            ...queue,
+            advice: { decideMs: 200, eachMs: 10, validMs: 10_000 },
+        }));
+        const adviser = createSerialAdviser(() => site.clock, serviceMs);
+        const site = fixtures.openSite({ workers: 30, catalog: { ...CATALOG, queues }, adviser });
+        await site.clock.advance(1_000);
+        const burst = Array.from({ length: jobs }, (_, number) => fixtures.createJob(number + 1));
+        await Promise.all(burst.map(job => fixtures.advanceUntilSettled(site.clock, site.submit(job, 1))));
+        await site.clock.advance(startsWithinMs);
+        expect(burst.filter(job => fixtures.getStarts(site, job).length === 0)).toEqual([]);
+        expect(adviser.calls).toBeLessThanOrEqual(maxCalls);
+        site.close();
+    });
+});
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -110,6 +110,16 @@
     return site.metrics.render();
 }
 
+/** Runs a site whose queues need an adviser, which is away, and returns its metrics as text. */
+async function runSiteWithoutAdviser(): Promise<string> {
+    const advice = { decideMs: 20, eachMs: 1, validMs: 3_000 };
+    const queues = fixtures.CATALOG.queues.map(queue => ({ ...queue, advice }));
+    const site = await fixtures.openSiteWithJobs({ catalog: { ...fixtures.CATALOG, queues } }, [fixtures.createJob(1)]);
+    await site.clock.advance(1_000);
+    site.close();
+    return site.metrics.render();
+}
+
 describe("metrics", () => {
     let served: string;
 
@@ -119,6 +129,7 @@
             await runUnevenSite(),
             await runSiteWithDepartures(),
             await runSiteWithDeferral(),
+            await runSiteWithoutAdviser(),
         ];
         served = sites.join("\n");
     });
