Tasks count as available only while their worker answers and has just reported them

Cause: a task was available if its phase was `running` and its latest report had 100 percent, however old. Until the leases of a lost worker have certainly expired its tasks are `running`, which is right for capacity and leases and wrong for a promise on what is at work.

Related paths: waves of upkeep counted in the same way. A task that was not known to be available had no budget at all, so one that was starting up at its last report could be stopped while the others were away; in a wave it counted against itself.

Change: src/leader/availability.ts answers both questions, how many of a step are away (whatever is not certainly at work) and whether a task is protected (whatever may be at work); preemption and upkeep ask there. The emulator's lasting tasks come to 100 percent after their start-up, as workers report it.

--- a/src/decisions/types.ts
+++ b/src/decisions/types.ts
@@ -105,14 +105,14 @@
     readonly lossCoreSeconds: number;
     /** Total cost of a stop: the thrown-away work and the cost of making the job late. */
     readonly costCoreSeconds: number;
-    /** Set for an available lasting task whose step may miss only some of its tasks at a time. */
+    /** Set for a lasting task that may be available, and whose step may miss only some of its tasks at a time. */
     readonly disruptionBudget?: DisruptionBudget;
 }
 
 /** How many tasks of a lasting step may be stopped. */
 export interface DisruptionBudget {
     readonly step: string;
-    /** Number of tasks that may be stopped in addition to those that are not running now. */
+    /** Number of tasks that may be stopped in addition to the others that are unavailable, or may be. */
     readonly allowedDisruptions: number;
 }
 
--- a/src/emulator/workerOrders.ts
+++ b/src/emulator/workerOrders.ts
@@ -154,7 +154,7 @@
                             * workerIncarnation.CHECKPOINT_INTERVAL_MS,
                     )
                     : "",
-                percent: Math.floor(100 * run.doneMs / run.model.durationMs),
+                percent: getPercent(run),
                 recentFigure: 0,
             })),
             ended: [...incarnation.ends],
@@ -225,3 +225,12 @@
             call(worker, "poll", timeoutMs, incarnation => poll(incarnation, order)) as Promise<leader.PollAnswer>,
     };
 }
+
+/** Work after which a lasting task is available. */
+const START_UP_MS = 500;
+
+/** Progress in percent; of a lasting task, that of its start-up. */
+function getPercent({ doneMs, model }: workerIncarnation.Run): number {
+    const durationMs = Number.isFinite(model.durationMs) ? model.durationMs : START_UP_MS;
+    return Math.min(100, Math.floor(100 * doneMs / durationMs));
+}
--- a/src/leader/__tests__/units.test.ts
+++ b/src/leader/__tests__/units.test.ts
@@ -32,3 +32,15 @@
     expect(earlier).toBe(none);
     expect(counted).toBeGreaterThan(none);
 });
+
+// Guards against a task that is stopped, although it has come to work since its last report, while the others are away.
+test("a task that is starting up is protected by the budget of its step", () => {
+    const registry = fixtures.createJobRegistry();
+    const job = registry.addJob(fixtures.createSubmission("job", { count: 2, lasting: true, mayMiss: 1 }));
+    registry.releaseDueOccurrences();
+    const [task] = job.occurrences.get(0)!.steps[0]!.tasks;
+    entries.assign(task!, entries.createWorkerEntry(entries.createUnknownWorkerInfo("w")));
+    Object.assign(task!, { phase: "running", percent: 40 });
+    const groups = units.collectRunningGroups([job], fixtures.createUnitsOptions());
+    expect(groups.get(task!.name)!.group.disruptionBudget).toEqual({ step: "job.0.0", allowedDisruptions: 0 });
+});
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -348,18 +348,6 @@
     };
 }
 
-/** Whether a lasting task is available: its worker reports 100 percent once its start-up has completed. */
-export function isAvailable(task: TaskEntry): boolean {
-    return task.phase === "running" && task.percent >= AVAILABLE_PERCENT;
-}
-
-const AVAILABLE_PERCENT = 100;
-
-/** Counts the tasks of a lasting step that are unavailable for any reason. */
-export function countUnavailable(step: StepEntry): number {
-    return step.tasks.filter(task => !isAvailable(task)).length;
-}
-
 /** Latest known start time of the current run. A start without an answer may have taken effect when it was ordered. */
 export function getStartedAt(task: TaskEntry): number {
     return Math.max(task.orderedAt, task.runningSince);
--- a/src/leader/units.ts
+++ b/src/leader/units.ts
@@ -1,6 +1,7 @@
 /** Converts jobs and workers to the input of the placement decisions. */
 import * as decisions from "../decisions/index";
 import * as work from "../work/index";
+import * as availability from "./availability";
 import * as crashHistory from "./crashHistory";
 import * as entries from "./entries";
 import * as workerLosses from "./losses/index";
@@ -283,10 +284,14 @@
                 if (placed.length === 0) {
                     continue;
                 }
-                const budget = getDisruptionBudget(step);
+                const { getDisruptionBudget } = availability.createStepAvailability(
+                    step,
+                    getStepName(step),
+                    options.now,
+                );
                 for (const tasks of step.spec.gang ? [placed] : placed.map(task => [task])) {
                     const key = tasks[0]!.name;
-                    groups.set(key, createGroup(key, tasks, budget, options));
+                    groups.set(key, createGroup(key, tasks, getDisruptionBudget(tasks), options));
                 }
             }
         }
@@ -302,7 +307,7 @@
 function createGroup(
     key: string,
     tasks: readonly entries.TaskEntry[],
-    budget: decisions.DisruptionBudget | undefined,
+    disruptionBudget: decisions.DisruptionBudget | undefined,
     options: OptionsWithPaths,
 ): GroupOfTasks {
     const { step } = tasks[0]!;
@@ -319,8 +324,7 @@
             members: tasks.map(task => ({ workerId: task.worker!.id, needs: step.needs })),
             lossCoreSeconds,
             costCoreSeconds,
-            // Unavailable tasks are not protected: their step already counts them as missing.
-            disruptionBudget: tasks.some(entries.isAvailable) ? budget : undefined,
+            disruptionBudget,
         },
         urgency,
         costWithoutUsage: decisions.getUsageStep(urgency) > 0
@@ -346,13 +350,6 @@
     return { elapsedMs, unsavedMs, lossCoreSeconds };
 }
 
-function getDisruptionBudget(step: entries.StepEntry): decisions.DisruptionBudget | undefined {
-    const { mayMiss } = step.spec;
-    return mayMiss === 0
-        ? undefined
-        : { step: getStepName(step), allowedDisruptions: mayMiss - entries.countUnavailable(step) };
-}
-
 function getStepName(step: entries.StepEntry): string {
     return `${step.occurrence.job.submission.jobId}.${step.occurrence.number}.${step.number}`;
 }
--- a/src/leader/upkeep/upkeep.ts
+++ b/src/leader/upkeep/upkeep.ts
@@ -7,7 +7,8 @@
 import type * as clock from "../../clock/index";
 import type * as observe from "../../observe/index";
 import type * as rows from "../../rows/index";
-import * as entries from "../entries";
+import * as availability from "../availability";
+import type * as entries from "../entries";
 import type * as jobRegistries from "../jobRegistry";
 import type * as leases from "../lease/index";
 import type * as machines from "../machines";
@@ -228,17 +229,12 @@
 function stopTasks(options: UpkeepOptions, worker: entries.WorkerEntry, isDrainOverdue: boolean): void {
     for (const task of worker.tasks) {
         const { spec } = task.step;
-        if (spec.lasting ? mayMissOneMore(task.step) : isDrainOverdue) {
+        if (spec.lasting ? availability.mayStop(task, options.clock.now()) : isDrainOverdue) {
             options.jobRegistry.requestStop(task, "upkeep");
         }
     }
 }
 
-/** Returns whether one more task of a lasting step may be missing. */
-function mayMissOneMore(step: entries.StepEntry): boolean {
-    return step.spec.mayMiss === 0 || entries.countUnavailable(step) < step.spec.mayMiss;
-}
-
 function getRowsOptions(options: UpkeepOptions): upkeepRows.UpkeepRowsOptions {
     return { store: options.store, leadership: options.leadership, timeoutMs: CALL_TIMEOUT_MS };
 }
--- a/src/scheduler/__tests__/fixtures.ts
+++ b/src/scheduler/__tests__/fixtures.ts
@@ -100,6 +100,7 @@
     /** Lets operators evacuate zones; each rack is then a zone of the same name. */
     readonly evacuations?: (time: clocks.Clock) => Parameters<typeof emulator.createSite>[0]["evacuations"];
     readonly workersPerRack?: number;
+    readonly maxLeaseMs?: number;
 }): TestSite {
     const time = clocks.createManualClock(1_000_000);
     const metrics = telemetry.createMetrics();
@@ -130,6 +131,7 @@
         storePartBusyMs: options.storePartMs,
         workerFaults: options.workerFaults?.(time),
         evacuations: options.evacuations?.(time),
+        maxLeaseMs: options.maxLeaseMs,
     });
     workers.forEach((info, number) => machines?.addMachine(`m${number}`, info, site.workers));
     return { ...site, clock: time, lines, metrics };
