--- a/src/leader/advice/__tests__/requestOrder.test.ts
+++ b/src/leader/advice/__tests__/requestOrder.test.ts
@@ -100,6 +100,24 @@
         steps: { waits: {}, preempts: { tier: decisions.PreemptionTier.Urgent } },
         expected: { mostUrgent: "preempts", longestWaiting: "preempts" },
     },
+    {
+        name: "a step with room gets its turn beside steps that may preempt, however often it is asked for",
+        freeCores: { full: 0, free: 1 },
+        steps: {
+            preempts: { count: 2, tier: decisions.PreemptionTier.Urgent, waitedMs: 9_000 },
+            asked: { history: asked(100) },
+        },
+        expected: { mostUrgent: "preempts", longestWaiting: "asked" },
+    },
+    {
+        name: "a step that may preempt gets its turn beside steps with room",
+        freeCores: { full: 0, free: 1 },
+        steps: {
+            narrow: { history: asked(100) },
+            preempts: { count: 2, tier: decisions.PreemptionTier.Urgent, history: asked(1_000) },
+        },
+        expected: { mostUrgent: "preempts", longestWaiting: "narrow" },
+    },
     {
         name: "a step without room only if it holds no valid ticket",
         freeCores: { full: 0, other: 0 },
--- a/src/scheduler/__tests__/advice.test.ts
+++ b/src/scheduler/__tests__/advice.test.ts
@@ -142,3 +142,29 @@
         site.close();
     });
 });
+
+// Guards against a job that waits beside free workers, since the adviser is kept busy for jobs that have no room: their
+// tickets expire unused, and all of them are asked for again.
+test("a job with room gets the next call of an adviser that is asked for many without", async () => {
+    const CALL_MS = 500;
+    const advice = { decideMs: 200, eachMs: 10, validMs: 10_000 };
+    const [, plan, batch] = fixtures.CATALOG.queues;
+    const queues = [batch!, { ...plan!, advice }, { ...plan!, name: "spare", service: "spare", advice }];
+    const services = [...CATALOG.services, { ...CATALOG.services[0]!, name: "spare" }];
+    const whole = { needs: WHOLE_MEMORY, estimateMs: 120_000 };
+    const adviser = createSerialAdviser(() => site.clock, CALL_MS);
+    const site = fixtures.openSite({ workers: 30, catalog: { ...CATALOG, queues, services }, adviser });
+    site.workers.add({ ...fixtures.createWorkerInfo(99), service: "spare" });
+    await site.clock.advance(1_000);
+    const filling = fixtures.createJob(1, { ...whole, count: 30 }, { queue: "batch" });
+    const waiting = Array.from({ length: 40 }, (_, number) => fixtures.createJob(number + 2, whole));
+    for (const job of [filling, ...waiting]) {
+        await fixtures.advanceUntilSettled(site.clock, site.submit(job, 1));
+    }
+    await site.clock.advance(25_000);
+    const spare = fixtures.createJob(50, {}, { queue: "spare" });
+    await fixtures.advanceUntilSettled(site.clock, site.submit(spare, 1));
+    await site.clock.advance(2 * CALL_MS + 500);
+    expect(fixtures.getStarts(site, spare)).toHaveLength(1);
+    site.close();
+});
