Starts in flight are bounded for each worker; none goes to a worker that fell silent

What callers see: the start of a task waits for seconds behind starts on another worker that does not answer.

Cause: up to 32 starts are in flight, for the leader's processor, and all of them could be to one worker, over its four connections; a worker's silence counted when tasks are placed, not when their orders are sent.

Change: src/leader/sessions/startQueue.ts holds the limit, and one of three for each worker; starts beyond it let those on others pass. A start on a worker that has fallen silent since the placement is taken back at once.

--- a/src/leader/sessions/index.ts
+++ b/src/leader/sessions/index.ts
@@ -1,8 +1,9 @@
 /** Sessions with workers: their registry, polls, leases and orders, and the reconciliation of what they report. */
 export { createInitialPollLimiter } from "./initialPollLimiter";
-export { createOrders, type Orders, type PlacedTask } from "./orders";
+export { createOrders, type Orders } from "./orders";
 export { createReachabilityCheck, type ReachabilityCheck } from "./reachabilityCheck";
 export { reconcile } from "./reconcile";
+export type { PlacedTask } from "./startQueue";
 export type {
     EndKind,
     OrderAnswer,
--- a/src/leader/sessions/orders.ts
+++ b/src/leader/sessions/orders.ts
@@ -9,6 +9,7 @@
 import type * as placementFilter from "../placementFilter";
 import * as leaseExpiry from "./leaseExpiry";
 import * as reachabilityCheck from "./reachabilityCheck";
+import * as startQueue from "./startQueue";
 import type * as port from "./workerPort";
 import type * as workerSession from "./workerSession";
 
@@ -26,16 +27,10 @@
     readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
 }
 
-/** A task and the run for which its row is stored; the task may be placed again before the order is sent. */
-export interface PlacedTask {
-    readonly task: entries.TaskEntry;
-    readonly run: number;
-}
-
 /** Sends orders; no call waits for the outcome. */
 export interface Orders {
     /** Starts tasks whose rows are stored. */
-    start(placed: readonly PlacedTask[]): void;
+    start(placed: readonly startQueue.PlacedTask[]): void;
     /** Sends stop orders for a `stopping` task until its worker has accepted one. */
     stop(task: entries.TaskEntry): void;
     /** Throttles a running task to the given percentage of its full speed. */
@@ -51,11 +46,6 @@
 /** Quarantine after a refused start: a worker without capacity may have unknown runs, which its next poll lists. */
 const REFUSAL_QUARANTINE_MS = 500;
 const STOP_RETRY_MS = 200;
-/**
- * More concurrent starts would only wait for the leader's processor while their timeouts run: a leader with a third of
- * a core would stop healthy runs whose answers it has not read in time.
- */
-const MAX_STARTS_IN_FLIGHT = 32;
 /**
  * How long the start of a task that may crash its worker is valid. A poll afterwards proves whether it was carried out,
  * and so whether a later loss of the worker counts against the task.
@@ -93,28 +83,13 @@
 export function createOrders(options: OrdersOptions): Orders {
     const { jobRegistry: jobs, clock: time, log, meter } = options;
 
-    const waiting: PlacedTask[] = [];
-    let inFlight = 0;
-    const startNext = () => {
-        while (inFlight < MAX_STARTS_IN_FLIGHT) {
-            const next = waiting.shift();
-            if (!next) {
-                return;
-            }
-            inFlight++;
-            void startOne(next).then(() => {
-                inFlight--;
-                startNext();
-            });
-        }
-    };
-    const startOne = async ({ task, run }: PlacedTask) => {
+    const startOne = async ({ task, run }: startQueue.PlacedTask) => {
         if (task.run !== run) {
             return;
         }
         const worker = task.worker;
         const session = worker && options.getSession(worker);
-        const answers = !session || await checkReachable(task, session);
+        const answers = !session || (worker.reachable && await checkReachable(task, session));
         if (task.worker !== worker || task.run !== run) {
             return;
         }
@@ -300,14 +275,12 @@
         }
     };
 
+    const starts = startQueue.createStartQueue(startOne);
     return {
         stopObsolete: task => void stopObsolete(task),
         closeRun: (worker, task, run) => void closeRun(worker, task, run),
         pace: (task, percent) => void paceOne(task, percent),
-        start: placed => {
-            waiting.push(...placed);
-            startNext();
-        },
+        start: starts.add,
         stop: task => void stopOne(task),
         stopUnknownRun: (worker, reported) => {
             const session = options.getSession(worker);
