Starts that were withdrawn while they were held don't hold up those behind them

Cause: when a start in flight had its outcome, one start held for the same worker followed. If its placement had been withdrawn meanwhile it went to no worker, and none of those behind it followed any more: placed tasks that are never started.

Change: startQueue.ts passes over withdrawn ones.

--- a/src/leader/sessions/__tests__/startQueue.test.ts
+++ b/src/leader/sessions/__tests__/startQueue.test.ts
@@ -7,7 +7,10 @@
     const sent: string[] = [];
     const settling = new Map<string, Array<() => void>>();
     const queue = startQueue.createStartQueue(({ task }) => {
-        const { id } = task.worker!;
+        if (!task.worker) {
+            return Promise.resolve();
+        }
+        const { id } = task.worker;
         sent.push(`${id} ${task.name}`);
         return new Promise<void>(resolve => settling.set(id, [...settling.get(id) ?? [], resolve]));
     });
@@ -47,6 +50,18 @@
         expect(sent).toEqual(placed.map(({ task }) => `w ${task.name}`));
     });
 
+    // Guards against placed tasks that are never started behind one whose placement was withdrawn.
+    test("of one worker pass over those that were withdrawn", async () => {
+        const { queue, sent, settle } = createQueue();
+        const placed = placeTasks("w", 8);
+        queue.add(placed);
+        placed.slice(3, 7).forEach(({ task }) => entries.unassign(task));
+        for (let outcome = 0; outcome < 3; outcome++) {
+            await settle("w");
+        }
+        expect(sent.at(-1)).toBe(`w ${placed[7]!.task.name}`);
+    });
+
     test("are at most 32 in all", () => {
         const { queue, sent } = createQueue();
         queue.add(Array.from({ length: 40 }, (_, index) => placeTasks(`w${index}`, 1)).flat());
--- a/src/leader/sessions/startQueue.ts
+++ b/src/leader/sessions/startQueue.ts
@@ -62,7 +62,11 @@
             return;
         }
         starts.inFlight--;
-        const held = starts.held.shift();
+        let held = starts.held.shift();
+        while (held && held.task.worker !== worker) {
+            // Withdrawn meanwhile: it would be sent to no worker, and would not let the next one follow.
+            held = starts.held.shift();
+        }
         if (held) {
             waiting.unshift(held);
         }
