Comments on availability and on starts in flight say their reasons more plainly

Cause: read as a newcomer, the header of availability.ts contradicted itself.

Change: comments; the message of a call that timed out is built before the connection is closed.

--- a/src/calls/httpClient.ts
+++ b/src/calls/httpClient.ts
@@ -85,15 +85,12 @@
             headers,
         });
         const timer = callTimeout.startCallTimer(call, afterMs => {
-            // The connection may be dead, so the next call needs a new one.
             const ms = Math.round(afterMs);
-            req.destroy(
-                new Error(
-                    hasConnection
-                        ? describeTimeout(ms, receivedBytes)
-                        : `not sent within ${ms} ms: all connections to ${call.address} are in use`,
-                ),
-            );
+            const message = hasConnection
+                ? describeTimeout(ms, receivedBytes)
+                : `not sent within ${ms} ms: all connections to ${call.address} are in use`;
+            // The connection may be dead, so the next call needs a new one.
+            req.destroy(new Error(message));
         });
         const finish = (outcome: HttpOutcome) => {
             timer.stop();
--- a/src/leader/availability.ts
+++ b/src/leader/availability.ts
@@ -1,9 +1,8 @@
 /**
  * Availability of the tasks of lasting steps, and how many of them may be stopped.
  *
- * A task counts as available only if that is certain, and as unavailable only if that is certain, when it comes to
- * stopping it: one that is out of touch, or whose start is not confirmed yet, is missing for the others of its step, and
- * protected by its step's budget itself.
+ * What is uncertain speaks against a stop. A task whose worker is silent, or whose start is not confirmed, counts as
+ * missing when another task of its step is to be stopped, and is protected like an available one itself.
  */
 import type * as decisions from "../decisions/index";
 import type * as entries from "./entries";
--- a/src/leader/sessions/startQueue.ts
+++ b/src/leader/sessions/startQueue.ts
@@ -18,8 +18,8 @@
  */
 const MAX_IN_FLIGHT = 32;
 /**
- * A worker has four connections, one of them with its poll. More starts would wait for a connection while their timeouts
- * run, and those of a silent worker would hold up the starts on all others.
+ * The client keeps four connections to a worker, of which the poll holds one. More starts would wait for a connection
+ * while their timeouts run, and those of a silent worker would hold up the starts on all others.
  */
 const MAX_IN_FLIGHT_PER_WORKER = 3;
 
@@ -64,7 +64,7 @@
         starts.inFlight--;
         let held = starts.held.shift();
         while (held && held.task.worker !== worker) {
-            // Withdrawn meanwhile: it would be sent to no worker, and would not let the next one follow.
+            // Its placement was withdrawn, so its outcome would not release the next one of this worker.
             held = starts.held.shift();
         }
         if (held) {
