--- a/soak/instance.ts
+++ b/soak/instance.ts
@@ -15,10 +15,22 @@
     readonly folder: string;
     /** Longest lease of a task on a worker. */
     readonly maxLeaseMs: number;
+    /** Compiled entry point, by default the one that was compiled together with this module. */
+    readonly program?: string;
+    /** Maximum size of the process's heap. */
+    readonly heapMb?: number;
+    /** Limits of the machine, as its settings state them. */
+    readonly limits?: { readonly memoryMb: number; readonly descriptors: number; };
 }
 
 export interface Instance {
     readonly name: string;
+    /** `IP:PORT` of the server on which other instances watch this one. */
+    readonly watchAddress: string;
+    /** `IP:PORT` of the server for calls of other instances. */
+    readonly peersAddress: string;
+    /** Process id of the latest start. */
+    getPid(): number | undefined;
     /** `IP:PORT` that callers connect to. */
     readonly callerAddress: string;
     /** `IP:PORT` of the readiness check. */
@@ -44,6 +56,7 @@
 const SHUTDOWN_GRACE_S = 6;
 const UPKEEP_S = 2;
 const STATUS_S = 120;
+const DEFAULT_HEAP_MB = 160;
 const CONTACT_MS = 3_000;
 const REPORT_MS = 1_500;
 const CONFIGURATION_MS = 2_000;
@@ -59,6 +72,8 @@
     const logFile = path.join(options.folder, `${options.name}.log`);
     const callers = `${options.address}:${CALLERS_PORT}`;
     const readiness = `${options.address}:${READINESS_PORT}`;
+    const watch = `${options.address}:${WATCH_PORT}`;
+    const peers = `${options.address}:${PEERS_PORT}`;
     fs.writeFileSync(
         settingsFile,
         toml.stringify({
@@ -67,9 +82,10 @@
             address: options.address,
             callers,
             readiness,
-            watch: `${options.address}:${WATCH_PORT}`,
-            peers: `${options.address}:${PEERS_PORT}`,
+            watch,
+            peers,
             store: options.store,
+            ...options.limits && { limits: options.limits },
             bounds: {
                 maxLeaseMs: options.maxLeaseMs,
                 graceSeconds: SHUTDOWN_GRACE_S,
@@ -99,6 +115,9 @@
         name: options.name,
         callerAddress: callers,
         readinessAddress: readiness,
+        watchAddress: watch,
+        peersAddress: peers,
+        getPid: () => child?.pid,
         getIncarnation: () => incarnation,
         isRunning,
         start: () => {
@@ -107,7 +126,9 @@
             }
             incarnation++;
             const logFd = fs.openSync(logFile, "a");
-            child = childProcess.spawn(process.execPath, ["--max-old-space-size=160", PROGRAM], {
+            const heapMb = options.heapMb ?? DEFAULT_HEAP_MB;
+            const program = options.program ?? PROGRAM;
+            child = childProcess.spawn(process.execPath, [`--max-old-space-size=${heapMb}`, program], {
                 env: { PLANTAINCHUTE_CONFIG: settingsFile, PATH: process.env["PATH"] },
                 stdio: ["ignore", logFd, logFd],
             });
--- a/verdict/main.ts
+++ b/verdict/main.ts
@@ -1,5 +1,5 @@
 /**
- * `node dist/verdict/main.js --jest REPORT --check "COMMAND=EXIT CODE"`: prints the known failures and the reasons why
+ * `node dist/verdict/main.js --jest REPORT... --check "COMMAND=EXIT CODE"`: prints the known failures and the reasons why
  * the run fails, and exits with 1 if there are any such reasons.
  */
 import * as commander from "commander";
@@ -7,14 +7,14 @@
 import * as verdict from "./index";
 
 interface Options {
-    readonly jest: string;
+    readonly jest: readonly string[];
     readonly check: readonly string[];
     readonly list: string;
 }
 
 function main(): void {
     const options = new commander.Command("verdict")
-        .requiredOption("--jest <file>", "report written by jest --json")
+        .requiredOption("--jest <file...>", "reports written by jest --json")
         .option("--check <result...>", "another check, as COMMAND=EXIT_CODE", [])
         .option("--list <file>", "list of known failures", "KNOWN-RED.txt")
         .parse()
@@ -26,7 +26,7 @@
         return;
     }
     const results = [
-        ...verdict.readJestReport(fs.readFileSync(options.jest, "utf8"), process.cwd()),
+        ...options.jest.flatMap(file => verdict.readJestReport(fs.readFileSync(file, "utf8"), process.cwd())),
         ...options.check.map(parseCheck),
     ];
     const { problems, known, passed } = verdict.evaluateResults(results, parsed.failures);
