Callers who ask for counts that nobody has published share one read

Seen: while no leader publishes counts, each question for the waiting jobs of a queue reads all rows of submissions and progress: 50 questions at once take 867 calls to the store, and hold the rows 50 times.

Cause: `countRows` read both tables for each caller.

Change: callers share the count that is under way; it holds one number for each queue, and the rows only while they are counted.

Test: src/intake/__tests__/intake.test.ts, "is read once for all callers that ask meanwhile": 867 calls where 34 are expected on, 34 now.

--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -314,6 +314,25 @@
         expect(await count(opened)).toEqual({ kind: "waiting", count: expected });
     });
 
+    // Guards against an instance that ends for want of memory when many callers ask for counts that nobody publishes.
+    test("is read once for all callers that ask meanwhile", async () => {
+        let calls = 0;
+        const opened = open({
+            countsAgeMs: 10_000,
+            decide: () => {
+                calls++;
+                return "none";
+            },
+        });
+        await count(opened);
+        const callsOfOne = calls;
+        const pending = Array.from({ length: 50 }, () => opened.intake.count(createCaller(opened.time)));
+        await opened.time.advance(1_000);
+        const replies = await Promise.all(pending);
+        expect(new Set(replies.map(reply => JSON.stringify(reply))).size).toBe(1);
+        expect(calls).toBe(2 * callsOfOne);
+    });
+
     test("is taken from the rows if the published counts are old", async () => {
         // Guards against a count of zero while jobs wait: the leader is lost or has just begun, and its last counts, or
         // none, are used.
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -91,6 +91,9 @@
 /** Published counts older than this are not used; the rows are counted instead. */
 const MAX_COUNTS_AGE_MS = 2_000;
 
+/** Longest time for counting the rows, for which several callers may wait. */
+const COUNT_TIMEOUT_MS = 3_000;
+
 /** Creates the intake of one instance. */
 export function createIntake(options: IntakeOptions): Intake {
     const { store, clock: time, log, meter, health } = options;
@@ -344,24 +347,40 @@
         }
     };
 
-    /** Counts the rows when the leader's counts are missing or too old: jobs without a progress row have not begun. */
-    const countRows = async (caller: Caller): Promise<IntakeReply> => {
+    /** Waiting jobs by queue, counted in the rows: jobs without a progress row have not begun. */
+    const countAllRows = async (caller: Caller): Promise<ReadonlyMap<string, number> | string> => {
         const readTable = (table: string, parts: readonly string[]) =>
             read(caller, timeoutMs => rows.readParts(store, table, parts, timeoutMs));
-        const intake = await readTable(work.Table.Jobs, work.INTAKE_PARTS);
-        const progress = typeof intake === "string"
-            ? intake
+        const submissions = await readTable(work.Table.Jobs, work.INTAKE_PARTS);
+        const progress = typeof submissions === "string"
+            ? submissions
             : await readTable(work.Table.Progress, [work.LEADER_PART]);
-        if (typeof intake === "string" || typeof progress === "string") {
-            return createUnavailable(typeof intake === "string" ? intake : String(progress), caller.requestId);
+        if (typeof submissions === "string" || typeof progress === "string") {
+            return typeof submissions === "string" ? submissions : String(progress);
         }
         const begun = new Set(progress.map(row => row.key));
-        const waiting = intake.filter(row =>
-            work.getCancelledJobId(row.key) === undefined
-            && !begun.has(row.key)
-            && (JSON.parse(row.value) as work.Submission).queue.name === caller.queue.name
-        );
-        return { kind: "waiting", count: waiting.length };
+        const counts = new Map<string, number>();
+        for (const row of submissions) {
+            if (work.getCancelledJobId(row.key) === undefined && !begun.has(row.key)) {
+                const { queue } = JSON.parse(row.value) as work.Submission;
+                counts.set(queue.name, (counts.get(queue.name) ?? 0) + 1);
+            }
+        }
+        return counts;
+    };
+    let currentCount: ReturnType<typeof countAllRows> | undefined;
+    /**
+     * Counts the rows when the leader's counts are missing or too old. Callers share a count that is under way: with one
+     * for each, all rows would be held as often as there are callers.
+     */
+    const countRows = async (caller: Caller): Promise<IntakeReply> => {
+        currentCount ??= countAllRows({ ...caller, deadlineAt: time.now() + COUNT_TIMEOUT_MS }).finally(() => {
+            currentCount = undefined;
+        });
+        const counts = await currentCount;
+        return typeof counts === "string"
+            ? createUnavailable(counts, caller.requestId)
+            : { kind: "waiting", count: counts.get(caller.queue.name) ?? 0 };
     };
 
     return {
