One budget bounds what HTTP clients make an instance hold

Cause: nothing accounts for what connections hold. Bodies were kept in the chunks they came in, with no total over connections. Node.js's parser begins all requests of a 64 KB buffer at once, thousands of the smallest. Connections were not bounded, and share their descriptors with the calls to store and workers.

Change: src/inbound. All HTTP servers of the process share one budget, derived from the memory and the descriptors that the settings state (`[limits]`), with two settings for operators. Each connection states what it holds: queued input, headers, bodies in reusable blocks, requests in progress, unsent answers. When it is too much, connections are closed that held most for longest, or have kept the process waiting for longest; refusing newcomers instead would lock ordinary callers out. Unfinished requests are refused with 503, which is true. Input is passed to the parser in slices of 512 bytes, in turns of 1 ms, and at most four requests of a connection (one, when the process is busy) are carried out at a time. Bodies that are incomplete at the caller's deadline get 408, too long ones 413 at once. A call between instances that had no room was not carried out, so the relay may go on to another peer. Log ids of requests are cut at 200 characters. Counters, gauges and a log line each 10 s.

Ruled out on the way, measured by the crowd of largest submissions: pausing sockets leaves up to 1 MB in the system's buffer of each (181 to 186 MB); turns of 5 ms let only 200 connections a second be accepted (183 to 190 MB); a buffer for each body leaves garbage until the next collection (194 MB).

--- a/src/calls/callServer.ts
+++ b/src/calls/callServer.ts
@@ -1,6 +1,5 @@
 /** HTTP server for calls from other instances: each call posts a text to a path and gets a text as the answer. */
-import * as http from "node:http";
-import * as listens from "./listen";
+import * as inbounds from "../inbound/index";
 
 /** Handler of the calls to one path. */
 export interface CallRoute {
@@ -19,26 +18,42 @@
 
 /** Twice the maximum body size of callers, since JSON escaping enlarges a forwarded body. */
 const MAX_BODY_BYTES = 1_048_576;
-const BAD_REQUEST = 400;
+const Status = { BadRequest: 400, Unavailable: 503 } as const;
 
-/** Creates a server with the given routes. Unknown paths and malformed calls are answered with status 400. */
-export function createCallServer(routes: readonly CallRoute[]): CallServer {
+/**
+ * Creates a server with the given routes. Unknown paths and malformed calls are answered with status 400, calls that
+ * were not carried out for want of room with 503.
+ */
+export function createCallServer(inbound: inbounds.Inbound, routes: readonly CallRoute[]): CallServer {
     let closing = false;
-    const server = http.createServer((req, res) => {
-        void readText(req).then(async text => {
+    const server = inbound.createHttpServer({ name: inbounds.ServerName.Peers }, exchange => {
+        const { req, res } = exchange;
+        void exchange.readBody(MAX_BODY_BYTES).then(async body => {
+            if (body.kind === "aborted") {
+                return;
+            }
             const route = routes.find(candidate => candidate.path === req.url);
-            const answer = text === undefined ? undefined : await route?.handle(text);
+            if (body.kind === "tooLong" || !route) {
+                exchange.reject(Status.BadRequest);
+                return;
+            }
+            if (!exchange.hasRoom()) {
+                exchange.reject(Status.Unavailable);
+                return;
+            }
+            const answer = await route.handle(body.text);
             if (answer === undefined) {
-                res.statusCode = BAD_REQUEST;
+                exchange.reject(Status.BadRequest);
+                return;
             }
-            if (closing || answer === undefined) {
+            if (closing) {
                 res.setHeader("Connection", "close");
             }
             res.end(answer);
         });
     });
     return {
-        listen: address => listens.listen(server, address),
+        listen: address => inbound.listen(inbounds.ServerName.Peers, server, address),
         close: () => {
             closing = true;
             return new Promise(resolve => {
@@ -48,19 +63,3 @@
         },
     };
 }
-
-/** Reads the body; `undefined` if it exceeds `MAX_BODY_BYTES` or the connection fails. */
-function readText(req: http.IncomingMessage): Promise<string | undefined> {
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        req.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= MAX_BODY_BYTES) {
-                chunks.push(chunk);
-            }
-        });
-        req.once("end", () => resolve(bytes > MAX_BODY_BYTES ? undefined : Buffer.concat(chunks).toString()));
-        req.once("error", () => resolve(undefined));
-    });
-}
--- a/src/leader/lease/__tests__/handoverCalls.test.ts
+++ b/src/leader/lease/__tests__/handoverCalls.test.ts
@@ -1,4 +1,6 @@
 import * as calls from "../../../calls/index";
+import * as clocks from "../../../clock/index";
+import * as inboundFixtures from "../../../inbound/__tests__/fixtures";
 import * as leader from "../../index";
 
 const OFFER: leader.HandoverOffer = { holder: "a-1", token: 7 };
@@ -7,15 +9,19 @@
 async function openCandidate(candidacy: leader.Candidacy | undefined) {
     const asked: leader.HandoverOffer[] = [];
     const taken: leader.HandoverOffer[] = [];
-    const server = calls.createCallServer(leader.createHandoverRoutes({
-        answerOffer: async offer => {
-            asked.push(offer);
-            return candidacy;
-        },
-        acceptHandover: offer => {
-            taken.push(offer);
-        },
-    }));
+    const inbound = inboundFixtures.createInbound(clocks.createSystemClock());
+    const server = calls.createCallServer(
+        inbound,
+        leader.createHandoverRoutes({
+            answerOffer: async offer => {
+                asked.push(offer);
+                return candidacy;
+            },
+            acceptHandover: offer => {
+                taken.push(offer);
+            },
+        }),
+    );
     const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
     const client = calls.createHttpClient(1);
     return {
@@ -27,6 +33,7 @@
         close: async () => {
             client.close();
             await server.close();
+            inbound.close();
         },
     };
 }
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -28,6 +28,18 @@
     jobs_over_limit_total: counter("callers' submissions refused for good, by the limit", "limit"),
     request_duration_ms: histogram("from a request to its answer", "call", "account"),
     requests_passed_total: counter("requests passed on to another instance, by its status", "outcome"),
+    inbound_connections: gauge("open connections of clients and other instances", "server"),
+    inbound_held_bytes: gauge("what these connections make the process hold, as estimated by their budget"),
+    inbound_connections_closed_total: counter(
+        "connections closed for the budget, or since they were silent in a request or did not take an answer",
+        "server",
+        "reason",
+    ),
+    inbound_requests_rejected_total: counter(
+        "requests rejected before they were read or carried out",
+        "server",
+        "status",
+    ),
     admission_decisions_total: counter("callers' submissions, by the decision of admission", "decision", "queue"),
     expected_wait_ms: gauge("leader: expected wait of a new job of a queue whose work waits", "queue"),
     ready: gauge("1 while the instance takes callers' connections"),
--- a/src/relay/__tests__/peers.test.ts
+++ b/src/relay/__tests__/peers.test.ts
@@ -1,4 +1,6 @@
 import * as calls from "../../calls/index";
+import * as clocks from "../../clock/index";
+import * as inboundFixtures from "../../inbound/__tests__/fixtures";
 import * as relay from "../index";
 
 const REQUEST: relay.CallerRequest = {
@@ -20,7 +22,8 @@
         getPeers: () => ["10.0.0.1:1"],
         handle,
     });
-    const server = calls.createCallServer([route]);
+    const inbound = inboundFixtures.createInbound(clocks.createSystemClock());
+    const server = calls.createCallServer(inbound, [route]);
     const address = `127.0.0.1:${await server.listen("127.0.0.1:0")}`;
     const client = calls.createHttpClient(2);
     const send = relay.createPeerClient(client);
@@ -32,6 +35,7 @@
         close: async () => {
             client.close();
             await server.close();
+            inbound.close();
         },
     };
 }
