Connections to the watch port are bounded, and only watchers get heartbeats

Cause: the server accepted any number of connections, kept them without a word from the other side, and wrote to those that do not read.

Change: the watch server opens its connections within the budget; one that has sent no line within 3 s is closed, watchers are kept. Heartbeats go to watchers alone, and not while the previous one is unsent.

--- a/src/liveness/processWatch.ts
+++ b/src/liveness/processWatch.ts
@@ -43,9 +43,11 @@
 
     const connect = () => {
         let refused = false;
+        let connectedAt: number | undefined;
         socket = net.connect({ host, port, timeout: CONNECT_TIMEOUT_MS });
         socket.once("connect", () => {
             wasConnected = true;
+            connectedAt = options.clock.now();
             socket?.setTimeout(0);
             socket?.write(`${options.ownAddress}\n`);
         });
@@ -65,7 +67,9 @@
                 options.onExit();
                 return;
             }
-            retry = setTimeout(connect, refused ? RETRY_MS : 0);
+            // A server with too many connections accepts each new one and closes it.
+            const wasShort = connectedAt !== undefined && options.clock.now() - connectedAt < RETRY_MS;
+            retry = setTimeout(connect, refused || wasShort ? RETRY_MS : 0);
         });
     };
     connect();
--- a/src/liveness/server.ts
+++ b/src/liveness/server.ts
@@ -1,10 +1,11 @@
 /** Holds the connections of instances that watch this process. Each sends its own address once. */
 import * as net from "node:net";
-import * as calls from "../calls/index";
 import type * as clock from "../clock/index";
+import * as inbounds from "../inbound/index";
 
 export interface LivenessServerOptions {
     readonly clock: clock.Clock;
+    readonly inbound: inbounds.Inbound;
     /** Heartbeats are sent while this returns true. */
     isLeading(): boolean;
 }
@@ -30,31 +31,58 @@
 /** Bounds the cost of heartbeats on a large site; further watchers wait for the expiry of the lease. */
 const MAX_HEARTBEAT_WATCHERS = 40;
 const HEARTBEAT = "\n";
+/** Socket and its listeners. */
+const CONNECTION_BYTES = 4_096;
+/** A watcher sends its address as soon as it is connected. */
+const GREETING_TIMEOUT_MS = 3_000;
 
 export function createLivenessServer(options: LivenessServerOptions): LivenessServer {
     let cancelHeartbeat = () => {};
     const sendHeartbeats = () => {
         if (options.isLeading()) {
-            [...open].slice(0, MAX_HEARTBEAT_WATCHERS).forEach(socket => socket.write(HEARTBEAT));
+            [...watching].slice(0, MAX_HEARTBEAT_WATCHERS)
+                // A watcher that does not read has not taken the previous ones.
+                .filter(socket => socket.writableLength === 0)
+                .forEach(socket => socket.write(HEARTBEAT));
         }
         cancelHeartbeat = options.clock.setTimer(HEARTBEAT_MS, sendHeartbeats);
     };
     const open = new Set<net.Socket>();
+    /** Connections whose watcher has sent its address. */
+    const watching = new Set<net.Socket>();
     let watchers: readonly string[] = [];
     const server = net.createServer({ keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_MS }, socket => {
-        open.add(socket);
-        readGreeting(socket, address => {
-            watchers = [address, ...watchers.filter(other => other !== address)].slice(0, MAX_WATCHERS);
+        const connection = options.inbound.budget.open({
+            server: inbounds.ServerName.Watch,
+            ownBytes: CONNECTION_BYTES,
+            getTimeoutMs: phase => phase === "idle" ? GREETING_TIMEOUT_MS : Infinity,
+            evict: () => socket.destroy(),
         });
         // A failed connection needs no handling; the watcher reconnects.
         socket.on("error", () => socket.destroy());
-        socket.on("close", () => open.delete(socket));
+        if (!connection) {
+            socket.destroy();
+            return;
+        }
+        open.add(socket);
+        readGreeting(socket, address => {
+            connection.setPhase("serving");
+            watching.add(socket);
+            if (address !== undefined) {
+                watchers = [address, ...watchers.filter(other => other !== address)].slice(0, MAX_WATCHERS);
+            }
+        });
+        socket.on("close", () => {
+            connection.end();
+            open.delete(socket);
+            watching.delete(socket);
+        });
     });
     return {
         listen: address => {
             cancelHeartbeat();
             sendHeartbeats();
-            return calls.listen(server, address);
+            return options.inbound.listen(inbounds.ServerName.Watch, server, address);
         },
         getWatcherAddresses: () => watchers,
         close: () => {
@@ -65,8 +93,8 @@
     };
 }
 
-/** Reads the line that a watcher sends; further data is ignored. */
-function readGreeting(socket: net.Socket, onAddress: (address: string) => void): void {
+/** Reads the line that a watcher sends, which has no address if it accepts no requests; further data is ignored. */
+function readGreeting(socket: net.Socket, onGreeting: (address: string | undefined) => void): void {
     let text = "";
     let complete = false;
     socket.on("data", (chunk: Buffer) => {
@@ -74,10 +102,10 @@
             return;
         }
         text += chunk.toString("latin1", 0, MAX_GREETING_BYTES);
-        const match = /^([^\s:]+:\d{1,5})\n/.exec(text);
-        complete = Boolean(match) || text.length >= MAX_GREETING_BYTES;
-        if (match) {
-            onAddress(match[1]!);
+        const line = /^([^\n]*)\n/.exec(text)?.[1];
+        complete = line !== undefined || text.length >= MAX_GREETING_BYTES;
+        if (line !== undefined) {
+            onGreeting(/^[^\s:]+:\d{1,5}$/.test(line) ? line : undefined);
         }
     });
 }
