--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -1,7 +1,10 @@
 // Guards against a documented metric that no instance serves: it was renamed, or its last use was removed, and the page
 // for operators, METRICS and the code were not changed together.
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as path from "node:path";
+import * as clocks from "../../clock/index";
+import * as inbounds from "../../inbound/index";
 import * as observe from "../../observe/index";
 import * as relay from "../../relay/index";
 import * as telemetry from "../../telemetry/index";
@@ -120,6 +123,28 @@
     return site.metrics.render();
 }
 
+/** Opens a server on which one client takes another's connection and is rejected, and returns its metrics as text. */
+async function runFullServer(): Promise<string> {
+    const metrics = telemetry.createMetrics();
+    const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
+    const limits = inbounds.deriveInboundLimits({ memoryBytes: 1_000_000, descriptors: 0 }, { callerConnections: 1 });
+    const inbound = inbounds.createInbound({ limits, clock: clocks.createSystemClock(), log, meter: metrics.meter });
+    const server = inbound.createHttpServer({ name: "callers" }, () => undefined);
+    const port = await inbound.listen("callers", server, "127.0.0.1:0");
+    const idle = net.connect(port, "127.0.0.1");
+    await new Promise(resolve => idle.once("connect", resolve));
+    const rejected = net.connect(port, "127.0.0.1");
+    rejected.write("GET / HTTP/1.1\r\n\r\n");
+    await new Promise(resolve => rejected.once("data", resolve));
+    const text = metrics.render();
+    idle.destroy();
+    rejected.destroy();
+    server.close();
+    server.closeAllConnections();
+    inbound.close();
+    return text;
+}
+
 describe("metrics", () => {
     let served: string;
 
@@ -130,6 +155,7 @@
             await runSiteWithDepartures(),
             await runSiteWithDeferral(),
             await runSiteWithoutAdviser(),
+            await runFullServer(),
         ];
         served = sites.join("\n");
     });
