Requests of a server are carried out 64 at a time, and not for clients that have gone

Cause: closing a connection does not end the calls of its requests. Crowds that are closed and come again left hundreds of calls in line for the 24 connections to the store; the ordinary caller's timed out behind them.

Change: requests wait for one of 64 slots of their server in the order of their arrival.

--- a/src/calls/callServer.ts
+++ b/src/calls/callServer.ts
@@ -41,15 +41,17 @@
                 exchange.reject(Status.Unavailable);
                 return;
             }
-            const answer = await route.handle(body.text);
-            if (answer === undefined) {
-                exchange.reject(Status.BadRequest);
-                return;
-            }
-            if (closing) {
-                res.setHeader("Connection", "close");
-            }
-            res.end(answer);
+            await exchange.carryOut(async () => {
+                const answer = await route.handle(body.text);
+                if (answer === undefined) {
+                    exchange.reject(Status.BadRequest);
+                    return;
+                }
+                if (closing) {
+                    res.setHeader("Connection", "close");
+                }
+                res.end(answer);
+            });
         });
     });
     return {
--- a/src/inbound/__tests__/inbound.test.ts
+++ b/src/inbound/__tests__/inbound.test.ts
@@ -3,6 +3,7 @@
 import * as blockPool from "../blockPool";
 import * as blockQueue from "../blockQueue";
 import * as inbounds from "../index";
+import * as requestSlots from "../requestSlots";
 import * as fixtures from "./fixtures";
 
 const BODY_BYTES = 1_000;
@@ -159,6 +160,32 @@
     });
 });
 
+describe("slots of requests", () => {
+    // Guards against requests of clients that have gone, which would take the store from those who wait.
+    test("carry out so many at a time, in order, and none that nobody waits for", async () => {
+        const slots = requestSlots.createRequestSlots(2);
+        const begun: number[] = [];
+        const ends: Array<() => void> = [];
+        const runs = Array.from({ length: 6 }, (_, number) =>
+            slots.run(() => number !== 3, () => {
+                begun.push(number);
+                return new Promise(resolve => ends.push(resolve));
+            }));
+        const settle = () => new Promise(resolve => setImmediate(resolve));
+        await settle();
+        expect(begun).toEqual([0, 1]);
+        ends.shift()!();
+        await settle();
+        expect(begun).toEqual([0, 1, 2]);
+        for (let end = ends.shift(); end; end = ends.shift()) {
+            end();
+            await settle();
+        }
+        await Promise.all(runs);
+        expect(begun).toEqual([0, 1, 2, 4, 5]);
+    });
+});
+
 describe("a queue of blocks", () => {
     test.each([[1, 1], [3, 5_000], [10_000, 512], [4_096, 4_096]])(
         "returns what was added, in order: %i bytes at a time, up to %i taken",
--- a/src/inbound/connectionBudget.ts
+++ b/src/inbound/connectionBudget.ts
@@ -17,7 +17,7 @@
     | "receiving"
     /** An answer that this process is preparing. */
     | "serving"
-    /** Answers, before more of what the client has sent ahead is taken. */
+    /** An answer that this process is preparing, while the client has sent more than was taken. */
     | "ahead"
     /** The client, which does not take an answer that is ready. */
     | "unread"
--- a/src/inbound/httpConnection.ts
+++ b/src/inbound/httpConnection.ts
@@ -8,6 +8,7 @@
 import type * as limits from "./limits";
 import * as pacedSocket from "./pacedSocket";
 import * as readBodies from "./readBody";
+import type * as requestSlots from "./requestSlots";
 import type * as turns from "./turns";
 
 /** A request and its answer. */
@@ -18,6 +19,8 @@
     readBody(maxBytes: number): Promise<readBodies.BodyResult>;
     /** Sends a last answer, without a body; the connection takes no more requests. */
     reject(status: number, headers?: Readonly<Record<string, number>>): void;
+    /** Carries out what the request asks for when its turn comes; not at all if its client has gone by then. */
+    carryOut(work: () => Promise<void>): Promise<void>;
     /** Whether the connections hold so little that another request may be carried out. */
     hasRoom(): boolean;
 }
@@ -30,6 +33,8 @@
     readonly pool: blockPool.BlockPool;
     /** Requests in progress on all connections. */
     readonly load: { requests: number; };
+    /** Slots of the server's requests. */
+    readonly slots: requestSlots.RequestSlots;
     readonly meter: observe.Meter;
     getIdleTimeoutMs(): number;
 }
@@ -140,12 +145,12 @@
         if (!oldest) {
             return partialBytes > 0 || hasQueued ? "receiving" : "idle";
         }
-        if (hasQueued && !mayTakeMore()) {
-            return "ahead";
-        }
         if (isReceiving(oldest)) {
             return "receiving";
         }
+        if (hasQueued) {
+            return "ahead";
+        }
         return oldest.res.writableEnded ? "unread" : "serving";
     };
     const getHeldBytes = () => {
@@ -253,6 +258,7 @@
                     return reading.result;
                 },
                 reject: (status, headers) => reject(request, status, headers),
+                carryOut: work => options.slots.run(() => !stream.destroyed && !res.writableEnded, work),
                 hasRoom: options.budget.hasRoom,
             };
         },
--- a/src/inbound/inbound.ts
+++ b/src/inbound/inbound.ts
@@ -9,6 +9,7 @@
 import * as httpConnection from "./httpConnection";
 import type * as limits from "./limits";
 import * as listens from "./listen";
+import * as requestSlots from "./requestSlots";
 import * as turns from "./turns";
 
 export interface InboundOptions {
@@ -38,6 +39,11 @@
 const IDLE_SLACK_MS = 1_000;
 /** Default of Node.js. */
 const MAX_BACKLOG = 511;
+/**
+ * Requests of a server that are carried out at a time. Their calls to the store share 24 connections; with more of them
+ * in line the last would time out when the store takes a few times longer than usual.
+ */
+const MAX_REQUESTS = 64;
 const BAD_REQUEST = 400;
 
 export function createInbound(options: InboundOptions): Inbound {
@@ -48,6 +54,7 @@
     return {
         budget,
         createHttpServer: ({ name, ...serverOptions }, handle) => {
+            const slots = requestSlots.createRequestSlots(MAX_REQUESTS);
             const connections = new WeakMap<stream.Duplex, httpConnection.HttpConnection>();
             const server = http.createServer({
                 ...serverOptions,
@@ -72,6 +79,7 @@
                     turns: sharedTurns,
                     pool,
                     load,
+                    slots,
                     meter: options.meter,
                     getIdleTimeoutMs: () => server.keepAliveTimeout + IDLE_SLACK_MS,
                 });
