--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,67 +1,89 @@
 /**
- * LOST while tasks save their progress. Trouble: what a worker gives as `saved` has 400 characters; without it, 16.
+ * LOST after a wave of upkeep. Trouble: the workers come back under the ids that they had; without it, under new ones.
  */
 import * as site3 from "../standins-3/site.mjs";
 
-const TASKS = 200;
-const TASK_MS = 10000;
-const LONG = 400;
-const SHORT = 16;
+const WAVE = 7;
+const JOBS = 4;
 const LOST_MS = 3000;
 
 await site3.runCase(import.meta.url, async ({ record, trouble, open }) => {
-    const length = trouble ? LONG : SHORT;
     const site = await open({
+        cloud: true,
         configuration: site3.createConfiguration(1),
         workers: Array.from({ length: 4 }, () => ({ service: "booking", capacity: site3.WORKER_CAPACITY })),
-        makeSaved: (task, count) => `${task}/${count}/`.padEnd(length, "0").slice(-length),
     });
-    const ended = new Set();
-    site.onEnd = ({ task, how }) => how === "done" && ended.add(task);
+    const cloud = await site3.openCloud(site, { sameId: trouble });
     await site.start();
     const [entry] = site.instances;
     const getState = async id => (await site3.ask(site, entry, "GET", id)).body?.state;
 
-    const first = site3.createId();
-    // 40 of 128 cores, 51 of 262 GB, no GPU.
-    const wide = site3.createJob(TASKS, TASK_MS, { cpu: 200, memory: 256, gpu: 0, checkpoint: true });
-    if ((await site3.ask(site, entry, "POST", first, { body: wide })).status !== 200) {
-        return { kind: "cannotRun", why: "the first job was not accepted" };
+    const before = site3.createId();
+    await site3.ask(site, entry, "POST", before, { body: site3.createJob(2, 1000) });
+    await site3.sleep(4000);
+    if (await getState(before) !== "completed") {
+        return { kind: "cannotRun", why: "the job before the wave was not completed" };
     }
-    // All its tasks have had their time and 4 s more.
-    await site3.sleep(TASK_MS + 4000);
-    record.write(`${ended.size} of ${TASKS} tasks of the first job have ended as done`);
-    record.write(`the store has refused ${site.store.tooLong} transactions: a value was longer than row-bytes`);
 
-    const second = site3.createId();
-    if ((await site3.ask(site, entry, "POST", second, { body: site3.createJob(2, 1000) })).status !== 200) {
-        return { kind: "cannotRun", why: "the second job was not accepted" };
+    const machines = site.workers.map(worker => worker.machine);
+    record.write(`operator: op/wave/${WAVE} with ${machines.join(", ")}, within 40 s, 2 at once`);
+    site.store.put(`wave/${WAVE}`, { wave: WAVE, machines, "within-s": 40, "max-count": 2 });
+    for (let tries = 0; site.store.get("status", "", `wave/${WAVE}`)?.state !== "completed"; tries++) {
+        if (tries > 450) {
+            return { kind: "cannotRun", why: "the wave was not completed in 45 s" };
+        }
+        await site3.sleep(100);
+    }
+    record.write(`status/wave/${WAVE} is completed, ${cloud.countBegun(WAVE)} upkeeps have begun`);
+    // The last worker is back and has been in touch for longer than contact-ms.
+    await site3.sleep(site3.BOUNDS["contact-ms"] + 1000);
+
+    const accepted = [];
+    for (let number = 0; number < JOBS; number++) {
+        const id = site3.createId();
+        const reply = await site3.ask(site, entry, "POST", id, { body: site3.createJob(2, 1000) });
+        if (reply.status === 200) {
+            accepted.push(id);
+        }
+    }
+    if (accepted.length < JOBS) {
+        return { kind: "cannotRun", why: "a job was not accepted" };
     }
+    // Longest time in which nothing ran on any worker, all of which are listed and idle.
     let idleSince = performance.now();
     let longestIdleMs = 0;
     const until = performance.now() + site3.BOUNDS["finish_s"] * 1000;
-    let states = [];
-    while (performance.now() < until && !(states.length > 0 && states.every(state => state === "completed"))) {
-        if (site.workers.some(worker => worker.getRunning().length > 0)) {
+    const states = new Map();
+    while (performance.now() < until && [...states.values()].filter(state => state === "completed").length < JOBS) {
+        const running = site.workers.flatMap(worker => worker.getRunning());
+        if (running.length > 0) {
             idleSince = performance.now();
         }
         longestIdleMs = Math.max(longestIdleMs, performance.now() - idleSince);
-        states = [await getState(first), await getState(second)];
-        await site3.sleep(500);
+        for (const id of performance.now() - until > -1000 || running.length === 0 ? accepted : []) {
+            states.set(id, await getState(id));
+        }
+        await site3.sleep(250);
     }
-    record.write(`first job ${states[0]}, second job ${states[1]}, longest time without a run ${Math.round(longestIdleMs)} ms`);
-    record.write(`the store has refused ${site.store.tooLong} transactions: a value was longer than row-bytes`);
-    const isBroken = states.some(state => state !== "completed") && longestIdleMs > LOST_MS;
+    const listed = site.store.list("servers", "").length;
+    const open2 = [...states.values()].filter(state => state !== "completed").length;
+    record.write(
+        `${listed} workers are listed as ready and idle; longest time without a run ${Math.round(longestIdleMs)} ms`,
+    );
+    const isBroken = open2 > 0 && longestIdleMs > LOST_MS;
     if (isBroken) {
         await site.replaceLeader();
-        record.write(`10 s after the leader was killed: first job ${await getState(first)}, second ${await getState(second)}`);
+        const after = await Promise.all(accepted.map(id => getState(id)));
+        record.write(`10 s after the leader was killed, the jobs are ${after.join(", ")}`);
     }
     return isBroken
         ? {
             kind: "broken",
-            why: `LOST: accepted jobs are ${states.join(" and ")}, with nothing running for ${
-                Math.round(longestIdleMs)
-            } ms and all workers idle`,
+            why: `LOST: ${open2} of ${JOBS} accepted jobs have nothing running for ${Math.round(longestIdleMs)} ms`
+                + ` while all ${listed} workers are idle`,
         }
-        : { kind: "held", why: "both jobs were completed" };
+        : {
+            kind: "held",
+            why: `all ${JOBS} jobs were completed, longest time without a run ${Math.round(longestIdleMs)} ms`,
+        };
 });
--- a/review/standins-3/site.mjs
+++ b/review/standins-3/site.mjs
@@ -32,6 +32,8 @@
 const STORE_ANSWER_MS = 4;
 const TX_MS = 5;
 const TEXT_BYTES = 200;
+const PAGE_BYTES = 1_000_000;
+const RESTART_MS = 500;
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -100,6 +102,22 @@
     });
 }
 
+/** Index of the first row whose key is not below `from`. */
+function findFirst(rows, from) {
+    let low = 0;
+    let high = rows.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (rows[middle].key < from) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
 /** The platform's store, form `table`. `openFor` serves it at an address of its own for each machine. */
 function createStore() {
     const rows = new Map();
@@ -187,14 +205,25 @@
                     }
                     case "GET /-/rows-get": {
                         const limit = Math.min(500, Number(query.get("limit")) || 500);
-                        const found = list(query.get("table"), query.get("part") ?? "").filter(row =>
-                            row.key >= (query.get("from") ?? "")
-                            && (!query.has("target") || row.key < query.get("target"))
-                        );
-                        return {
-                            status: 200,
-                            body: { rows: found.slice(0, limit), "has-more": found.length > limit, ver: version },
-                        };
+                        const all = list(query.get("table"), query.get("part") ?? "");
+                        const from = query.get("from") ?? "";
+                        const target = query.get("target");
+                        const found = [];
+                        let bytes = 0;
+                        let hasMore = false;
+                        for (let index = findFirst(all, from); index < all.length; index++) {
+                            const row = all[index];
+                            if (target && row.key >= target) {
+                                break;
+                            }
+                            bytes += row.value.length;
+                            hasMore = found.length === limit || (found.length > 0 && bytes > PAGE_BYTES);
+                            if (hasMore) {
+                                break;
+                            }
+                            found.push(row);
+                        }
+                        return { status: 200, body: { rows: found, "has-more": hasMore, ver: version } };
                     }
                     case "GET /-/rows-feed": {
                         const until = performance.now() + Math.min(30000, Number(query.get("wait-ms")));
@@ -540,6 +569,8 @@
         cloudAddress: `${block}.250:8524`,
         workers: [],
         instances: [],
+        /** Whether the platform starts a process again that has ended by itself. */
+        restarts: false,
     };
     site.store.put("config", configuration);
     site.workers = workers.map((options, index) => createWorker({ site, number: index + 1, makeSaved, ...options }));
@@ -573,6 +604,9 @@
         let child;
         const instance = {
             name,
+            /** How often its process has ended by itself. */
+            ownEnds: 0,
+            log: path.join(folder, `${name}.log`),
             front: `${ip}:8521`,
             ready: `${ip}:8523`,
             start: () => {
@@ -585,11 +619,14 @@
                 fs.closeSync(log);
                 record.write(`${name} starts, pid ${child.pid}`);
                 const started = child;
-                child.once(
-                    "exit",
-                    (code, signal) =>
-                        record.write(`${name} ends, pid ${started.pid}, ${signal ?? `exit code ${code}`}`),
-                );
+                child.once("exit", (code, signal) => {
+                    record.write(`${name} ends, pid ${started.pid}, ${signal ?? `exit code ${code}`}`);
+                    if (signal === "SIGKILL" || !site.restarts) {
+                        return;
+                    }
+                    instance.ownEnds++;
+                    setTimeout(() => site.restarts && instance.start(), RESTART_MS);
+                });
             },
             signal: name2 => child?.kill(name2),
             end: async () => {
@@ -634,6 +671,7 @@
         await sleep(10000);
     };
     site.close = async () => {
+        site.restarts = false;
         await Promise.all(site.instances.map(instance => instance.end()));
         closers.forEach(close => close());
         if (process.env.KEEP) {
