--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,67 +1,74 @@
 /**
- * LOST while tasks save their progress. Trouble: what a worker gives as `saved` has 400 characters; without it, 16.
+ * LOST after a change of the configuration. Trouble: a version sends the queue to another service and drops the old one
+ * between two occurrences of a scheduled job; without it, the configuration stays.
  */
 import * as site3 from "../standins-3/site.mjs";
 
-const TASKS = 200;
-const TASK_MS = 10000;
-const LONG = 400;
-const SHORT = 16;
+const REPEATS = 6;
+const PERIOD_MS = 4500;
 const LOST_MS = 3000;
 
 await site3.runCase(import.meta.url, async ({ record, trouble, open }) => {
-    const length = trouble ? LONG : SHORT;
+    const [old, next] = ["booking", "booking-two"];
     const site = await open({
-        configuration: site3.createConfiguration(1),
-        workers: Array.from({ length: 4 }, () => ({ service: "booking", capacity: site3.WORKER_CAPACITY })),
-        makeSaved: (task, count) => `${task}/${count}/`.padEnd(length, "0").slice(-length),
+        configuration: site3.createConfiguration(1, { service: old, services: [old, next] }),
+        workers: [old, old, next, next].map(service => ({ service, capacity: site3.WORKER_CAPACITY })),
     });
-    const ended = new Set();
-    site.onEnd = ({ task, how }) => how === "done" && ended.add(task);
     await site.start();
     const [entry] = site.instances;
     const getState = async id => (await site3.ask(site, entry, "GET", id)).body?.state;
 
-    const first = site3.createId();
-    // 40 of 128 cores, 51 of 262 GB, no GPU.
-    const wide = site3.createJob(TASKS, TASK_MS, { cpu: 200, memory: 256, gpu: 0, checkpoint: true });
-    if ((await site3.ask(site, entry, "POST", first, { body: wide })).status !== 200) {
-        return { kind: "cannotRun", why: "the first job was not accepted" };
+    const scheduled = site3.createId();
+    const ended = new Set();
+    site.onEnd = ({ task, how }) => how === "done" && task.startsWith(scheduled) && ended.add(task);
+    const firstDueAt = Date.now() + 1000;
+    const lastDueAt = firstDueAt + (REPEATS - 1) * PERIOD_MS;
+    const schedule = { repeats: REPEATS, "initial-delay-ms": firstDueAt, "period-ms": PERIOD_MS };
+    const reply = await site3.ask(site, entry, "POST", scheduled, {
+        body: { ...site3.createJob(2, 1000), ...schedule },
+    });
+    if (reply.status !== 200) {
+        return { kind: "cannotRun", why: "the scheduled job was not accepted" };
     }
-    // All its tasks have had their time and 4 s more.
-    await site3.sleep(TASK_MS + 4000);
-    record.write(`${ended.size} of ${TASKS} tasks of the first job have ended as done`);
-    record.write(`the store has refused ${site.store.tooLong} transactions: a value was longer than row-bytes`);
-
-    const second = site3.createId();
-    if ((await site3.ask(site, entry, "POST", second, { body: site3.createJob(2, 1000) })).status !== 200) {
-        return { kind: "cannotRun", why: "the second job was not accepted" };
+    await site3.sleep(firstDueAt + PERIOD_MS + 2500 - Date.now());
+    if (ended.size !== 4) {
+        return { kind: "cannotRun", why: `${ended.size} of 4 tasks of the first two occurrences have ended` };
+    }
+    if (trouble) {
+        record.write(`operator: version 2 sends the queue to ${next}, and has no service ${old} any more`);
+        site.store.put("config", site3.createConfiguration(2, { service: next, services: [next] }));
+        await site3.sleep(site3.BOUNDS["config-apply-ms"] + 500);
+    }
+    const later = site3.createId();
+    if ((await site3.ask(site, entry, "POST", later, { body: site3.createJob(2, 1000) })).status !== 200) {
+        return { kind: "cannotRun", why: "the last job was not accepted" };
     }
+    // The last occurrence is due, and finish_s more.
+    const until = lastDueAt + site3.BOUNDS["finish_s"] * 1000;
     let idleSince = performance.now();
-    let longestIdleMs = 0;
-    const until = performance.now() + site3.BOUNDS["finish_s"] * 1000;
     let states = [];
-    while (performance.now() < until && !(states.length > 0 && states.every(state => state === "completed"))) {
+    while (Date.now() < until && !(states.length > 0 && states.every(state => state === "completed"))) {
         if (site.workers.some(worker => worker.getRunning().length > 0)) {
             idleSince = performance.now();
         }
-        longestIdleMs = Math.max(longestIdleMs, performance.now() - idleSince);
-        states = [await getState(first), await getState(second)];
+        states = [await getState(scheduled), await getState(later)];
         await site3.sleep(500);
     }
-    record.write(`first job ${states[0]}, second job ${states[1]}, longest time without a run ${Math.round(longestIdleMs)} ms`);
-    record.write(`the store has refused ${site.store.tooLong} transactions: a value was longer than row-bytes`);
-    const isBroken = states.some(state => state !== "completed") && longestIdleMs > LOST_MS;
+    const idleMs = performance.now() - idleSince;
+    const listed = site.workers.map(worker => `${worker.getId()} (${worker.service})`).join(", ");
+    record.write(`listed, ready and idle for ${Math.round(idleMs)} ms: ${listed}`);
+    record.write(`${ended.size} of ${2 * REPEATS} tasks of the scheduled job have ended as done; it is ${states[0]}`);
+    const isBroken = states[0] !== "completed" && idleMs > LOST_MS;
+    const done = ended.size;
     if (isBroken) {
         await site.replaceLeader();
-        record.write(`10 s after the leader was killed: first job ${await getState(first)}, second ${await getState(second)}`);
+        record.write(`10 s after the leader was killed, the scheduled job is ${await getState(scheduled)}`);
     }
     return isBroken
         ? {
             kind: "broken",
-            why: `LOST: accepted jobs are ${states.join(" and ")}, with nothing running for ${
-                Math.round(longestIdleMs)
-            } ms and all workers idle`,
+            why: `LOST: the scheduled job is ${states[0]} with ${done} of ${2 * REPEATS} tasks done and nothing`
+                + ` running for ${Math.round(idleMs)} ms, all due and all workers idle; a job sent later is ${states[1]}`,
         }
-        : { kind: "held", why: "both jobs were completed" };
+        : { kind: "held", why: `the jobs are ${states.join(" and ")}` };
 });
--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,74 +1,74 @@
 /**
- * LOST after a change of the configuration. Trouble: a version sends the queue to another service and drops the old one
- * between two occurrences of a scheduled job; without it, the configuration stays.
+ * UNASKED after a cancel. Trouble: the store leaves one write of a submission without an answer and does it 2.5 s later,
+ * so the client has no answer after 0.5 s, gives up and cancels; without it, the submission is answered.
  */
 import * as site3 from "../standins-3/site.mjs";
 
-const REPEATS = 6;
-const PERIOD_MS = 4500;
-const LOST_MS = 3000;
+const TASK_MS = 20000;
+const PATIENCE_MS = 500;
+const LATE_MS = 2500;
 
 await site3.runCase(import.meta.url, async ({ record, trouble, open }) => {
-    const [old, next] = ["booking", "booking-two"];
+    const id = site3.createId();
+    let writes = 0;
+    let lost = 0;
     const site = await open({
-        configuration: site3.createConfiguration(1, { service: old, services: [old, next] }),
-        workers: [old, old, next, next].map(service => ({ service, capacity: site3.WORKER_CAPACITY })),
+        configuration: site3.createConfiguration(1),
+        workers: Array.from({ length: 4 }, () => ({ service: "booking", capacity: site3.WORKER_CAPACITY })),
+        onTransact: (instance, body) => {
+            writes++;
+            if (!trouble || lost > 0 || !body.put?.some(row => row.key === id)) {
+                return undefined;
+            }
+            lost++;
+            record.write(`store: a write of ${instance} with the job's row gets no answer and is done ${LATE_MS} ms later`);
+            return {
+                lateMs: LATE_MS,
+                onDone: result => record.write(`store: the late write is carried out: ${result.status}`),
+            };
+        },
     });
+    const starts = [];
+    site.onStart = start => start.task.startsWith(id) && starts.push(start);
     await site.start();
-    const [entry] = site.instances;
-    const getState = async id => (await site3.ask(site, entry, "GET", id)).body?.state;
+    const [first, second] = site.instances.filter(instance => instance !== site.getLeader());
 
-    const scheduled = site3.createId();
-    const ended = new Set();
-    site.onEnd = ({ task, how }) => how === "done" && task.startsWith(scheduled) && ended.add(task);
-    const firstDueAt = Date.now() + 1000;
-    const lastDueAt = firstDueAt + (REPEATS - 1) * PERIOD_MS;
-    const schedule = { repeats: REPEATS, "initial-delay-ms": firstDueAt, "period-ms": PERIOD_MS };
-    const reply = await site3.ask(site, entry, "POST", scheduled, {
-        body: { ...site3.createJob(2, 1000), ...schedule },
-    });
-    if (reply.status !== 200) {
-        return { kind: "cannotRun", why: "the scheduled job was not accepted" };
-    }
-    await site3.sleep(firstDueAt + PERIOD_MS + 2500 - Date.now());
-    if (ended.size !== 4) {
-        return { kind: "cannotRun", why: `${ended.size} of 4 tasks of the first two occurrences have ended` };
-    }
-    if (trouble) {
-        record.write(`operator: version 2 sends the queue to ${next}, and has no service ${old} any more`);
-        site.store.put("config", site3.createConfiguration(2, { service: next, services: [next] }));
-        await site3.sleep(site3.BOUNDS["config-apply-ms"] + 500);
-    }
-    const later = site3.createId();
-    if ((await site3.ask(site, entry, "POST", later, { body: site3.createJob(2, 1000) })).status !== 200) {
-        return { kind: "cannotRun", why: "the last job was not accepted" };
-    }
-    // The last occurrence is due, and finish_s more.
-    const until = lastDueAt + site3.BOUNDS["finish_s"] * 1000;
-    let idleSince = performance.now();
-    let states = [];
-    while (Date.now() < until && !(states.length > 0 && states.every(state => state === "completed"))) {
-        if (site.workers.some(worker => worker.getRunning().length > 0)) {
-            idleSince = performance.now();
+    // Other clients, so that the lost answer is a small share of the writes.
+    let others = true;
+    const traffic = (async () => {
+        while (others) {
+            await site3.ask(site, second, "POST", site3.createId(), { body: site3.createJob(1, 300) });
+            await site3.sleep(150);
         }
-        states = [await getState(scheduled), await getState(later)];
-        await site3.sleep(500);
-    }
-    const idleMs = performance.now() - idleSince;
-    const listed = site.workers.map(worker => `${worker.getId()} (${worker.service})`).join(", ");
-    record.write(`listed, ready and idle for ${Math.round(idleMs)} ms: ${listed}`);
-    record.write(`${ended.size} of ${2 * REPEATS} tasks of the scheduled job have ended as done; it is ${states[0]}`);
-    const isBroken = states[0] !== "completed" && idleMs > LOST_MS;
-    const done = ended.size;
-    if (isBroken) {
-        await site.replaceLeader();
-        record.write(`10 s after the leader was killed, the scheduled job is ${await getState(scheduled)}`);
+    })();
+    await site3.sleep(1000);
+
+    // The client hands its job in, and leaves when it has waited long enough.
+    const submitted = site3.ask(site, first, "POST", id, {
+        body: site3.createJob(2, TASK_MS),
+        deadlineMs: site3.DEADLINE_MS,
+        leaveAfterMs: PATIENCE_MS,
+    });
+    await Promise.all([submitted, site3.sleep(PATIENCE_MS + 50)]);
+    const cancelled = await site3.ask(site, second, "DELETE", id);
+    if (cancelled.status !== 200 && cancelled.status !== 410) {
+        return { kind: "cannotRun", why: `the cancel was answered ${cancelled.status}` };
     }
-    return isBroken
+    const ackedAt = record.now();
+    record.write(`the cancel is acknowledged with ${cancelled.status}; ${lost} of ${writes} writes went without an answer`);
+    // cancel_ms and stop-ms, and a calm contact-ms after the last lost answer.
+    await site3.sleep(site3.BOUNDS["cancel_ms"] + site3.BOUNDS["stop-ms"]);
+    await site3.sleep(LATE_MS + site3.BOUNDS["contact-ms"] + 1000);
+    others = false;
+    await traffic;
+    const running = site.workers.flatMap(worker => worker.getRunning()).filter(task => task.startsWith(id));
+    const state = (await site3.ask(site, second, "GET", id)).body?.state;
+    const afterS = (record.now() - ackedAt).toFixed(1);
+    record.write(`${afterS} s after the acknowledgement ${running.length} tasks of the job run; it is shown as ${state}`);
+    return running.length > 0
         ? {
             kind: "broken",
-            why: `LOST: the scheduled job is ${states[0]} with ${done} of ${2 * REPEATS} tasks done and nothing`
-                + ` running for ${Math.round(idleMs)} ms, all due and all workers idle; a job sent later is ${states[1]}`,
+            why: `UNASKED: ${running.length} tasks run ${afterS} s after the cancel was acknowledged with ${cancelled.status}`,
         }
-        : { kind: "held", why: `the jobs are ${states.join(" and ")}` };
+        : { kind: "held", why: `no task of the cancelled job runs; starts ${starts.length}, state ${state}` };
 });
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,27 +1,29 @@
 /**
- * UNASKED after a cancel. Trouble: the store leaves one write of a submission without an answer and does it 2.5 s later,
- * so the client has no answer after 0.5 s, gives up and cancels; without it, the submission is answered.
+ * REFUSED after a lost answer of the store. Trouble: the store leaves the writes of one submission without an answer and
+ * does them 4 s later; without it, they are answered. In both a key is taken away one second after the submission.
  */
 import * as site3 from "../standins-3/site.mjs";
 
-const TASK_MS = 20000;
-const PATIENCE_MS = 500;
-const LATE_MS = 2500;
+const LATE_MS = 4000;
+const REVOKED_AFTER_MS = 1000;
 
 await site3.runCase(import.meta.url, async ({ record, trouble, open }) => {
     const id = site3.createId();
     let writes = 0;
     let lost = 0;
+    let isCounting = false;
     const site = await open({
-        configuration: site3.createConfiguration(1),
+        configuration: site3.createConfiguration(1, { keys: ["key-a", "key-b"] }),
         workers: Array.from({ length: 4 }, () => ({ service: "booking", capacity: site3.WORKER_CAPACITY })),
         onTransact: (instance, body) => {
-            writes++;
-            if (!trouble || lost > 0 || !body.put?.some(row => row.key === id)) {
+            writes += Number(isCounting);
+            if (!trouble || !body.put?.some(row => row.key === id)) {
                 return undefined;
             }
             lost++;
-            record.write(`store: a write of ${instance} with the job's row gets no answer and is done ${LATE_MS} ms later`);
+            record.write(
+                `store: a write of ${instance} with the job's row gets no answer and is done ${LATE_MS} ms later`,
+            );
             return {
                 lateMs: LATE_MS,
                 onDone: result => record.write(`store: the late write is carried out: ${result.status}`),
@@ -31,44 +33,33 @@
     const starts = [];
     site.onStart = start => start.task.startsWith(id) && starts.push(start);
     await site.start();
-    const [first, second] = site.instances.filter(instance => instance !== site.getLeader());
+    const entry = site.instances.find(instance => instance !== site.getLeader());
+    isCounting = true;
 
-    // Other clients, so that the lost answer is a small share of the writes.
+    // Other clients, so that the lost answers are a small share of the writes.
     let others = true;
     const traffic = (async () => {
         while (others) {
-            await site3.ask(site, second, "POST", site3.createId(), { body: site3.createJob(1, 300) });
+            const at = site.instances.find(instance => instance !== entry);
+            await site3.ask(site, at, "POST", site3.createId(), { body: site3.createJob(1, 500) });
             await site3.sleep(150);
         }
     })();
-    await site3.sleep(1000);
-
-    // The client hands its job in, and leaves when it has waited long enough.
-    const submitted = site3.ask(site, first, "POST", id, {
-        body: site3.createJob(2, TASK_MS),
-        deadlineMs: site3.DEADLINE_MS,
-        leaveAfterMs: PATIENCE_MS,
-    });
-    await Promise.all([submitted, site3.sleep(PATIENCE_MS + 50)]);
-    const cancelled = await site3.ask(site, second, "DELETE", id);
-    if (cancelled.status !== 200 && cancelled.status !== 410) {
-        return { kind: "cannotRun", why: `the cancel was answered ${cancelled.status}` };
-    }
-    const ackedAt = record.now();
-    record.write(`the cancel is acknowledged with ${cancelled.status}; ${lost} of ${writes} writes went without an answer`);
-    // cancel_ms and stop-ms, and a calm contact-ms after the last lost answer.
-    await site3.sleep(site3.BOUNDS["cancel_ms"] + site3.BOUNDS["stop-ms"]);
-    await site3.sleep(LATE_MS + site3.BOUNDS["contact-ms"] + 1000);
+    const submitted = site3.ask(site, entry, "POST", id, { key: "key-b", body: site3.createJob(2, 3000) });
+    await site3.sleep(REVOKED_AFTER_MS);
+    record.write("operator: version 2 takes key-b away");
+    site.store.put("config", site3.createConfiguration(2, { keys: ["key-a"] }));
+    const reply = await submitted;
+    record.write(`the only attempt to hand the job in is answered ${reply.status || "not at all"}`);
+    await site3.sleep(LATE_MS + 3000);
     others = false;
     await traffic;
-    const running = site.workers.flatMap(worker => worker.getRunning()).filter(task => task.startsWith(id));
-    const state = (await site3.ask(site, second, "GET", id)).body?.state;
-    const afterS = (record.now() - ackedAt).toFixed(1);
-    record.write(`${afterS} s after the acknowledgement ${running.length} tasks of the job run; it is shown as ${state}`);
-    return running.length > 0
+    record.write(`${lost} of ${writes} writes went without an answer; starts of the job: ${starts.length}`);
+    const isRejected = [401, 404, 429, 503].includes(reply.status);
+    return isRejected && starts.length > 0
         ? {
             kind: "broken",
-            why: `UNASKED: ${running.length} tasks run ${afterS} s after the cancel was acknowledged with ${cancelled.status}`,
+            why: `REFUSED: the job's only attempt was rejected with ${reply.status}, and ${starts.length} tasks of it started`,
         }
-        : { kind: "held", why: `no task of the cancelled job runs; starts ${starts.length}, state ${state}` };
+        : { kind: "held", why: `the attempt was answered ${reply.status || "not at all"}, starts ${starts.length}` };
 });
--- a/review/standins-3/site.mjs
+++ b/review/standins-3/site.mjs
@@ -254,12 +254,12 @@
 }
 
 /**
- * A worker. Tasks take as long as their job's `spec` says: `{"ms":N}`. A restart begins another life, with the same id
+ * A worker. Tasks take as long as their job's `spec` says, `{"ms":N}`, and end `done` or as its `how` says. A restart begins another life, with the same id
  * or a new one.
  */
-function createWorker({ site, number, service, capacity, makeSaved }) {
+function createWorker({ site, number, service, capacity, makeSaved, kind = "a" }) {
     const address = `${site.ip(100 + number)}:8600`;
-    const labels = ["a", "r1"];
+    const labels = [kind, "r1"];
     let lives = 0;
     let life;
     const clock = () => Math.round(performance.now() - life.clockStart);
@@ -283,7 +283,7 @@
                 }
             }
             else if (performance.now() - run.startedAt >= run.ms) {
-                end(run, "done");
+                end(run, run.how);
             }
             else if (makeSaved && Math.floor((performance.now() - run.startedAt) / 1000) > run.saves) {
                 run.saves++;
@@ -292,8 +292,10 @@
         }
     };
     const timer = setInterval(tick, 20);
+    let reportedAt = 0;
     const report = () => {
         if (life) {
+            reportedAt = performance.now();
             site.store.put(life.id, {
                 service,
                 address,
@@ -358,6 +360,7 @@
                     task: body.task,
                     run: body.run,
                     ms: JSON.parse(body.spec).ms,
+                    how: JSON.parse(body.spec).how ?? "done",
                     startedAt: performance.now(),
                     saves: 0,
                     saved: body.saved ?? "",
@@ -413,6 +416,15 @@
                 return { status: 404 };
         }
     };
+    /** `site.onOrder` may return `{ lateMs }`: the call gets no answer and is carried out later, by whoever lives then. */
+    const receive = request => {
+        const fault = life && site.onOrder?.(life.id, request);
+        if (!fault) {
+            return handle(request);
+        }
+        setTimeout(() => void handle(request).then(fault.onDone), fault.lateMs);
+        return undefined;
+    };
     const worker = {
         number,
         getId: () => life?.id,
@@ -442,6 +454,19 @@
             site.record.write(`worker ${life.id} drains, at least ${remainingMs} ms`);
             report();
         },
+        /** Ends the life at once and in silence; its entry is removed after three heartbeat intervals without one. */
+        crash: () => {
+            const { id } = life;
+            site.record.write(`worker ${id} crashes with ${life.runs.size} runs`);
+            [...life.waiters].forEach(wake => wake());
+            life = undefined;
+            setTimeout(() => {
+                if (life?.id !== id) {
+                    site.record.write(`directory: the entry of ${id} is removed`);
+                    site.store.remove(id, "servers");
+                }
+            }, reportedAt + 3 * HEARTBEAT_MS - performance.now());
+        },
         /** Ends the life at once; its entry is removed, as the worker has left. */
         leave: () => {
             if (!life) {
@@ -452,7 +477,7 @@
             [...life.waiters].forEach(wake => wake());
             life = undefined;
         },
-        listen: () => serve(address, handle, site.closers),
+        listen: () => serve(address, receive, site.closers),
         machine: `m${number}`,
         labels,
         capacity,
