--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -68,7 +68,9 @@
         ? {
             kind: "broken",
             why: `LOST: the scheduled job is ${states[0]} with ${done} of ${2 * REPEATS} tasks done and nothing`
-                + ` running for ${Math.round(idleMs)} ms, all due and all workers idle; a job sent later is ${states[1]}`,
+                + ` running for ${Math.round(idleMs)} ms, all due and all workers idle; a job sent later is ${
+                    states[1]
+                }`,
         }
         : { kind: "held", why: `the jobs are ${states.join(" and ")}` };
 });
--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -21,7 +21,9 @@
                 return undefined;
             }
             lost++;
-            record.write(`store: a write of ${instance} with the job's row gets no answer and is done ${LATE_MS} ms later`);
+            record.write(
+                `store: a write of ${instance} with the job's row gets no answer and is done ${LATE_MS} ms later`,
+            );
             return {
                 lateMs: LATE_MS,
                 onDone: result => record.write(`store: the late write is carried out: ${result.status}`),
@@ -55,7 +57,9 @@
         return { kind: "cannotRun", why: `the cancel was answered ${cancelled.status}` };
     }
     const ackedAt = record.now();
-    record.write(`the cancel is acknowledged with ${cancelled.status}; ${lost} of ${writes} writes went without an answer`);
+    record.write(
+        `the cancel is acknowledged with ${cancelled.status}; ${lost} of ${writes} writes went without an answer`,
+    );
     // cancel_ms and stop-ms, and a calm contact-ms after the last lost answer.
     await site3.sleep(site3.BOUNDS["cancel_ms"] + site3.BOUNDS["stop-ms"]);
     await site3.sleep(LATE_MS + site3.BOUNDS["contact-ms"] + 1000);
@@ -64,7 +68,9 @@
     const running = site.workers.flatMap(worker => worker.getRunning()).filter(task => task.startsWith(id));
     const state = (await site3.ask(site, second, "GET", id)).body?.state;
     const afterS = (record.now() - ackedAt).toFixed(1);
-    record.write(`${afterS} s after the acknowledgement ${running.length} tasks of the job run; it is shown as ${state}`);
+    record.write(
+        `${afterS} s after the acknowledgement ${running.length} tasks of the job run; it is shown as ${state}`,
+    );
     return running.length > 0
         ? {
             kind: "broken",
