--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -17,7 +17,7 @@
         workers: Array.from({ length: 4 }, () => ({ service: "booking", capacity: site3.WORKER_CAPACITY })),
         onTransact: (instance, body) => {
             writes++;
-            if (!trouble || lost > 0 || !body.put?.some(row => row.key === id)) {
+            if (!trouble || lost > 0 || !body.put?.some(row => row.table === "jobs" && row.key === id)) {
                 return undefined;
             }
             lost++;
