Leader: remember start orders without an answer by worker, until they can no longer arrive

Cause: an order without an answer may be carried out seconds later, also by the worker's next incarnation, which does not know that the run was stopped.

Change: sessions/unansweredStarts.ts holds each copy by the worker's name, from before it is sent until it is answered, or for a minute after its timeout. A new incarnation gets a stop for each such run when its session opens; a lost task whose order may be under way waits for that stop; the directory's filter lets such a worker through, whatever its service is now. Runs that the next incarnation has begun and continues are no longer stopped there. Added: the line unansweredStartsClosed and the gauge starts_unanswered.

Why it works: nothing but an answer or the minute removes an order, so no sequence of losses, expired leases, removed entries or ended jobs makes the leader forget it. A takeover needs no record, since workers that the new leader has polled refuse the lower token. Left: an order that arrives before the leader knows the incarnation; the first poll stops that run.

The emulator can now keep an order beyond the incarnation that received it, and restart a worker with other properties. workerRegistry.test.ts: the test that wrote to unconfirmedStarts, a field that is gone, records the same order in the new place and expects the same stop; three sequences are added.

--- a/src/emulator/workerOrders.ts
+++ b/src/emulator/workerOrders.ts
@@ -22,6 +22,8 @@
     decide(workerId: string, call: "start" | "stop" | "poll" | "pace"): OrderFault;
     /** Delay of the fault `late`. */
     readonly lateMs: number;
+    /** Whether a delayed order reaches the worker's next incarnation if its own has ended; by default it is lost. */
+    readonly isLateOrderKept?: boolean;
     /** Factor by which the worker's tasks take longer than usual; with `Infinity` they make no progress. */
     getSlowdown(workerId: string): number;
     /** Whether a run that starts on the worker now fails at once; by default none does. */
@@ -203,8 +205,10 @@
                 await time.sleep(timeoutMs);
                 return { kind: "unknown", message: "emulated: answer lost" };
             case "late":
-                // A delayed order is lost with the incarnation that received it.
-                time.setTimer(faults.lateMs, () => void (incarnation.alive && handle(incarnation)));
+                time.setTimer(faults.lateMs, () => {
+                    const receiver = faults.isLateOrderKept ? incarnations.get(worker.name) : incarnation;
+                    return void (receiver?.alive && handle(receiver));
+                });
                 await time.sleep(timeoutMs);
                 return { kind: "unknown", message: "emulated: late" };
         }
--- a/src/emulator/workers.ts
+++ b/src/emulator/workers.ts
@@ -38,8 +38,8 @@
     add(info: leader.WorkerInfo): void;
     /** Starts a worker at the address of an ended one; calls to the ended one are then answered as `otherLife`. */
     addSuccessor(id: string, info: leader.WorkerInfo): void;
-    /** Starts another incarnation under the same id, after ending the current one if need be. */
-    restart(id: string): void;
+    /** Starts another incarnation under the same id, with those changes, after ending the current one if need be. */
+    restart(id: string, changes?: Partial<leader.WorkerInfo>): void;
     /** Changes the worker's capacity; the directory lists it after the next report. */
     resize(id: string, capacity: work.Resources): void;
     /** Ends the worker's incarnation; `listed` says whether the directory still lists it. */
@@ -275,10 +275,10 @@
         lossCounts,
         completionCounts,
         add: info => add(info),
-        restart: id => {
+        restart: (id, changes) => {
             kill(id, false);
             const { info, earlierCapacities } = incarnations.get(id)!;
-            add({ ...info, draining: false, remainingMs: 0 }, time.now());
+            add({ ...info, draining: false, remainingMs: 0, ...changes }, time.now());
             // The new incarnation runs on the same machine.
             incarnations.get(id)!.earlierCapacities.push(...earlierCapacities);
         },
--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -8,6 +8,7 @@
 import * as jobRegistries from "../jobRegistry";
 import type * as leases from "../lease/index";
 import type * as workerLosses from "../losses/index";
+import * as sessions from "../sessions/index";
 import * as thrownAway from "../thrownAway";
 import type * as units from "../units";
 
@@ -58,9 +59,15 @@
 
 /** An empty registry; `onStopRequested` is called for each task that is to be stopped. */
 export function createJobRegistry(
-    { clock = clocks.createManualClock(), getWorkers = () => [], onStopRequested = () => undefined }: {
+    {
+        clock = clocks.createManualClock(),
+        getWorkers = () => [],
+        unansweredStarts = sessions.createUnansweredStarts(clock),
+        onStopRequested = () => undefined,
+    }: {
         clock?: clocks.Clock;
         getWorkers?(): Iterable<entries.WorkerEntry>;
+        unansweredStarts?: sessions.UnansweredStarts;
         onStopRequested?(task: entries.TaskEntry): void;
     } = {},
 ): jobRegistries.JobRegistry {
@@ -80,6 +87,7 @@
         getExpectedTimes: () => ({ objectiveMs: 0, criticalPathMs: 0 }),
         estimateRunMs: () => 1_000,
         getWorkers,
+        unansweredStarts,
         disabledMechanisms: new Set(),
         thrownAway: thrownAway.createThrownAwayWork(),
     });
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -177,10 +177,6 @@
      * Number of runs on the worker that the job registry does not hold; no task is started there until they have ended.
      */
     unknownRunCount: number;
-    /**
-     * Runs by task name whose start orders got no answer. They may still be carried out, even by the next incarnation.
-     */
-    readonly unconfirmedStarts: Map<string, number>;
     /** Failed runs since the last success; a failure right after the start raises it to the quarantine threshold. */
     consecutiveFailures: number;
 }
@@ -300,7 +296,6 @@
         tasks: new Set(),
         used: decisions.copyResources(work.NO_RESOURCES),
         unknownRunCount: 0,
-        unconfirmedStarts: new Map(),
         consecutiveFailures: 0,
     };
 }
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -43,6 +43,7 @@
     estimateRunMs(step: entries.StepEntry): number;
     /** All workers that the leader knows. */
     getWorkers(): Iterable<entries.WorkerEntry>;
+    readonly unansweredStarts: Pick<sessions.UnansweredStarts, "has">;
     readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
     readonly thrownAway: thrownAways.ThrownAwayWork;
 }
@@ -192,6 +193,7 @@
         meter,
         signal: options.signal,
         getWorkers: options.getWorkers,
+        unansweredStarts: options.unansweredStarts,
         estimateRunMs: options.estimateRunMs,
         countThrownAway,
         requeue,
@@ -380,7 +382,6 @@
             if (progress.percent > 0) {
                 crashHistory.recordRunTime(task.crashes, entries.getObservedMs(task));
             }
-            task.worker?.unconfirmedStarts.delete(task.name);
             decisions.recordProgress(task.speed, progress.percent, time.now());
             if (task.phase === "ordered") {
                 registry.confirmRunning(task);
--- a/src/leader/knownServices.ts
+++ b/src/leader/knownServices.ts
@@ -14,7 +14,8 @@
     readonly log: observe.Log;
     readonly meter: observe.Meter;
     /**
-     * Whether the worker may have tasks: its service may have been removed from the configuration since their start.
+     * Whether the worker may have or get tasks: its service may have been removed from the configuration since their
+     * start, or it has restarted in another service while a start order is under way to it.
      */
     isInUse(workerId: string): boolean;
 }
--- a/src/leader/losses/workerLosses.ts
+++ b/src/leader/losses/workerLosses.ts
@@ -15,6 +15,7 @@
     /** Aborted when the term ends. */
     readonly signal: AbortSignal;
     getWorkers(): Iterable<entries.WorkerEntry>;
+    readonly unansweredStarts: Pick<sessions.UnansweredStarts, "has">;
     /** Expected duration of a run of the step's tasks, in milliseconds. */
     estimateRunMs(step: entries.StepEntry): number;
     /** Adds the unsaved work of the run to the thrown-away work; it ended at `endedAt` at the latest. */
@@ -176,6 +177,10 @@
         }
         options.requeue(task);
     };
+    const mayReachNextIncarnation = (task: entries.TaskEntry, worker: entries.WorkerEntry, next: NextIncarnation) =>
+        isStartUndecided(task, next.pollResult)
+        || (task.phase !== "done"
+            && options.unansweredStarts.has(worker.incarnation.name, { task: task.name, run: task.run }));
     return {
         crashAttribution,
         enforceCrashLimit,
@@ -192,7 +197,7 @@
                 hasNextIncarnation: next !== undefined,
             });
             for (const task of lost) {
-                const successor = next && mayReachNextIncarnation(task, next.pollResult) ? next.worker : undefined;
+                const successor = next && mayReachNextIncarnation(task, worker, next) ? next.worker : undefined;
                 handleLostRun(task, worker, reason, attributed.get(task), successor);
             }
             lost.forEach(task => options.stopOtherMembers(task, "gang member lost"));
@@ -212,10 +217,10 @@
 }
 
 /**
- * Whether the next incarnation may still receive the start order of a run that it does not list: the previous
- * incarnation never reported the run, and the start order was not answered before the next incarnation was polled.
+ * Whether the previous incarnation never reported the run, and its start order was not answered before the next one was
+ * polled. An earlier leader may have sent the order.
  */
-function mayReachNextIncarnation(task: entries.TaskEntry, pollResult: sessions.PollResult | undefined): boolean {
+function isStartUndecided(task: entries.TaskEntry, pollResult: sessions.PollResult | undefined): boolean {
     switch (task.phase) {
         case "waiting":
         case "recording":
--- a/src/leader/sessions/__tests__/orders.test.ts
+++ b/src/leader/sessions/__tests__/orders.test.ts
@@ -5,6 +5,7 @@
 import * as entries from "../../entries";
 import type * as jobRegistry from "../../jobRegistry";
 import * as orders from "../orders";
+import * as unansweredStarts from "../unansweredStarts";
 import type * as workerSession from "../workerSession";
 
 interface Case {
@@ -62,6 +63,7 @@
         signal: new AbortController().signal,
         mayIssueOrders: () => true,
         findStartObstacle: () => undefined,
+        unansweredStarts: unansweredStarts.createUnansweredStarts(clocks.createManualClock()),
         disabledMechanisms: new Set(),
         ...options,
     });
--- a/src/leader/sessions/__tests__/workerRegistry.test.ts
+++ b/src/leader/sessions/__tests__/workerRegistry.test.ts
@@ -3,6 +3,7 @@
 import * as crashHistory from "../../crashHistory";
 import type * as directory from "../../directory";
 import * as entries from "../../entries";
+import * as unansweredStarts from "../unansweredStarts";
 import * as workerRegistry from "../workerRegistry";
 import type * as workerSession from "../workerSession";
 
@@ -28,8 +29,10 @@
     const stops: string[] = [];
     const closedRuns: string[] = [];
     const polls: string[] = [];
+    const starts = unansweredStarts.createUnansweredStarts(time);
     const jobs = fixtures.createJobRegistry({
         getWorkers: () => registry.workers.values(),
+        unansweredStarts: starts,
         onStopRequested: task => stops.push(task.worker!.id),
     });
     const registry: workerRegistry.WorkerRegistry = workerRegistry.createWorkerRegistry({
@@ -38,6 +41,7 @@
         leadership: fixtures.LEADERSHIP,
         maxLeaseMs: 6_000,
         jobRegistry: jobs,
+        unansweredStarts: starts,
         filterKnownServices: listed => listed,
         openSession: worker => createSession(() => polls.push(worker.id)),
         closeRun: (worker, task, run) => closedRuns.push(`${worker.id} ${task} ${run}`),
@@ -49,7 +53,7 @@
     jobs.releaseDueOccurrences();
     const task = job.occurrences.get(0)!.steps[0]!.tasks[0]!;
     jobs.place([task], [first]);
-    return { time, jobs, registry, first, task, stops, closedRuns, polls };
+    return { time, jobs, registry, first, task, starts, stops, closedRuns, polls };
 }
 
 function createSession(pollNow: () => void): workerSession.WorkerSession {
@@ -205,10 +209,42 @@
 });
 
 // Guards against a start without an answer that the next incarnation carries out, although the run was stopped on the
-// previous one.
-test("the run of a start that got no answer is stopped on the next incarnation too", () => {
-    const { registry, first, closedRuns } = openRegistry();
-    first.unconfirmedStarts.set("other.0.0.0", 3);
-    registry.onNextIncarnation(first, SECOND, createPollResult(100));
-    expect(closedRuns).toEqual([`${registry.findCurrent(NAME)!.id} other.0.0.0 3`]);
+// previous one or has ended there.
+describe("the run of a start that got no answer", () => {
+    const OTHER = { task: "other.0.0.0", run: 3 };
+
+    test("is stopped on the next incarnation too", () => {
+        const { registry, first, starts, closedRuns } = openRegistry();
+        starts.add(NAME, OTHER)(false);
+        registry.onNextIncarnation(first, SECOND, createPollResult(100));
+        expect(closedRuns).toEqual([`${registry.findCurrent(NAME)!.id} other.0.0.0 3`]);
+    });
+
+    test("is stopped on the next incarnation after the entry of the first was removed", () => {
+        const { registry, first, task, starts, closedRuns } = openRegistry();
+        starts.add(NAME, OTHER)(false);
+        entries.unassign(task);
+        registry.applyDirectory([]);
+        expect(registry.workers.has(first.id)).toBe(false);
+        registry.applyDirectory([list(SECOND.startedAt)]);
+        expect(closedRuns).toEqual([`${registry.findCurrent(NAME)!.id} other.0.0.0 3`]);
+    });
+
+    test("is stopped on the next incarnation first if the repeated order was accepted and the run reported", () => {
+        const { registry, first, task, starts, stops } = openRegistry();
+        starts.add(NAME, { task: TASK, run: 1 })(false);
+        Object.assign(task, { phase: "running", orderedAt: 10, runningSince: 20, lastReportAt: 30 });
+        registry.onNextIncarnation(first, SECOND, createPollResult(100));
+        expect(task.phase).toBe("stopping");
+        expect(stops).toEqual([registry.findCurrent(NAME)!.id]);
+    });
+
+    test("is not stopped where the next incarnation has begun it and continues it", () => {
+        const { registry, first, task, starts, closedRuns } = openRegistry();
+        starts.add(NAME, { task: TASK, run: 1 })(false);
+        Object.assign(task, { phase: "ordered", orderedAt: 10 });
+        registry.onNextIncarnation(first, SECOND, createPollResult(100, { running: [RUNNING] }));
+        expect(task).toMatchObject({ phase: "ordered", worker: registry.findCurrent(NAME) });
+        expect(closedRuns).toEqual([]);
+    });
 });
--- a/src/leader/sessions/index.ts
+++ b/src/leader/sessions/index.ts
@@ -4,6 +4,7 @@
 export { createReachabilityCheck, type ReachabilityCheck } from "./reachabilityCheck";
 export { reconcile } from "./reconcile";
 export type { PlacedTask } from "./startQueue";
+export { createUnansweredStarts, type UnansweredStarts } from "./unansweredStarts";
 export type {
     EndKind,
     OrderAnswer,
--- a/src/leader/sessions/orders.ts
+++ b/src/leader/sessions/orders.ts
@@ -10,6 +10,7 @@
 import * as leaseExpiry from "./leaseExpiry";
 import * as reachabilityCheck from "./reachabilityCheck";
 import * as startQueue from "./startQueue";
+import type * as unansweredStarts from "./unansweredStarts";
 import type * as port from "./workerPort";
 import type * as workerSession from "./workerSession";
 
@@ -24,6 +25,7 @@
     mayIssueOrders(): boolean;
     /** Why tasks that were placed on the worker must not be started there any more; `undefined` if they may. */
     findStartObstacle(worker: entries.WorkerEntry): placementFilter.StartObstacle | undefined;
+    readonly unansweredStarts: Pick<unansweredStarts.UnansweredStarts, "add">;
     readonly disabledMechanisms: ReadonlySet<decisions.Mechanism>;
 }
 
@@ -72,8 +74,8 @@
 }
 
 /**
- * Whether the answer to a repeated start settles the first one too. That one may still be carried out, also where the
- * worker refuses the second one or is not reached by it.
+ * Whether the answer to a repeated start settles the first one too, at this incarnation of the worker. That one may
+ * still be carried out where the worker refuses the second one or is not reached by it.
  */
 function isConclusive(answer: port.OrderAnswer): boolean {
     return answer.kind === "accepted" || answer.kind === "otherLife";
@@ -119,14 +121,19 @@
             ticket: task.step.tickets.get(worker.id)?.ticket,
         };
         const isRepeatable = validMs === undefined && !options.disabledMechanisms.has("repeatedOrders");
-        let answer = await session.start(order, { validMs, timeoutMs: isRepeatable ? FIRST_TIMEOUT_MS : undefined });
-        meter.increment("start_orders_total", { answer: answer.kind });
+        const send = async (sendOptions?: { readonly validMs?: number; readonly timeoutMs?: number; }) => {
+            const settle = options.unansweredStarts.add(worker.incarnation.name, { task: task.name, run });
+            const answered = await session.start(order, sendOptions);
+            settle(answered.kind !== "unknown");
+            meter.increment("start_orders_total", { answer: answered.kind });
+            return answered;
+        };
+        let answer = await send({ validMs, timeoutMs: isRepeatable ? FIRST_TIMEOUT_MS : undefined });
         const isOpen = () => task.worker === worker && task.run === run;
         const mayRepeat = () => task.phase === "ordered" && options.findStartObstacle(worker) === undefined;
         if (isRepeatable && answer.kind === "unknown" && isOpen() && mayRepeat()) {
             log.info("startRepeated", { task: task.name, run, worker: worker.id });
-            const repeated = await session.start(order);
-            meter.increment("start_orders_total", { answer: repeated.kind });
+            const repeated = await send();
             answer = isConclusive(repeated) ? repeated : answer;
         }
         if (isOpen()) {
@@ -163,7 +170,6 @@
                 revertStart(task);
                 break;
             case "unknown":
-                worker.unconfirmedStarts.set(task.name, task.run);
                 if (task.phase === "ordered") {
                     void resolveUnanswered(task, worker);
                 }
--- a/src/leader/sessions/workerRegistry.ts
+++ b/src/leader/sessions/workerRegistry.ts
@@ -11,6 +11,7 @@
 import type * as jobRegistry from "../jobRegistry";
 import type * as leases from "../lease/index";
 import * as leaseExpiry from "./leaseExpiry";
+import type * as unansweredStarts from "./unansweredStarts";
 import type * as workerSession from "./workerSession";
 
 /** What the registry needs from the term. */
@@ -19,10 +20,11 @@
     readonly log: observe.Log;
     readonly leadership: leases.Leadership;
     readonly maxLeaseMs: number;
-    readonly jobRegistry: Pick<jobRegistry.JobRegistry, "handleWorkerLoss" | "crashAttribution">;
+    readonly jobRegistry: Pick<jobRegistry.JobRegistry, "handleWorkerLoss" | "crashAttribution" | "getTask">;
     /** Removes workers that no queue can use. */
     filterKnownServices<T extends entries.WorkerInfo>(listed: readonly T[]): readonly T[];
     openSession(worker: entries.WorkerEntry): workerSession.WorkerSession;
+    readonly unansweredStarts: Pick<unansweredStarts.UnansweredStarts, "list">;
     /** Stops a run whose start got no answer, so that the worker's current incarnation refuses the delayed order. */
     closeRun(worker: entries.WorkerEntry, task: string, run: number): void;
     /** Called when a task may have become startable. */
@@ -82,6 +84,15 @@
         jobs.crashAttribution.recordWorkerSeen(worker.info);
         sessions.set(worker.id, options.openSession(worker));
     };
+    /** Makes a new incarnation refuse the start orders that may still reach it, except of runs that continue there. */
+    const closeUnansweredStarts = (worker: entries.WorkerEntry) => {
+        const starts = options.unansweredStarts.list(worker.incarnation.name)
+            .filter(start => jobs.getTask(start.task)?.worker !== worker);
+        if (starts.length > 0) {
+            log.info("unansweredStartsClosed", { worker: worker.id, starts: starts.length });
+        }
+        starts.forEach(({ task, run }) => options.closeRun(worker, task, run));
+    };
     /** Replaces an incarnation by its successor; `pollResult` is the successor's answer, if it has answered. */
     const replaceIncarnation = (
         previous: entries.WorkerEntry,
@@ -95,9 +106,7 @@
             openSession(next);
         }
         jobs.handleWorkerLoss(previous, "otherLife", { worker: next, pollResult });
-        for (const [task, run] of previous.unconfirmedStarts) {
-            options.closeRun(next, task, run);
-        }
+        closeUnansweredStarts(next);
         remove(previous);
     };
     /** Lists the entries of the worker's earlier incarnations. */
@@ -134,6 +143,7 @@
         }
         if (!sessions.has(worker.id)) {
             openSession(worker);
+            closeUnansweredStarts(worker);
         }
     };
     const handleUnlisted = (worker: entries.WorkerEntry) => {
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -16,6 +16,7 @@
 import * as gauges from "./gauges";
 import * as guarantees from "./guarantees";
 import * as headrooms from "./headroom";
+import * as incarnations from "./incarnation";
 import * as jobRegistries from "./jobRegistry";
 import * as knownServices from "./knownServices";
 import * as learned from "./learned/index";
@@ -122,6 +123,7 @@
         onSuperseded: () => options.onSuperseded("the store holds another leader's fencing token"),
     });
     const thrownAway = thrownAways.createThrownAwayWork();
+    const unansweredStarts = sessions.createUnansweredStarts(time);
     const jobRegistry = jobRegistries.createJobRegistry({
         clock: time,
         log,
@@ -131,6 +133,7 @@
         getExpectedTimes: job => units.getExpectedTimes(job, estimateRunMs),
         estimateRunMs: step => estimateRunMs(step),
         getWorkers: () => registry.workers.values(),
+        unansweredStarts,
         disabledMechanisms,
         thrownAway,
         listener: {
@@ -150,6 +153,7 @@
         getSession: worker => registry.getSession(worker),
         mayIssueOrders: leadership.mayIssueOrders,
         findStartObstacle: worker => findStartObstacle(worker, time.now()),
+        unansweredStarts,
         disabledMechanisms,
     });
     const reachability = sessions.createReachabilityCheck({
@@ -230,7 +234,9 @@
         catalog: options.catalog,
         log,
         meter,
-        isInUse: id => (registry.workers.get(id)?.tasks.size ?? 0) > 0,
+        isInUse: id =>
+            (registry.workers.get(id)?.tasks.size ?? 0) > 0
+            || unansweredStarts.hasAny(incarnations.parseIncarnationId(id).name),
     });
     const registry = sessions.createWorkerRegistry({
         clock: time,
@@ -238,6 +244,7 @@
         leadership,
         maxLeaseMs: options.maxLeaseMs,
         jobRegistry,
+        unansweredStarts,
         filterKnownServices,
         openSession,
         closeRun: orders.closeRun,
@@ -499,6 +506,7 @@
             isPlaceable: worker => isPlaceable(worker, time.now()),
             isEvacuated: options.evacuations.isEvacuated,
         }),
+        { metric: "starts_unanswered", value: unansweredStarts.count() },
         { metric: "occurrences_held_back", value: jobRegistry.countHeldBackOccurrences() },
         ...loads?.readGauges() ?? [],
     ]);
--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -57,6 +57,7 @@
     pass_duration_ms: histogram("leader: one pass of the decisions"),
     jobs: gauge("leader: jobs that are not over", "account", "queue", "state"),
     tasks: gauge("leader: tasks of such jobs, of the open occurrences", "queue", "phase"),
+    starts_unanswered: gauge("leader: start orders that may still be carried out, in flight or without an answer"),
     occurrences_held_back: gauge("leader: due occurrences that are not open, since too many tasks wait"),
     workers: gauge("leader: workers", "service", "state"),
     accelerators: gauge("leader: accelerators of workers that may take tasks", "service", "state"),
