Leader: jobs follow their queue through changes of the configuration

Cause: addJob kept the queue as configured when the leader learned of the job. Later occurrences asked for workers of a service that is filtered out of the directory; a new leader reads the present configuration, so the service of a job depended on who led, and since when.

Change: before a pass under a new version all jobs that have not ended take their queue from it. A removed queue stays as last configured; where its service is not that of the submission it is stored with the job's progress. Workers of a service that such a job needs pass the directory filter, also when the service is not configured. A lower limit on attempts holds for waiting tasks too, as it did under a new leader.

Why it works: the queue is a function of the configuration in force and the job's rows alone, so each leader gets the same one.

--- a/src/leader/__tests__/fixtures.ts
+++ b/src/leader/__tests__/fixtures.ts
@@ -62,11 +62,13 @@
     {
         clock = clocks.createManualClock(),
         getWorkers = () => [],
+        getQueue = () => QUEUE,
         unansweredStarts = sessions.createUnansweredStarts(clock),
         onStopRequested = () => undefined,
     }: {
         clock?: clocks.Clock;
         getWorkers?(): Iterable<entries.WorkerEntry>;
+        getQueue?(name: string): catalogs.Queue | undefined;
         unansweredStarts?: sessions.UnansweredStarts;
         onStopRequested?(task: entries.TaskEntry): void;
     } = {},
@@ -83,7 +85,7 @@
             onRunObsolete: () => undefined,
             onChanged: () => undefined,
         },
-        getQueue: () => QUEUE,
+        getQueue,
         getExpectedTimes: () => ({ objectiveMs: 0, criticalPathMs: 0 }),
         estimateRunMs: () => 1_000,
         getWorkers,
--- a/src/leader/__tests__/jobRegistry.test.ts
+++ b/src/leader/__tests__/jobRegistry.test.ts
@@ -23,3 +23,19 @@
     expect(members.map(member => member.phase)).toEqual(["stopping", "stopping"]);
     expect(workers.map(worker => workerLosses.listLostRuns(worker, fixtures.LIST_OPTIONS).length)).toEqual([0, 1]);
 });
+
+// Guards against a start beyond the attempts that the queue allows, and against a task that is given up under the next
+// leader and not under the present one.
+test("a waiting task that has failed as often as its queue now allows is not started again", () => {
+    let queue = { ...fixtures.QUEUE, maxAttempts: 4 };
+    const registry = fixtures.createJobRegistry({ getQueue: () => queue });
+    const job = registry.addJob(fixtures.createSubmission("job"));
+    registry.releaseDueOccurrences();
+    job.occurrences.get(0)!.steps[0]!.tasks[0]!.failures = 2;
+    queue = { ...queue, maxAttempts: 3 };
+    registry.updateQueues();
+    expect(job.state).toBe("queued");
+    queue = { ...queue, maxAttempts: 2 };
+    registry.updateQueues();
+    expect(job.state).toBe("failed");
+});
--- a/src/leader/advice/adviceRequester.ts
+++ b/src/leader/advice/adviceRequester.ts
@@ -67,12 +67,13 @@
         }
         meter.increment("advice_calls_total", { answer: answer.kind });
         meter.record("advice_call_duration_ms", { queue }, tookMs);
-        return { answer, sentAt, tookMs };
+        // The queue may be configured without advice by the time of the answer.
+        return { answer, sentAt, tookMs, usualValidMs: advice!.validMs };
     };
     const recordTickets = (
         { step, workers }: requestOrder.AdviceRequest,
         answer: Extract<directory.AdviceResult, { kind: "advised"; }>,
-        sentAt: number,
+        { sentAt, usualValidMs }: { readonly sentAt: number; readonly usualValidMs: number; },
     ) => {
         const { unsuitable } = getHistory(step);
         workers.forEach(worker => unsuitable.add(worker.id));
@@ -85,19 +86,19 @@
             unsuitable.delete(workerId);
             step.tickets.set(workerId, {
                 ticket: grant.ticket,
-                until: sentAt + (answer.validMs || step.occurrence.job.queue.advice!.validMs) - TICKET_MARGIN_MS,
+                until: sentAt + (answer.validMs || usualValidMs) - TICKET_MARGIN_MS,
             });
         }
     };
     const request = async (next: requestOrder.AdviceRequest) => {
-        const { answer, sentAt, tookMs } = await callAdviser(next);
+        const { answer, sentAt, tookMs, usualValidMs } = await callAdviser(next);
         if (options.signal.aborted) {
             return;
         }
         const waitedMs = Math.round(sentAt - next.waitingSince);
         switch (answer.kind) {
             case "advised":
-                recordTickets(next, answer, sentAt);
+                recordTickets(next, answer, { sentAt, usualValidMs });
                 log.info("advised", {
                     step: next.name,
                     asked: next.workers.length,
--- a/src/leader/entries.ts
+++ b/src/leader/entries.ts
@@ -117,7 +117,7 @@
     readonly submission: work.Submission;
     /** Dependencies of the steps; `undefined` until an occurrence needs them. */
     stepGraph: work.StepGraph | undefined;
-    /** The queue as configured when this leader learned of the job. */
+    /** The queue as it is configured, or as it was last configured if it has been removed. */
     queue: catalog.Queue;
     state: work.JobState;
     cancelled: boolean;
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -49,11 +49,15 @@
 }
 
 /** Jobs, occurrences and tasks of a term, and their transitions. */
-export interface JobRegistry extends restore.Restorer {
+export interface JobRegistry extends Pick<restore.Restorer, "restoreJob" | "restoreOccurrence"> {
     readonly jobs: ReadonlyMap<string, entries.JobEntry>;
     /** Jobs that have not ended. */
     readonly active: ReadonlySet<entries.JobEntry>;
     addJob(submission: work.Submission): entries.JobEntry;
+    /** Applies the configuration in force to the queues of the jobs that have not ended. */
+    updateQueues(): void;
+    /** Whether the queue of a job that has not ended sends its tasks to workers of that service. */
+    isServiceNeeded(service: string): boolean;
     cancelJob(jobId: string): void;
     getTask(name: string): entries.TaskEntry | undefined;
     /**
@@ -111,6 +115,45 @@
         stopOccurrence,
     });
 
+    /** Returns whether the service of the job's queue has changed. */
+    const updateQueue = (job: entries.JobEntry): boolean => {
+        const { queue: previous, submission } = job;
+        const configured = options.getQueue(previous.name);
+        if (!configured) {
+            if (previous.service !== submission.queue.service) {
+                // Later leaders can learn the service of a removed queue from the job's row alone.
+                listener.onJobChanged(job);
+            }
+            return false;
+        }
+        job.queue = configured;
+        if (configured.maxAttempts < previous.maxAttempts) {
+            for (const occurrence of job.occurrences.values()) {
+                occurrence.steps.forEach(step => step.tasks.forEach(restorer.enforceLimits));
+            }
+        }
+        return configured.service !== previous.service;
+    };
+    const updateQueues = () => {
+        const moved = new Map<catalog.Queue, number>();
+        for (const job of [...active]) {
+            if (updateQueue(job)) {
+                moved.set(job.queue, (moved.get(job.queue) ?? 0) + 1);
+            }
+        }
+        for (const [{ name, service }, count] of moved) {
+            log.info("queueMoved", { queue: name, service, jobs: count });
+        }
+    };
+    const isServiceNeeded = (service: string) => {
+        for (const job of active) {
+            if (job.queue.service === service) {
+                return true;
+            }
+        }
+        return false;
+    };
+
     const requeue = (task: entries.TaskEntry) => {
         task.phase = "waiting";
         task.waitingSince = time.now();
@@ -206,6 +249,7 @@
     const restorer = restore.createRestorer({
         clock: time,
         active,
+        isQueueConfigured: name => options.getQueue(name) !== undefined,
         openOccurrence: occurrences.open,
         onOccurrenceEnded: occurrences.markEnded,
         markStepDone,
@@ -230,7 +274,10 @@
             listener.onChanged();
             return job;
         },
-        ...restorer,
+        updateQueues,
+        isServiceNeeded,
+        restoreJob: restorer.restoreJob,
+        restoreOccurrence: restorer.restoreOccurrence,
         cancelJob: jobId => {
             const job = jobs.get(jobId);
             if (!job || job.cancelled || !active.has(job)) {
--- a/src/leader/knownServices.ts
+++ b/src/leader/knownServices.ts
@@ -1,5 +1,5 @@
 /**
- * Filters out workers of services that are not configured.
+ * Filters out workers of services that are neither configured nor needed by an accepted job.
  *
  * Other systems write to the directory too. An entry of an unknown service would cost connections and polls, though no
  * queue can use the worker.
@@ -18,11 +18,13 @@
      * start, or it has restarted in another service while a start order is under way to it.
      */
     isInUse(workerId: string): boolean;
+    /** Whether accepted jobs need the service, of which the configuration may have dropped the queue and the service. */
+    isServiceNeeded(service: string): boolean;
 }
 
 /** Creates a filter that returns the listed workers that a queue may use; all of them without a configuration. */
 export function createServiceFilter(
-    { catalog, log, meter, isInUse }: KnownServicesOptions,
+    { catalog, log, meter, isInUse, isServiceNeeded }: KnownServicesOptions,
 ): <T extends entries.WorkerInfo>(listed: readonly T[]) => readonly T[] {
     let reported: ReadonlySet<string> = new Set();
     return listed => {
@@ -30,7 +32,14 @@
         if (!services) {
             return listed;
         }
-        const isKnown = (info: entries.WorkerInfo) => services.includes(info.service) || isInUse(info.id);
+        const isNeeded = new Map<string, boolean>();
+        const checkNeeded = (service: string) => {
+            const known = isNeeded.get(service) ?? isServiceNeeded(service);
+            isNeeded.set(service, known);
+            return known;
+        };
+        const isKnown = ({ service, id }: entries.WorkerInfo) =>
+            services.includes(service) || checkNeeded(service) || isInUse(id);
         const unknown = listed.filter(info => !isKnown(info));
         for (const info of unknown) {
             if (!reported.has(info.id)) {
--- a/src/leader/progressRows.ts
+++ b/src/leader/progressRows.ts
@@ -10,6 +10,7 @@
         ended: [...job.endedOccurrences],
         failed: job.failed,
         endedAt: job.endedAt,
+        service: job.queue.service === job.submission.queue.service ? undefined : job.queue.service,
     };
     return JSON.stringify(progress);
 }
--- a/src/leader/restore.ts
+++ b/src/leader/restore.ts
@@ -8,6 +8,7 @@
     readonly clock: clock.Clock;
     /** Jobs that have not ended. */
     readonly active: Set<entries.JobEntry>;
+    isQueueConfigured(name: string): boolean;
     openOccurrence(job: entries.JobEntry, number: number): entries.OccurrenceEntry;
     onOccurrenceEnded(occurrence: entries.OccurrenceEntry): void;
     markStepDone(step: entries.StepEntry): void;
@@ -29,6 +30,8 @@
         version: number,
         getWorker: (id: string) => entries.WorkerEntry,
     ): void;
+    /** Fails the task's occurrence if the task is not running and has reached a limit of its queue. */
+    enforceLimits(task: entries.TaskEntry): void;
 }
 
 export function createRestorer(options: RestorerOptions): Restorer {
@@ -60,12 +63,12 @@
                 break;
         }
     };
-    /** The earlier leader may have failed after it counted the last attempt and before it stored the end of the job. */
     const enforceLimits = (task: entries.TaskEntry) => {
         options.enforceCrashLimit(task);
         const { step } = task;
         const { maxAttempts } = step.occurrence.job.queue;
-        if (!step.spec.lasting && !task.worker && task.failures >= maxAttempts) {
+        const isWaiting = !task.worker && task.phase !== "done" && !step.occurrence.isEnded;
+        if (!step.spec.lasting && isWaiting && task.failures >= maxAttempts) {
             options.failOccurrence(step.occurrence);
         }
     };
@@ -79,6 +82,7 @@
         }
     };
     return {
+        enforceLimits,
         restoreJob: (job, progress, version) => {
             job.state = progress.state;
             job.failed = progress.failed;
@@ -88,6 +92,9 @@
                 job.endedOccurrences.add(number);
             }
             job.cancelled = progress.state === "cancelled";
+            if (progress.service !== undefined && !options.isQueueConfigured(job.queue.name)) {
+                job.queue = { ...job.queue, service: progress.service };
+            }
             if (progress.endedAt > 0) {
                 active.delete(job);
             }
@@ -115,6 +122,7 @@
                 }
                 stopIncompleteGang(step);
             }
+            // The earlier leader may have failed after it counted the last attempt and before it stored the end.
             occurrence.steps.forEach(step => step.tasks.forEach(enforceLimits));
             if (occurrence.isEnded) {
                 options.stopOccurrence(occurrence, "jobOver");
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -237,6 +237,7 @@
         isInUse: id =>
             (registry.workers.get(id)?.tasks.size ?? 0) > 0
             || unansweredStarts.hasAny(incarnations.parseIncarnationId(id).name),
+        isServiceNeeded: jobRegistry.isServiceNeeded,
     });
     const registry = sessions.createWorkerRegistry({
         clock: time,
@@ -326,11 +327,21 @@
             estimateRunMs,
         });
 
+    let appliedVersion: number | undefined;
+    const applyConfiguration = () => {
+        const version = options.catalog.get()?.version;
+        if (version !== appliedVersion) {
+            appliedVersion = version;
+            jobRegistry.updateQueues();
+        }
+    };
+
     const runPass = () => {
         if (signal.aborted || !ready) {
             return;
         }
         planPass(IDLE_PASS_MS);
+        applyConfiguration();
         if (!leadership.mayIssueOrders()) {
             return;
         }
--- a/src/work/progress.ts
+++ b/src/work/progress.ts
@@ -17,6 +17,8 @@
     readonly failed: boolean;
     /** Wall-clock time of the end in milliseconds; 0 until then. */
     readonly endedAt: number;
+    /** Service of the job's queue as last configured, if it is not the one that the submission names. */
+    readonly service?: string;
 }
 
 /** State of a task that is kept from one run to the next. */
