Intake: a cancellation precludes a submission that is stored later

Cause: the 410 rested on a read, and stored nothing where it found no submission. A write of the submission was still to be carried out by the store, and the first instance repeats it until the caller's deadline.

Change: a cancellation is stored in any case; the write of a submission requires that there is none. A submission that meets one is refused with a final 503. The leader remembers cancellations of unknown jobs and removes their rows after the time for which ended jobs are kept; the state of such a job is that of an unknown one.

Why it works: rows of one part are transacted one after another, so either the submission is there first, and the leader cancels it, or its condition fails however late and however often the write is carried out.

--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -94,6 +94,26 @@
 /** Longest time for counting the rows, for which several callers may wait. */
 const COUNT_TIMEOUT_MS = 3_000;
 
+/** What is to be created; all writes of an entry are idempotent, since its conditions hold only once. */
+interface NewEntry {
+    readonly key: string;
+    readonly value: string;
+    /** Keys that must not exist, among them the new one. */
+    readonly absentKeys: readonly string[];
+    /** Reply if some of them exist. */
+    getConflictReply(existingKeys: readonly string[]): IntakeReply;
+}
+
+/** Reply to a submission of which these rows exist, the job's own or that of its cancellation. */
+function getSubmitConflictReply(jobId: string, existingKeys: readonly string[]): IntakeReply {
+    return existingKeys.includes(jobId) ? { kind: "accepted" } : {
+        kind: "notAccepted",
+        retryAfterMs: RETRY_AFTER_MS,
+        reason: "the job was cancelled before it was accepted",
+        final: true,
+    };
+}
+
 /** Creates the intake of one instance. */
 export function createIntake(options: IntakeOptions): Intake {
     const { store, clock: time, log, meter, health } = options;
@@ -109,19 +129,14 @@
         Math.max(MIN_TIMEOUT_MS, Math.min(usualMs + LATENCY_FACTOR * health.getLatencyMs(), getRemainingMs(caller)));
 
     /**
-     * Creates a row unless it exists. Idempotent: the condition on version 0 holds only once.
+     * Creates a row unless it, or one that precludes it, exists.
      *
      * A write without an answer is retried after a pause, within which a probe finds the store if only that answer was
      * lost. If the store is unreachable the outcome is reported as undecided at once: this instance learns no more
      * before the caller's deadline, while another instance or the caller's retry may.
      */
-    const createRow = async (
-        caller: Caller,
-        jobId: string,
-        value: string,
-        key = jobId,
-    ): Promise<IntakeReply> => {
-        const row = { table: work.Table.Jobs, part: work.getIntakePart(jobId), key };
+    const createRow = async (caller: Caller, jobId: string, entry: NewEntry): Promise<IntakeReply> => {
+        const toRowKey = (key: string) => ({ table: work.Table.Jobs, part: work.getIntakePart(jobId), key });
         if (isStoreUnreachable()) {
             // Nothing is sent, so the refusal is certain as well as immediate.
             return {
@@ -135,14 +150,15 @@
         let reason = "";
         do {
             const outcome = await store.transact({
-                conditions: [{ ...row, version: 0 }],
-                puts: [{ ...row, value }],
+                conditions: entry.absentKeys.map(key => ({ ...toRowKey(key), version: 0 })),
+                puts: [{ ...toRowKey(entry.key), value: entry.value }],
                 removals: [],
             }, getTimeout(caller, CALL_TIMEOUT_MS));
             switch (outcome.kind) {
                 case "committed":
-                case "conflict":
                     return { kind: "accepted" };
+                case "conflict":
+                    return entry.getConflictReply(outcome.rows.map(row => row.key));
                 case "refused":
                     reason = outcome.message;
                     refusals++;
@@ -221,9 +237,18 @@
         if (typeof present === "string") {
             return { kind: "notAccepted", retryAfterMs: getOutageRetryMs(jobId), reason: present };
         }
-        return present.some(row => row.key === jobId) ? { kind: "accepted" } : undefined;
+        return present.length > 0 ? getSubmitConflictReply(jobId, present.map(row => row.key)) : undefined;
     };
 
+    const createSubmission = (caller: Caller, jobId: string, value: string) =>
+        createRow(caller, jobId, {
+            key: jobId,
+            value,
+            // A cancellation may be acknowledged while a write of the submission is under way, at any instance.
+            absentKeys: [jobId, work.getCancelKey(jobId)],
+            getConflictReply: existing => getSubmitConflictReply(jobId, existing),
+        });
+
     /** A decision of admission, and what came of it, for the request's log line. */
     interface Admission {
         readonly decision: string;
@@ -325,21 +350,29 @@
         if (typeof submission === "string") {
             return createUnavailable(submission, jobId);
         }
-        return submission.length > 0 ? { kind: "state", state: "queued" } : { kind: "unknownJob" };
+        return submission.some(row => row.key === jobId)
+            ? { kind: "state", state: "queued" }
+            : { kind: "unknownJob" };
     };
 
+    /**
+     * Stores the cancellation also if the job is unknown: a submission of it may still be carried out, and would
+     * otherwise run after its cancellation was acknowledged.
+     */
     const cancel = async (caller: Caller, jobId: string): Promise<IntakeReply> => {
         const submission = await readSubmission(caller, jobId);
         if (typeof submission === "string") {
             return createUnavailable(submission, jobId);
         }
-        if (submission.length === 0) {
-            return { kind: "unknownJob" };
-        }
-        const created = await createRow(caller, jobId, "", work.getCancelKey(jobId));
+        const key = work.getCancelKey(jobId);
+        const created = submission.some(row => row.key === key) ? { kind: "accepted" } as const : await createRow(
+            caller,
+            jobId,
+            { key, value: "", absentKeys: [key], getConflictReply: () => ({ kind: "accepted" }) },
+        );
         switch (created.kind) {
             case "accepted":
-                return { kind: "cancelled" };
+                return submission.some(row => row.key === jobId) ? { kind: "cancelled" } : { kind: "unknownJob" };
             case "notAccepted":
                 return { ...created, kind: "unavailable" };
             default:
@@ -402,7 +435,7 @@
             const reply = impossible
                 ?? admitted?.reply
                 ?? await readBeforeWrite(caller, jobId)
-                ?? await createRow(caller, jobId, value);
+                ?? await createSubmission(caller, jobId, value);
             return logReply("submit", caller, jobId, reply, startedAt, admitted);
         },
         getState: async (caller, jobId) => {
--- a/src/leader/jobRegistry.ts
+++ b/src/leader/jobRegistry.ts
@@ -58,7 +58,12 @@
     updateQueues(): void;
     /** Whether the queue of a job that has not ended sends its tasks to workers of that service. */
     isServiceNeeded(service: string): boolean;
+    /** Cancels a job. Remembers the cancellation of a job that is unknown, whose submission may still arrive. */
     cancelJob(jobId: string): void;
+    /** When this leader learned of each cancellation of an unknown job, as monotonic time in milliseconds. */
+    readonly earlyCancellations: ReadonlyMap<string, number>;
+    /** Forgets a cancellation whose row was removed. */
+    forgetEarlyCancellation(jobId: string): void;
     getTask(name: string): entries.TaskEntry | undefined;
     /**
      * Opens the occurrences that are due, as many as may be open at once, and drops those that have ended. Returns the
@@ -92,6 +97,7 @@
     const { clock: time, log, meter, listener } = options;
     const jobs = new Map<string, entries.JobEntry>();
     const active = new Set<entries.JobEntry>();
+    const earlyCancellations = new Map<string, number>();
     const occurrences = openOccurrences.createOccurrences({ clock: time, log, active });
 
     const stopOccurrence = (occurrence: entries.OccurrenceEntry, reason: string) => {
@@ -262,6 +268,8 @@
     const registry: JobRegistry = {
         jobs,
         active,
+        earlyCancellations,
+        forgetEarlyCancellation: jobId => void earlyCancellations.delete(jobId),
         addJob: submission => {
             const present = jobs.get(submission.jobId);
             if (present) {
@@ -271,6 +279,9 @@
             const job = entries.createJobEntry(submission, queue, time.now());
             jobs.set(submission.jobId, job);
             active.add(job);
+            if (earlyCancellations.delete(submission.jobId)) {
+                registry.cancelJob(submission.jobId);
+            }
             listener.onChanged();
             return job;
         },
@@ -280,7 +291,11 @@
         restoreOccurrence: restorer.restoreOccurrence,
         cancelJob: jobId => {
             const job = jobs.get(jobId);
-            if (!job || job.cancelled || !active.has(job)) {
+            if (!job) {
+                earlyCancellations.set(jobId, earlyCancellations.get(jobId) ?? time.now());
+                return;
+            }
+            if (job.cancelled || !active.has(job)) {
                 return;
             }
             job.cancelled = true;
--- a/src/leader/retention.ts
+++ b/src/leader/retention.ts
@@ -27,7 +27,7 @@
 const MAX_JOBS_PER_CHECK = 20;
 const CALL_TIMEOUT_MS = 2_000;
 
-/** Removes the rows of old jobs periodically until the term ends. */
+/** Removes the rows of old jobs and early cancellations periodically until the term ends. */
 export async function runRetention(options: RetentionOptions): Promise<void> {
     const { signal } = options.leadership;
     while (!signal.aborted) {
@@ -49,6 +49,31 @@
         if (removed > 0) {
             options.log.info("jobsForgotten", { removed, left: options.jobRegistry.jobs.size });
         }
+        await removeEarlyCancellations(options);
+    }
+}
+
+/** Removes cancellations of jobs whose submission has not arrived in the time for which an ended job is kept. */
+async function removeEarlyCancellations(options: RetentionOptions): Promise<void> {
+    const { jobRegistry } = options;
+    const before = options.clock.now() - options.retentionMs;
+    const byPart = new Map<string, string[]>();
+    for (const [jobId, learnedAt] of jobRegistry.earlyCancellations) {
+        if (learnedAt < before) {
+            const part = work.getIntakePart(jobId);
+            byPart.set(part, [...byPart.get(part) ?? [], jobId].slice(0, MAX_REMOVALS));
+        }
+    }
+    for (const [part, jobIds] of byPart) {
+        const outcome = await options.store.transact({
+            conditions: [],
+            puts: [],
+            removals: jobIds.map(jobId => ({ table: work.Table.Jobs, part, key: work.getCancelKey(jobId) })),
+        }, CALL_TIMEOUT_MS);
+        if (outcome.kind === "committed") {
+            jobIds.forEach(jobRegistry.forgetEarlyCancellation);
+            options.log.info("cancellationsForgotten", { removed: jobIds.length, part });
+        }
     }
 }
 
@@ -94,5 +119,5 @@
     options.log.info("orphansRemoved", { rows: keys.length, outcome: outcome.kind });
 }
 
-/** A transaction holds 100 entries; the rest is removed after the next takeover. */
+/** A transaction holds 100 entries; the rest is removed later. */
 const MAX_REMOVALS = 90;
