Relay: a peer's refusal does not decide a submission that is undecided here

Cause: after an undecided outcome of its own the relay passes a submission on and returned any final answer of the peer. An acceptance holds for all copies of a submission; a refusal holds for the copy that the peer was sent, and says nothing of the writes that this instance has sent and the store may carry out late.

Change: after an undecided outcome here only 2xx, and 410 for a cancellation, count; otherwise the caller gets the 504 of this instance. Line refusalWithheld, counter refusals_withheld_total.

Why it works: a refusal now leaves an instance only if none of the writes that it knows of may still be carried out.

--- a/src/observe/meter.ts
+++ b/src/observe/meter.ts
@@ -28,6 +28,7 @@
     jobs_over_limit_total: counter("callers' submissions refused for good, by the limit", "limit"),
     request_duration_ms: histogram("from a request to its answer", "call", "account"),
     requests_passed_total: counter("requests passed on to another instance, by its status", "outcome"),
+    refusals_withheld_total: counter("refusals of submissions of which another copy may be carried out, answered 504"),
     inbound_connections: gauge("open connections of clients and other instances", "server"),
     inbound_held_bytes: gauge("what these connections make the process hold, as estimated by their budget"),
     inbound_connections_closed_total: counter(
--- a/src/relay/__tests__/relay.test.ts
+++ b/src/relay/__tests__/relay.test.ts
@@ -214,6 +214,25 @@
             asked: ["leader"],
             handled: true,
         },
+        // Guards against the same beside refusals that the peer does not take for a failure of its own: it has a newer
+        // configuration, or more load.
+        ...[{ status: 400 }, { status: 401 }, { status: 404 }, { ...refused, final: true }].map(refusal => ({
+            name: `stays undecided if it was undecided here and a peer answers ${refusal.status}`,
+            here: undecided,
+            answers: { leader: replied(refusal), other: replied(accepted) },
+            reply: undecided,
+            asked: ["leader"],
+            handled: true,
+        })),
+        {
+            name: "is decided by a peer that acknowledges the cancellation of an unknown job",
+            request: { ...POST, method: "DELETE", body: "" },
+            here: undecided,
+            answers: { leader: replied({ status: 410 }) },
+            reply: { status: 410 },
+            asked: ["leader"],
+            handled: true,
+        },
         {
             name: "is refused at once if no peer is known",
             storeUnreachable: true,
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -3,3 +3,4 @@
 export type { CallerReply, CallerRequest, ForwardedReply, ForwardedRequest } from "./messages";
 export { createPeerClient } from "./peerClient";
 export { createRelay, type ForwardResult, type Relay, type RelayOptions } from "./relay";
+export { createUndecidedSubmissions } from "./undecidedSubmissions";
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -159,8 +159,25 @@
                 return await forward(request, deadlineAt) ?? handleUnlessStale(handle);
             }
             const reply = await handleUnlessStale(handle);
+            if (replies.isDecided(reply)) {
+                return reply;
+            }
             // Callers choose the job ids, so submissions and cancellations are idempotent and may be sent again.
-            return replies.isDecided(reply) ? reply : await forward(request, deadlineAt) ?? reply;
+            const forwarded = await forward(request, deadlineAt);
+            if (!forwarded) {
+                return reply;
+            }
+            if (reply.status === replies.Status.Undecided && !replies.isCarriedOut(request, forwarded)) {
+                // The peer knows nothing of the writes that this instance has sent.
+                log.info("refusalWithheld", {
+                    request: request.requestId,
+                    path: request.path,
+                    status: forwarded.status,
+                });
+                meter.increment("refusals_withheld_total");
+                return reply;
+            }
+            return forwarded;
         },
     };
 }
--- a/src/scheduler/__tests__/metrics.test.ts
+++ b/src/scheduler/__tests__/metrics.test.ts
@@ -83,6 +83,10 @@
         body: "",
     };
     await forwarding.answer(request, async () => ({ status: 503 }));
+    const submissions = relay.createUndecidedSubmissions({ clock: site.clock, log, meter: site.metrics.meter });
+    for (const status of [504, 503]) {
+        await submissions.serve({ ...request, method: "POST" }, async () => ({ status }));
+    }
     const text = site.metrics.render();
     site.close();
     return text;
