Leader: a false entry of the directory does not outlive the worker's own

Operators of other systems reported that one odd entry among those of the workers ended the machines that read the list, or that these stopped following it.

Cause: the highest start time told by anyone counted as the worker's present incarnation, so all later entries of the worker itself looked outdated. A key that reads as an incarnation's id, such as w1@zzzzzz, did the same.

Change: the directory's latest entry tells the present incarnation, unless a later one has answered itself.

Why it works: an entry only claims; the worker writes its own again within a heartbeat, and only an answer makes an earlier incarnation outdated for good.

--- a/src/leader/incarnation.ts
+++ b/src/leader/incarnation.ts
@@ -21,26 +21,63 @@
     return startedAt === 0 ? name : `${name}${SEPARATOR}${startedAt.toString(RADIX)}`;
 }
 
+/** Whether a worker may have that name: one that looks like an id would be taken for an incarnation of another worker. */
+export function isWorkerName(name: string): boolean {
+    return name !== "" && !INCARNATION_ID_PATTERN.test(name);
+}
+
 /** Inverse of `getIncarnationId`; an id without a start time stands for the worker's name. */
 export function parseIncarnationId(id: string): Incarnation {
     const [, name, encodedStart] = INCARNATION_ID_PATTERN.exec(id) ?? [];
     return name === undefined ? { name: id, startedAt: 0 } : { name, startedAt: parseInt(encodedStart!, RADIX) };
 }
 
-/** The latest known incarnation of each worker, from the directory, answers and stored rows. */
-export interface LatestIncarnations {
-    /** Records an incarnation and returns the latest one known of that worker. */
-    record(incarnation: Incarnation): Incarnation;
+/**
+ * The current incarnation of each worker, from answers, stored rows and the directory.
+ *
+ * An answer proves that its incarnation has started. An entry of the directory does not: others write there too, and one
+ * with a wrong start time in the future would make every later entry of the worker look outdated. So the latest entry
+ * counts, unless a later incarnation has answered.
+ */
+export interface CurrentIncarnations {
+    /**
+     * Records an entry of the directory, whose start time is 0 if the worker does not report it. Returns the incarnation
+     * that it stands for; `undefined` if that one has ended.
+     */
+    list(incarnation: Incarnation): Incarnation | undefined;
+    /** Records an incarnation that a stored row names; it is current unless a later one is. */
+    restore(incarnation: Incarnation): void;
+    /** Records an incarnation that has answered, and returns the current one. */
+    confirm(incarnation: Incarnation): Incarnation;
+    /** Returns the current incarnation of the worker with that name. */
+    get(name: string): Incarnation;
 }
 
 /** Creates an empty record. */
-export function createLatestIncarnations(): LatestIncarnations {
+export function createCurrentIncarnations(): CurrentIncarnations {
     const startedAtByName = new Map<string, number>();
+    const confirmedByName = new Map<string, number>();
+    const get = (name: string) => ({ name, startedAt: startedAtByName.get(name) ?? 0 });
+    const restore = ({ name, startedAt }: Incarnation) =>
+        void startedAtByName.set(name, Math.max(startedAt, get(name).startedAt));
     return {
-        record: ({ name, startedAt }) => {
-            const latest = Math.max(startedAt, startedAtByName.get(name) ?? 0);
-            startedAtByName.set(name, latest);
-            return { name, startedAt: latest };
+        list: ({ name, startedAt }) => {
+            if (startedAt === 0) {
+                return get(name);
+            }
+            if (startedAt < (confirmedByName.get(name) ?? 0)) {
+                return undefined;
+            }
+            startedAtByName.set(name, startedAt);
+            return { name, startedAt };
+        },
+        restore,
+        confirm: incarnation => {
+            const { name, startedAt } = incarnation;
+            confirmedByName.set(name, Math.max(startedAt, confirmedByName.get(name) ?? 0));
+            restore(incarnation);
+            return get(name);
         },
+        get,
     };
 }
--- a/src/leader/index.ts
+++ b/src/leader/index.ts
@@ -1,7 +1,7 @@
 /** Leader election, the leader's state of jobs and workers, and the orders that it sends to workers. */
 export type { AdviceResult, Adviser, ListedWorker, WorkerDirectory } from "./directory";
 export type { WorkerInfo } from "./entries";
-export { getIncarnationId } from "./incarnation";
+export { getIncarnationId, isWorkerName } from "./incarnation";
 export {
     type Candidacy,
     createHandover,
--- a/src/leader/sessions/__tests__/workerRegistry.test.ts
+++ b/src/leader/sessions/__tests__/workerRegistry.test.ts
@@ -208,6 +208,37 @@
     });
 });
 
+// Guards against a worker that is not used for the rest of the term: another writer overwrites its entry with one whose
+// start time is in the future, and every later entry of the worker itself looks outdated.
+describe("a worker whose entry was overwritten by one with a later start time", () => {
+    const PHANTOM_STARTED_AT = Number.MAX_SAFE_INTEGER;
+    test.each([
+        { name: "keeps its task, and its session", hasTask: true },
+        { name: "gets a session again while it is idle", hasTask: false },
+    ])("$name once it has written its own again", ({ hasTask }) => {
+        const { registry, first, task } = openRegistry();
+        if (!hasTask) {
+            entries.unassign(task);
+        }
+        registry.applyDirectory([list(PHANTOM_STARTED_AT)]);
+        registry.applyDirectory([list(FIRST.startedAt)]);
+        const worker = registry.findCurrent(NAME)!;
+        expect(worker).toMatchObject({ incarnation: FIRST, listed: true });
+        expect(registry.getSession(worker)).toBeDefined();
+        expect([...registry.workers.keys()]).toEqual([first.id]);
+        expect(worker.tasks.size).toBe(hasTask ? 1 : 0);
+    });
+
+    test("does not come back by a delayed entry once its next incarnation has answered itself", () => {
+        const { registry, first, task } = openRegistry();
+        entries.unassign(task);
+        registry.applyDirectory([list(SECOND.startedAt)]);
+        registry.onConfirmed(registry.findCurrent(NAME)!);
+        registry.applyDirectory([list(FIRST.startedAt)]);
+        expect(registry.workers.has(first.id)).toBe(false);
+    });
+});
+
 // Guards against a start without an answer that the next incarnation carries out, although the run was stopped on the
 // previous one or has ended there.
 describe("the run of a start that got no answer", () => {
--- a/src/leader/sessions/__tests__/workerSession.test.ts
+++ b/src/leader/sessions/__tests__/workerSession.test.ts
@@ -23,6 +23,7 @@
         isBusy: () => true,
         getPollWaitMs: () => 500,
         onPollResult: async () => undefined,
+        onConfirmed: () => undefined,
         onLost: () => undefined,
         onNextIncarnation: () => undefined,
         onReachability: () => undefined,
--- a/src/leader/sessions/workerRegistry.ts
+++ b/src/leader/sessions/workerRegistry.ts
@@ -42,6 +42,8 @@
     getSession(worker: entries.WorkerEntry): workerSession.WorkerSession | undefined;
     /** Updates the workers from the directory's complete list. */
     applyDirectory(listed: readonly directory.ListedWorker[]): void;
+    /** The worker's incarnation has answered. */
+    onConfirmed(worker: entries.WorkerEntry): void;
     /** Another worker answers at the address, or all leases there have expired. */
     onLost(worker: entries.WorkerEntry, reason: "otherLife" | "lapsed"): void;
     /** The worker's next incarnation has answered. */
@@ -61,7 +63,7 @@
     const workers = new Map<string, entries.WorkerEntry>();
     const sessions = new Map<string, workerSession.WorkerSession>();
     const byName = new Map<string, Set<entries.WorkerEntry>>();
-    const latest = incarnations.createLatestIncarnations();
+    const current = incarnations.createCurrentIncarnations();
 
     const getWorker = (id: string): entries.WorkerEntry => {
         let worker = workers.get(id);
@@ -70,7 +72,7 @@
             worker.listed = false;
             workers.set(id, worker);
             byName.set(worker.incarnation.name, (byName.get(worker.incarnation.name) ?? new Set()).add(worker));
-            latest.record(worker.incarnation);
+            current.restore(worker.incarnation);
         }
         return worker;
     };
@@ -113,12 +115,10 @@
     const listEarlier = ({ incarnation }: entries.WorkerEntry) =>
         [...byName.get(incarnation.name) ?? []].filter(other => other.incarnation.startedAt < incarnation.startedAt);
 
-    /** Returns `undefined` if the directory is stale and the incarnation has ended. */
+    /** Returns `undefined` if the incarnation has ended. */
     const toIncarnation = ({ name, startedAt, ...info }: directory.ListedWorker): ListedIncarnation | undefined => {
-        const current = latest.record({ name, startedAt });
-        return startedAt === 0 || current.startedAt === startedAt
-            ? { ...info, id: incarnations.getIncarnationId(current) }
-            : undefined;
+        const incarnation = current.list({ name, startedAt });
+        return incarnation && { ...info, id: incarnations.getIncarnationId(incarnation) };
     };
     const updateListed = (info: ListedIncarnation) => {
         const worker = getWorker(info.id);
@@ -164,7 +164,7 @@
     return {
         workers,
         getWorker,
-        findCurrent: name => workers.get(incarnations.getIncarnationId(latest.record({ name, startedAt: 0 }))),
+        findCurrent: name => workers.get(incarnations.getIncarnationId(current.get(name))),
         getSession: worker => sessions.get(worker.id),
         applyDirectory: all => {
             const listed = options.filterKnownServices(all.map(toIncarnation).filter(info => info !== undefined));
@@ -182,6 +182,7 @@
             }
             options.onChanged();
         },
+        onConfirmed: worker => void current.confirm(worker.incarnation),
         onLost: (worker, reason) => {
             jobs.handleWorkerLoss(worker, reason);
             if (reason === "otherLife") {
@@ -189,8 +190,7 @@
             }
         },
         onNextIncarnation: (worker, { name, startedAt }, pollResult) => {
-            const incarnation = latest.record({ name, startedAt });
-            const id = incarnations.getIncarnationId(incarnation);
+            const id = incarnations.getIncarnationId(current.confirm({ name, startedAt }));
             const next = getWorker(id);
             if (!next.listed) {
                 next.info = { ...worker.info, id };
--- a/src/leader/sessions/workerSession.ts
+++ b/src/leader/sessions/workerSession.ts
@@ -41,6 +41,8 @@
     getPollWaitMs(): number;
     /** Handles the result of a poll; resolves when its ends are stored. */
     onPollResult(pollResult: PollResult): Promise<void>;
+    /** The incarnation of the session has answered, and said that it is this one. */
+    onConfirmed(): void;
     /** Another worker answers at the address, or all leases there have expired. */
     onLost(reason: "otherLife" | "lapsed"): void;
     /** The worker's next incarnation has answered, so this one has ended. */
@@ -206,6 +208,9 @@
             return false;
         }
         lastAnsweredPollAt = Math.max(lastAnsweredPollAt, sentAt);
+        if (answer.startedAt !== 0) {
+            options.onConfirmed();
+        }
         if (!hasAcceptedToken) {
             // The worker now refuses earlier leaders, so only this leader's grants count.
             hasAcceptedToken = true;
--- a/src/leader/term.ts
+++ b/src/leader/term.ts
@@ -206,6 +206,7 @@
                 planPass(PASS_DELAY_MS);
                 await writer.flush();
             },
+            onConfirmed: () => registry.onConfirmed(worker),
             onLost: how => registry.onLost(worker, how),
             onNextIncarnation: (next, lists) => registry.onNextIncarnation(worker, next, lists),
             onReachability: reachable => {
