Leader: poll idle workers that have never answered once a second

Cause: the session of an idle worker that does not answer polled every 150 ms and logged each failure.

Change: the pause doubles up to a second while the worker is idle and has never answered in this session; lookFailed is logged when the kind of failure changes. Workers that may hold a task are polled as before.

--- a/src/leader/sessions/__tests__/workerSession.test.ts
+++ b/src/leader/sessions/__tests__/workerSession.test.ts
@@ -185,3 +185,35 @@
         expect(disconnections > 0).toBe(isReported);
     });
 });
+
+// Guards against a leader that spends its time and its log lines on entries of workers that do not exist.
+describe("a worker that never answers", () => {
+    test.each([
+        { name: "is polled once a second and logged once while it is idle", isBusy: false, maxPolls: 14 },
+        { name: "is polled without a longer pause while a task may run there", isBusy: true, maxPolls: 70 },
+    ])("$name", async ({ isBusy, maxPolls }) => {
+        const time = clocks.createManualClock();
+        let polls = 0;
+        const events: string[] = [];
+        const record = (event: string) => void events.push(event);
+        const refused = async () => ({ kind: "unreachable", message: "" } as const);
+        const session = createSession(time, {
+            port: {
+                start: refused,
+                stop: refused,
+                pace: refused,
+                poll: async () => {
+                    polls++;
+                    return refused();
+                },
+            },
+            log: { info: record, warn: record, error: record },
+            isBusy: () => isBusy,
+        });
+        await time.advance(10_000);
+        session.close();
+        expect(polls).toBeLessThanOrEqual(maxPolls);
+        expect(polls).toBeGreaterThan(isBusy ? maxPolls / 2 : maxPolls / 4);
+        expect(events.filter(event => event === "lookFailed")).toHaveLength(1);
+    });
+});
--- a/src/leader/sessions/workerSession.ts
+++ b/src/leader/sessions/workerSession.ts
@@ -82,6 +82,11 @@
 /** Orders are answered within milliseconds; gangs wait until an order without an answer is resolved. */
 const ORDER_TIMEOUT_MS = 600;
 const RETRY_PAUSE_MS = 150;
+/**
+ * Longest pause between polls of an idle worker that has never answered. Its entry in the directory may be another
+ * writer's, and there may be hundreds of them.
+ */
+const MAX_UNPROVEN_RETRY_PAUSE_MS = 1_000;
 /** The last ends of an idle worker are acknowledged after this time, unless a new task causes a poll before. */
 const LAST_POLL_DELAY_MS = 400;
 
@@ -116,6 +121,9 @@
     /** Whether a first poll was attempted. */
     let hasTried = false;
     let isEnded = false;
+    let retryPauseMs = RETRY_PAUSE_MS;
+    /** How the polls since the latest answer have failed; logged when it changes. */
+    let failure: string | undefined;
     let wake: (() => void) | undefined;
 
     const learnClock = (value: number | undefined) => {
@@ -200,13 +208,17 @@
             lastAnsweredPollAt = -Infinity;
             if (answer.kind !== "otherLife") {
                 const isBrokenOff = isNoAnswer(answer) && time.now() - sentAt < timeoutMs;
-                options.log.info("lookFailed", { worker: id, answer: answer.kind, isBrokenOff });
+                if (failure !== `${answer.kind} ${isBrokenOff}`) {
+                    failure = `${answer.kind} ${isBrokenOff}`;
+                    options.log.info("lookFailed", { worker: id, answer: answer.kind, isBrokenOff });
+                }
                 if (isBrokenOff) {
                     options.onDisconnected();
                 }
             }
             return false;
         }
+        failure = undefined;
         lastAnsweredPollAt = Math.max(lastAnsweredPollAt, sentAt);
         if (answer.startedAt !== 0) {
             options.onConfirmed();
@@ -304,7 +316,9 @@
                 if (options.isBusy() && time.now() > expiresAt) {
                     endIncarnation("lapsed");
                 }
-                await pause(RETRY_PAUSE_MS);
+                const isUnproven = !hasAcceptedToken && !options.isBusy();
+                retryPauseMs = isUnproven ? Math.min(2 * retryPauseMs, MAX_UNPROVEN_RETRY_PAUSE_MS) : RETRY_PAUSE_MS;
+                await pause(retryPauseMs);
             }
         }
     };
