Intake: a conflict that names no row leaves a submission undecided

Since cancellations preclude submissions, a conflict may mean that the job is stored, or that it was cancelled. An answer 412 whose rows are missing or cannot be decoded was taken for a cancellation, and the caller was told for certain that a job never runs that may be stored.

Change: such a conflict counts as an unknown outcome; the write is repeated, and the caller gets 504 if no answer tells more.

Evidence: one case in intake.test.ts, which fails before (notAccepted).

--- a/src/intake/__tests__/intake.test.ts
+++ b/src/intake/__tests__/intake.test.ts
@@ -2,6 +2,7 @@
 import type * as catalogs from "../../catalog/index";
 import * as clocks from "../../clock/index";
 import * as emulator from "../../emulator/index";
+import type * as rows from "../../rows/index";
 import * as telemetry from "../../telemetry/index";
 import * as work from "../../work/index";
 import * as intakes from "../index";
@@ -34,6 +35,8 @@
     readonly isUnreachable?: boolean;
     /** The store counts as unreachable after this many calls. */
     readonly unreachableAfterCalls?: number;
+    /** Whether the store leaves out the rows of a conflict. */
+    readonly hidesConflictingRows?: boolean;
     /** Time since the last answer of the store. */
     readonly silenceMs?: number;
     readonly countsAgeMs?: number;
@@ -56,8 +59,13 @@
         latencyMs: 5,
         faults: { decide: () => options.decide?.(calls++) ?? "none", lateMs: options.lateMs ?? 500 },
     });
+    const opened = store.open("a");
+    const transact: rows.RowStore["transact"] = async (tx, timeoutMs) => {
+        const result = await opened.transact(tx, timeoutMs);
+        return result.kind === "conflict" && options.hidesConflictingRows ? { ...result, rows: [] } : result;
+    };
     const intake = intakes.createIntake({
-        store: store.open("a"),
+        store: { ...opened, transact },
         health: {
             getUnreachableMs: () =>
                 options.isUnreachable || calls >= (options.unreachableAfterCalls ?? Infinity) ? 0 : undefined,
@@ -117,6 +125,15 @@
             maxMs: 1_200,
             rows: 1,
         },
+        {
+            // Guards against a refusal of a job that is stored: a conflict was taken for one with a cancellation.
+            name: "whose answer was lost is undecided if the conflict of its repetition names no row",
+            decide: call => call === 0 ? "loseAnswer" : "none",
+            hidesConflictingRows: true,
+            kind: "undecided",
+            maxMs: CALLER_TIMEOUT_MS,
+            rows: 1,
+        },
         {
             name: "that the store rejects is refused soon",
             decide: () => "refuse",
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -100,13 +100,16 @@
     readonly value: string;
     /** Keys that must not exist, among them the new one. */
     readonly absentKeys: readonly string[];
-    /** Reply if some of them exist. */
-    getConflictReply(existingKeys: readonly string[]): IntakeReply;
+    /** Reply if these of them exist; `undefined` if none does, so that the conflict is not explained. */
+    getConflictReply(existingKeys: readonly string[]): IntakeReply | undefined;
 }
 
 /** Reply to a submission of which these rows exist, the job's own or that of its cancellation. */
-function getSubmitConflictReply(jobId: string, existingKeys: readonly string[]): IntakeReply {
-    return existingKeys.includes(jobId) ? { kind: "accepted" } : {
+function getSubmitConflictReply(jobId: string, existingKeys: readonly string[]): IntakeReply | undefined {
+    if (existingKeys.includes(jobId)) {
+        return { kind: "accepted" };
+    }
+    return !existingKeys.includes(work.getCancelKey(jobId)) ? undefined : {
         kind: "notAccepted",
         retryAfterMs: RETRY_AFTER_MS,
         reason: "the job was cancelled before it was accepted",
@@ -157,8 +160,16 @@
             switch (outcome.kind) {
                 case "committed":
                     return { kind: "accepted" };
-                case "conflict":
-                    return entry.getConflictReply(outcome.rows.map(row => row.key));
+                case "conflict": {
+                    const reply = entry.getConflictReply(outcome.rows.map(row => row.key));
+                    if (reply) {
+                        return reply;
+                    }
+                    // The row that caused the conflict may be the job's own.
+                    reason = "conflict without a row";
+                    mayBeWritten = true;
+                    break;
+                }
                 case "refused":
                     reason = outcome.message;
                     refusals++;
@@ -237,7 +248,7 @@
         if (typeof present === "string") {
             return { kind: "notAccepted", retryAfterMs: getOutageRetryMs(jobId), reason: present };
         }
-        return present.length > 0 ? getSubmitConflictReply(jobId, present.map(row => row.key)) : undefined;
+        return getSubmitConflictReply(jobId, present.map(row => row.key));
     };
 
     const createSubmission = (caller: Caller, jobId: string, value: string) =>
