Emulator: random sites keep delayed orders beyond a worker's incarnation

Until now a delayed order died with the incarnation that had received it, so no random site could show that the next one carries it out.

--- a/src/emulator/chaos.ts
+++ b/src/emulator/chaos.ts
@@ -149,6 +149,7 @@
         workerFaults: {
             decide: worker => pickFault(source, workerWindows, time.now(), worker) ?? "none",
             lateMs: 300 + source.nextInt(6_000),
+            isLateOrderKept: true,
             getSlowdown: worker =>
                 (worker === getWorkerId(0) && time.now() < slowWorkerUntil ? 20 : 1)
                 * (contention?.getSlowdown(sites.getFirstWorkerId(worker)) ?? 1),
