Exhaustion: the slow body keeps to its two seconds when timers fire late

Change: each character has its time from the start of the body, so a late timer is made up for. The body still takes 2 s, the deadline and the expected 200 are the same; the check is as strict on the instance.

--- a/exhaustion/__tests__/calm.test.ts
+++ b/exhaustion/__tests__/calm.test.ts
@@ -6,6 +6,7 @@
 const TEST_TIMEOUT_MS = 60_000;
 const ACCEPTED = 200;
 const UNKNOWN_JOB = 410;
+const SLOW_BODY_MS = 2_000;
 
 /** A valid job that is exactly as long as the largest body. */
 const LARGEST_BODY = padJob(underTest.REQUEST_LIMITS.bodyBytes);
@@ -51,12 +52,15 @@
     return statuses;
 }
 
+/** Sends a body over `SLOW_BODY_MS`. A timer that fires late does not prolong it: the deadline leaves another second. */
 async function sendSlowly(address: string): Promise<readonly number[]> {
     const exchange = exchanges.openExchange(address);
+    const body = JSON.stringify(exchanges.JOB);
+    const startedAt = performance.now();
     exchange.socket.write(exchanges.encodeChunkedHead(exchanges.getJobPath(1)));
-    for (const character of JSON.stringify(exchanges.JOB)) {
-        exchange.socket.write(exchanges.encodeChunk(character));
-        await sleep(2_000 / JSON.stringify(exchanges.JOB).length);
+    for (let sent = 0; sent < body.length; sent++) {
+        exchange.socket.write(exchanges.encodeChunk(body[sent]!));
+        await sleep(startedAt + (sent + 1) * SLOW_BODY_MS / body.length - performance.now());
     }
     exchange.socket.write("0\r\n\r\n");
     const statuses = await exchange.getStatuses(1);
